--- /dev/null
+++ b/marigoldkeel/exceptions.py
@@ -0,0 +1,80 @@
+"""The exceptions of marigoldkeel.
+
+Each names the processing step and the peer at which the error arose.
+"""
+
+
+class MarigoldkeelError(Exception):
+    """Base of all errors raised by marigoldkeel.
+
+    :param message: What went wrong and, where known, what to change.
+    :param step: The processing step, for example ``"claim"``.
+    :param peer: The address or file the error concerns, or ``""``.
+    """
+
+    def __init__(self, message: str, step: str = "", peer: str = ""):
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        context = ", ".join(
+            f"{name}: {value}"
+            for name, value in (("step", self.step), ("peer", self.peer))
+            if value
+        )
+        return f"{self.message} ({context})" if context else self.message
+
+
+class InvalidInput(MarigoldkeelError, ValueError):
+    """A caller, peer or operator sent a value that is not accepted."""
+
+
+class SettingsError(InvalidInput):
+    """A settings file has an unknown key, a wrong type or a bad value."""
+
+
+class ProtocolError(MarigoldkeelError, ValueError):
+    """A peer sent a message that is malformed, truncated or too large."""
+
+
+class PeerUnavailable(MarigoldkeelError, ConnectionError):
+    """No connection to the peer could be made, so nothing was sent."""
+
+
+class PeerLost(MarigoldkeelError, ConnectionError):
+    """The connection was lost after a request may have been sent."""
+
+
+class PeerTimeout(MarigoldkeelError, TimeoutError):
+    """The peer did not reply in time; the request may have had an effect."""
+
+
+class StoreUnavailable(MarigoldkeelError, ConnectionError):
+    """The store did not answer; a write may have taken effect."""
+
+
+class Refused(MarigoldkeelError, RuntimeError):
+    """The request was refused and nothing was run.
+
+    :param retry_after_s: Seconds after which another try may succeed.
+    """
+
+    def __init__(
+        self, message: str, step: str = "", peer: str = "", retry_after_s: float = 0.0
+    ):
+        super().__init__(message, step, peer)
+        self.retry_after_s = retry_after_s
+
+
+class JobFailed(MarigoldkeelError, RuntimeError):
+    """The job failed; some of its tasks ran or may have run."""
+
+
+class OutcomeUnknown(MarigoldkeelError, TimeoutError):
+    """Whether the request ran is not known; ask again under the same id."""
+
+
+class Conflict(InvalidInput):
+    """The submission id was used before with another body."""
--- /dev/null
+++ b/marigoldkeel/messages.capnp
@@ -0,0 +1,214 @@
+@0xbf5147cbbecf40c1;
+
+struct Frame {
+  messages @0 :List(Message);
+}
+
+struct Message {
+  requestId @0 :UInt64;
+  # 0 for a message without a reply.
+  reply @1 :Bool;
+  union {
+    none @2 :Void;
+    error @3 :Error;
+    submit @4 :Submit;
+    answer @5 :Answer;
+    claim @6 :Claim;
+    claimed @7 :Claimed;
+    probe @8 :Probe;
+    take @9 :Take;
+    grant @10 :Grant;
+    run @11 :Run;
+    ran @12 :Ran;
+    transfer @13 :Transfer;
+    transferred @14 :Transferred;
+    heartbeat @15 :Heartbeat;
+    heartbeatReply @16 :HeartbeatReply;
+    pull @17 :Pull;
+    pulled @18 :Pulled;
+    cancel @19 :Cancel;
+    done @20 :Done;
+    inspect @21 :Inspect;
+    report @22 :Report;
+    move @23 :Move;
+  }
+}
+
+struct Error {
+  code @0 :Text;
+  message @1 :Text;
+  step @2 :Text;
+  peer @3 :Text;
+}
+
+struct Member {
+  name @0 :Text;
+  incarnation @1 :Text;
+  address @2 :Text;
+  domain @3 :Text;
+}
+
+struct Submit {
+  partition @0 :UInt32;
+  generation @1 :UInt64;
+  submissionId @2 :Data;
+  team @3 :Text;
+  kind @4 :Text;
+  priority @5 :UInt8;
+  deadlineMs @6 :UInt32;
+  unanswered @7 :UInt32;
+  tasks @8 :UInt32;
+  body @9 :Data;
+}
+
+struct Answer {
+  outcome @0 :Text;
+  body @1 :Data;
+  message @2 :Text;
+  step @3 :Text;
+  peer @4 :Text;
+  retryAfterMs @5 :UInt32;
+  conflict @6 :Bool;
+  invalid @7 :Bool;
+  ran @8 :List(UInt32);
+  mayHaveRun @9 :List(UInt32);
+}
+
+struct Claim {
+  partition @0 :UInt32;
+  generation @1 :UInt64;
+  submissionId @2 :Data;
+  digest @3 :Data;
+}
+
+struct Claimed {
+  verdict @0 :UInt8;
+  generation @1 :UInt64;
+}
+
+struct Probe {
+  partition @0 :UInt32;
+  generation @1 :UInt64;
+  submissionId @2 :Data;
+  kind @3 :Text;
+  priority @4 :UInt8;
+  deadlineMs @5 :UInt32;
+  count @6 :UInt32;
+  address @7 :Text;
+}
+
+struct TaskResult {
+  index @0 :UInt32;
+  state @1 :UInt8;
+  payload @2 :Data;
+  message @3 :Text;
+}
+
+struct Take {
+  submissionId @0 :Data;
+  incarnation @1 :Text;
+  sequence @2 :UInt64;
+  want @3 :UInt32;
+  results @4 :List(TaskResult);
+}
+
+struct TaskItem {
+  index @0 :UInt32;
+  payload @1 :Data;
+}
+
+struct Grant {
+  partition @0 :UInt32;
+  generation @1 :UInt64;
+  tasks @2 :List(TaskItem);
+}
+
+struct Run {
+  partition @0 :UInt32;
+  generation @1 :UInt64;
+  submissionId @2 :Data;
+  kind @3 :Text;
+  priority @4 :UInt8;
+  deadlineMs @5 :UInt32;
+  tasks @6 :List(TaskItem);
+}
+
+struct Ran {
+  results @0 :List(TaskResult);
+}
+
+struct ClaimEntry {
+  submissionId @0 :Data;
+  digest @1 :Data;
+  state @2 :UInt8;
+}
+
+struct Transfer {
+  transferId @0 :Text;
+  partition @1 :UInt32;
+  generation @2 :UInt64;
+  incarnation @3 :Text;
+  lowWaterMs @4 :UInt64;
+  sequence @5 :UInt32;
+  claims @6 :List(ClaimEntry);
+  last @7 :Bool;
+  record @8 :Data;
+}
+
+struct Transferred {
+  accepted @0 :Bool;
+  generation @1 :UInt64;
+}
+
+struct Heartbeat {
+  member @0 :Member;
+  load @1 :Float64;
+  slots @2 :UInt32;
+  configRevision @3 :UInt64;
+  tableVersion @4 :UInt64;
+  leaving @5 :Bool;
+  kinds @6 :List(Text);
+}
+
+struct HeartbeatReply {
+  member @0 :Member;
+  load @1 :Float64;
+  slots @2 :UInt32;
+  configRevision @3 :UInt64;
+  tableVersion @4 :UInt64;
+  leaving @5 :Bool;
+  kinds @6 :List(Text);
+  intervalMs @7 :UInt32;
+  members @8 :List(Member);
+}
+
+struct Pull {
+  what @0 :Text;
+  above @1 :UInt64;
+}
+
+struct Pulled {
+  above @0 :UInt64;
+  version @1 :UInt64;
+  document @2 :Data;
+}
+
+struct Cancel {
+  submissionId @0 :Data;
+}
+
+struct Done {
+}
+
+struct Inspect {
+}
+
+struct Report {
+  document @0 :Data;
+}
+
+struct Move {
+  partition @0 :UInt32;
+  generation @1 :UInt64;
+  standby @2 :Member;
+}
--- /dev/null
+++ b/marigoldkeel/messages.py
@@ -0,0 +1,425 @@
+"""Typed messages between processes and their Cap'n Proto codec.
+
+Each class registers itself for one member of the schema's union. A message is a
+plain slotted object; the codec copies its fields to and from Cap'n Proto.
+"""
+
+import functools
+from collections.abc import Callable
+from dataclasses import dataclass, field, fields
+from pathlib import Path
+from typing import Any, get_args, get_origin, get_type_hints
+
+import capnp
+
+from marigoldkeel.exceptions import ProtocolError
+from marigoldkeel.models import Member
+
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+WORD_BYTES = 8
+# Limits what a small frame with overlapping pointers can make the reader visit.
+TRAVERSAL_LIMIT_WORDS = 2 * MAX_FRAME_BYTES // WORD_BYTES
+
+message_types: dict[str, type] = {}
+_union_names: dict[type, str] = {}
+
+
+def message(union_name: str) -> Callable[[type], type]:
+    """Register a class as the message of one union member.
+
+    Usage::
+
+        @message("claim")
+        @dataclass(slots=True)
+        class Claim: ...
+    """
+
+    def register(cls: type) -> type:
+        message_types[union_name] = cls
+        _union_names[cls] = union_name
+        return cls
+
+    return register
+
+
+@message("error")
+@dataclass(slots=True)
+class Error:
+    """A request failed at the peer with the named exception class."""
+
+    code: str = ""
+    message: str = ""
+    step: str = ""
+    peer: str = ""
+
+
+@message("submit")
+@dataclass(slots=True)
+class Submit:
+    """Asks a primary to run a submission and answer it."""
+
+    partition: int = 0
+    generation: int = 0
+    submission_id: bytes = b""
+    team: str = ""
+    kind: str = ""
+    priority: int = 0
+    deadline_ms: int = 0
+    unanswered: int = 0
+    tasks: int = 0
+    body: bytes = b""
+
+
+@message("answer")
+@dataclass(slots=True)
+class AnswerMessage:
+    """The answer to `Submit`; the fields are those of `models.Answer`."""
+
+    outcome: str = ""
+    body: bytes = b""
+    message: str = ""
+    step: str = ""
+    peer: str = ""
+    retry_after_ms: int = 0
+    conflict: bool = False
+    invalid: bool = False
+    ran: list[int] = field(default_factory=list)
+    may_have_run: list[int] = field(default_factory=list)
+
+
+@message("claim")
+@dataclass(slots=True)
+class Claim:
+    """Asks the standby to record a claim before anything starts."""
+
+    partition: int = 0
+    generation: int = 0
+    submission_id: bytes = b""
+    digest: bytes = b""
+
+
+@message("claimed")
+@dataclass(slots=True)
+class Claimed:
+    """The standby's verdict on a claim, a `claims.Verdict` value."""
+
+    verdict: int = 0
+    generation: int = 0
+
+
+@message("probe")
+@dataclass(slots=True)
+class Probe:
+    """Tells an agent that a job has ``count`` tasks for it to take."""
+
+    partition: int = 0
+    generation: int = 0
+    submission_id: bytes = b""
+    kind: str = ""
+    priority: int = 0
+    deadline_ms: int = 0
+    count: int = 0
+    address: str = ""
+
+
+@dataclass(slots=True)
+class TaskResult:
+    """What happened to one task; ``state`` is a `models.TaskState` value."""
+
+    index: int = 0
+    state: int = 0
+    payload: bytes = b""
+    message: str = ""
+
+
+@message("take")
+@dataclass(slots=True)
+class Take:
+    """Returns results of a job and asks for up to ``want`` more of its tasks.
+
+    A repeated message with the same sequence gets the same grant.
+    """
+
+    submission_id: bytes = b""
+    incarnation: str = ""
+    sequence: int = 0
+    want: int = 0
+    results: list[TaskResult] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class TaskItem:
+    """One task that an agent is given."""
+
+    index: int = 0
+    payload: bytes = b""
+
+
+@message("grant")
+@dataclass(slots=True)
+class Grant:
+    """The tasks granted by a primary; empty when none are left."""
+
+    partition: int = 0
+    generation: int = 0
+    tasks: list[TaskItem] = field(default_factory=list)
+
+
+@message("run")
+@dataclass(slots=True)
+class Run:
+    """Pushes tasks to an agent, which replies when all have ended.
+
+    Generation 0 stands for a read-only call, which needs no claim.
+    """
+
+    partition: int = 0
+    generation: int = 0
+    submission_id: bytes = b""
+    kind: str = ""
+    priority: int = 0
+    deadline_ms: int = 0
+    tasks: list[TaskItem] = field(default_factory=list)
+
+
+@message("ran")
+@dataclass(slots=True)
+class Ran:
+    """The results of `Run`, one for each task."""
+
+    results: list[TaskResult] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class ClaimEntry:
+    """One claim in a state transfer."""
+
+    submission_id: bytes = b""
+    digest: bytes = b""
+    state: int = 0
+
+
+@message("transfer")
+@dataclass(slots=True)
+class Transfer:
+    """Sends part of a partition's state to its new standby.
+
+    ``record`` is the partition record as stored in the store.
+    """
+
+    transfer_id: str = ""
+    partition: int = 0
+    generation: int = 0
+    incarnation: str = ""
+    low_water_ms: int = 0
+    sequence: int = 0
+    claims: list[ClaimEntry] = field(default_factory=list)
+    last: bool = False
+    record: bytes = b""
+
+
+@message("transferred")
+@dataclass(slots=True)
+class Transferred:
+    """Whether the new standby accepted a part of the state."""
+
+    accepted: bool = False
+    generation: int = 0
+
+
+@message("heartbeat")
+@dataclass(slots=True)
+class Heartbeat:
+    """The sender is alive. ``load`` is queued and running work over slots."""
+
+    member: Member = field(default_factory=Member)
+    load: float = 0.0
+    slots: int = 0
+    config_revision: int = 0
+    table_version: int = 0
+    leaving: bool = False
+    kinds: list[str] = field(default_factory=list)
+
+
+@message("heartbeatReply")
+@dataclass(slots=True)
+class HeartbeatReply:
+    """The receiver's own state, when to send again, and members it knows."""
+
+    member: Member = field(default_factory=Member)
+    load: float = 0.0
+    slots: int = 0
+    config_revision: int = 0
+    table_version: int = 0
+    leaving: bool = False
+    kinds: list[str] = field(default_factory=list)
+    interval_ms: int = 0
+    members: list[Member] = field(default_factory=list)
+
+
+@message("pull")
+@dataclass(slots=True)
+class Pull:
+    """Asks for the ``"config"`` or ``"table"`` above a revision."""
+
+    what: str = ""
+    above: int = 0
+
+
+@message("pulled")
+@dataclass(slots=True)
+class Pulled:
+    """All changes in the range ``above`` (exclusive) to ``version``."""
+
+    above: int = 0
+    version: int = 0
+    document: bytes = b""
+
+
+@message("cancel")
+@dataclass(slots=True)
+class Cancel:
+    """Drops the tasks of a job that have not started."""
+
+    submission_id: bytes = b""
+
+
+@message("done")
+@dataclass(slots=True)
+class Done:
+    """An empty reply."""
+
+
+@message("inspect")
+@dataclass(slots=True)
+class Inspect:
+    """Asks for the status report of a daemon."""
+
+
+@message("report")
+@dataclass(slots=True)
+class Report:
+    """A status report as a JSON document."""
+
+    document: bytes = b""
+
+
+@message("move")
+@dataclass(slots=True)
+class Move:
+    """Asks the primary of a partition to take ``standby`` as its standby."""
+
+    partition: int = 0
+    generation: int = 0
+    standby: Member = field(default_factory=Member)
+
+
+@functools.cache
+def _schema() -> Any:
+    return capnp.load(str(Path(__file__).with_name("messages.capnp")))
+
+
+def _camel_case(name: str) -> str:
+    head, *rest = name.split("_")
+    return head + "".join(part.title() for part in rest)
+
+
+@functools.cache
+def _layout(cls: type) -> list[tuple[str, str, type | None, bool]]:
+    """Return (attribute, schema field, nested class, is a list) of each field."""
+    hints = get_type_hints(cls)
+    layout = []
+    for item in fields(cls):
+        hint = hints[item.name]
+        is_list = get_origin(hint) is list
+        inner = get_args(hint)[0] if is_list else hint
+        nested = inner if hasattr(inner, "__dataclass_fields__") else None
+        layout.append((item.name, _camel_case(item.name), nested, is_list))
+    return layout
+
+
+def _write(builder: Any, value: Any) -> None:
+    for attribute, name, nested, is_list in _layout(type(value)):
+        content = getattr(value, attribute)
+        if nested is None:
+            setattr(builder, name, content)
+        elif is_list:
+            if content:
+                items = builder.init(name, len(content))
+                for position, item in enumerate(content):
+                    _write(items[position], item)
+        else:
+            _write(builder.init(name), content)
+
+
+def _read(reader: Any, cls: type) -> Any:
+    values = {}
+    for attribute, name, nested, is_list in _layout(cls):
+        content = getattr(reader, name)
+        if nested is None:
+            values[attribute] = list(content) if is_list else content
+        elif is_list:
+            values[attribute] = [_read(item, nested) for item in content]
+        else:
+            values[attribute] = _read(content, nested)
+    return cls(**values)
+
+
+@dataclass(slots=True)
+class Envelope:
+    """A message with what matches a reply to its request.
+
+    ``request_id`` is 0 for a message without a reply.
+    """
+
+    request_id: int
+    reply: bool
+    content: Any
+
+
+def encode_frame(envelopes: list[Envelope]) -> bytes:
+    """Return the bytes of one frame, without its length.
+
+    :raises ProtocolError: If the frame would exceed ``MAX_FRAME_BYTES``.
+    """
+    frame = _schema().Frame.new_message()
+    items = frame.init("messages", len(envelopes))
+    for position, envelope in enumerate(envelopes):
+        item = items[position]
+        item.requestId = envelope.request_id
+        item.reply = envelope.reply
+        _write(item.init(_union_names[type(envelope.content)]), envelope.content)
+    data = frame.to_bytes()
+    if len(data) > MAX_FRAME_BYTES:
+        raise ProtocolError(
+            f"frame of {len(data)} bytes exceeds {MAX_FRAME_BYTES}", step="encode"
+        )
+    return data
+
+
+def decode_frame(data: bytes, peer: str = "") -> list[Envelope]:
+    """Return the messages of one frame.
+
+    :raises ProtocolError: If the bytes are not a frame this version reads.
+    """
+    try:
+        with _schema().Frame.from_bytes(
+            data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        ) as frame:
+            return [_decode_message(item) for item in frame.messages]
+    except ProtocolError as error:
+        error.peer = peer
+        raise
+    except Exception as error:
+        raise ProtocolError(
+            f"malformed frame: {error}", step="decode", peer=peer
+        ) from error
+
+
+def _decode_message(item: Any) -> Envelope:
+    name = str(item.which())
+    cls = message_types.get(name)
+    if cls is None:
+        raise ProtocolError(f"unknown message {name!r}", step="decode")
+    return Envelope(item.requestId, item.reply, _read(getattr(item, name), cls))
--- /dev/null
+++ b/marigoldkeel/models.py
@@ -0,0 +1,95 @@
+"""Data that several modules share."""
+
+from dataclasses import dataclass, field
+from enum import IntEnum, StrEnum
+
+
+class Outcome(StrEnum):
+    """What a caller is told about a job or call; a closed set."""
+
+    COMPLETE = "complete"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class TaskState(IntEnum):
+    """What is known of one task."""
+
+    PENDING = 0
+    GRANTED = 1
+    SUCCEEDED = 2
+    FAILED = 3
+    NOT_STARTED = 4
+    MAY_HAVE_RUN = 5
+
+
+class Priority(IntEnum):
+    """Classes of work; lower values go first and are refused last."""
+
+    URGENT = 0
+    NORMAL = 1
+    BATCH = 2
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """One start of an agent process.
+
+    ``incarnation`` differs between two starts of the agent called ``name``.
+    """
+
+    name: str = ""
+    incarnation: str = ""
+    address: str = ""
+    domain: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class PartitionRecord:
+    """The members of a partition in one generation.
+
+    ``revision`` is the store's revision of the record and not part of its value.
+    ``low_water_ms`` is the mint time below which ids are refused.
+    """
+
+    partition: int
+    generation: int
+    primary: Member
+    standby: Member
+    low_water_ms: int = 0
+    revision: int = 0
+
+
+@dataclass(slots=True)
+class Submission:
+    """A job or call as its primary received it. Times are in seconds."""
+
+    submission_id: bytes
+    partition: int
+    generation: int
+    team: str
+    kind: str
+    priority: Priority
+    deadline: float
+    payloads: list[bytes]
+
+
+@dataclass(slots=True)
+class Answer:
+    """The answer to one attempt of a submission.
+
+    ``body`` is a JSON array of results when the outcome is complete.
+    ``ran`` and ``may_have_run`` are task indexes of a failed job.
+    """
+
+    outcome: Outcome
+    body: bytes = b""
+    message: str = ""
+    step: str = ""
+    peer: str = ""
+    retry_after_ms: int = 0
+    conflict: bool = False
+    invalid: bool = False
+    ran: list[int] = field(default_factory=list)
+    may_have_run: list[int] = field(default_factory=list)
--- /dev/null
+++ b/marigoldkeel/servers.py
@@ -0,0 +1,191 @@
+"""A small HTTP application on uvicorn, used by the daemons and the stand-ins."""
+
+import re
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+import uvicorn
+from anyio.abc import TaskStatus
+from loguru import logger
+
+from marigoldkeel.exceptions import InvalidInput, MarigoldkeelError
+
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+SHUTDOWN_TIMEOUT_S = 10
+LISTEN_BACKLOG = 2048
+
+
+@dataclass(slots=True)
+class Request:
+    """One HTTP request with its whole body. Header names are lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    peer: str
+    arguments: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Response:
+    """One HTTP response; ``chunks`` replaces ``body`` for a streamed one."""
+
+    status: int = 200
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+    chunks: AsyncIterator[bytes] | None = None
+
+    @classmethod
+    def from_json(cls, content: object, status: int = 200, **headers: str):
+        """Return a response with ``content`` encoded as JSON."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        return cls(
+            status,
+            msgspec.json.encode(content),
+            {"content-type": "application/json", **named},
+        )
+
+
+Endpoint = Callable[[Request], Awaitable[Response]]
+
+
+class HttpApplication:
+    """An ASGI application whose endpoints are registered by a decorator.
+
+    Usage::
+
+        application = HttpApplication()
+
+        @application.route("POST", "/v1/calls/{kind}")
+        async def call(request): ...
+    """
+
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES):
+        self.max_body_bytes = max_body_bytes
+        self.routes: list[tuple[str, re.Pattern[str], Endpoint]] = []
+
+    def route(self, method: str, path: str) -> Callable[[Endpoint], Endpoint]:
+        """Register an endpoint for a method and a path with ``{name}`` parts."""
+        pattern = re.compile(re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", path) + r"\Z")
+
+        def register(endpoint: Endpoint) -> Endpoint:
+            self.routes.append((method, pattern, endpoint))
+            return endpoint
+
+        return register
+
+    async def __call__(self, scope, receive, send) -> None:
+        if scope["type"] != "http":
+            raise InvalidInput(f"unsupported scope {scope['type']!r}", step="http")
+        await self._send(send, await self._respond(scope, receive))
+
+    async def _respond(self, scope, receive) -> Response:
+        client = scope.get("client") or ("", 0)
+        peer = f"{client[0]}:{client[1]}"
+        try:
+            endpoint, arguments = self._find(scope["method"], scope["path"])
+            if endpoint is None:
+                return error_response(404, "no such resource", "route", peer)
+            headers = {
+                name.decode("latin-1").lower(): value.decode("latin-1")
+                for name, value in scope["headers"]
+            }
+            body = await self._read_body(receive, peer)
+            if body is None:
+                message = f"body exceeds {self.max_body_bytes} bytes"
+                return error_response(413, message, "read body", peer)
+            request = Request(
+                scope["method"], scope["path"], headers, body, peer, arguments
+            )
+            return await endpoint(request)
+        except InvalidInput as error:
+            return error_response(400, error.message, error.step, error.peer or peer)
+        except MarigoldkeelError as error:
+            return error_response(503, error.message, error.step, error.peer or peer)
+        except Exception as error:
+            logger.exception("unexpected error serving {}", scope["path"])
+            return error_response(500, f"internal error: {error}", "http", peer)
+
+    def _find(self, method: str, path: str) -> tuple[Endpoint | None, dict[str, str]]:
+        for route_method, pattern, endpoint in self.routes:
+            match = pattern.match(path)
+            if match and route_method == method:
+                return endpoint, match.groupdict()
+        return None, {}
+
+    async def _read_body(self, receive, peer: str) -> bytes | None:
+        body = bytearray()
+        while True:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                raise InvalidInput(
+                    "caller disconnected inside the body", "read body", peer
+                )
+            body += event.get("body", b"")
+            if len(body) > self.max_body_bytes:
+                return None
+            if not event.get("more_body"):
+                return bytes(body)
+
+    async def _send(self, send, response: Response) -> None:
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in response.headers.items()
+        ]
+        if response.chunks is None:
+            headers.append((b"content-length", b"%d" % len(response.body)))
+        start = {"type": "http.response.start", "status": response.status}
+        await send({**start, "headers": headers})
+        if response.chunks is not None:
+            async for chunk in response.chunks:
+                await send(
+                    {"type": "http.response.body", "body": chunk, "more_body": True}
+                )
+        await send({"type": "http.response.body", "body": response.body})
+
+
+def error_response(status: int, message: str, step: str, peer: str) -> Response:
+    """Return a JSON error that names the step and the peer."""
+    return Response.from_json({"error": message, "step": step, "peer": peer}, status)
+
+
+class _Server(uvicorn.Server):
+    @contextmanager
+    def capture_signals(self):
+        # The daemons handle signals themselves to drain before they stop.
+        yield
+
+
+async def serve_http(
+    application: HttpApplication,
+    host: str,
+    port: int,
+    *,
+    task_status: TaskStatus = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve ``application`` until cancelled; reports ``"host:port"``.
+
+    :raises OSError: If the address cannot be bound.
+    """
+    listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+    config = uvicorn.Config(
+        application,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_S,
+        timeout_keep_alive=75,
+    )
+    server = _Server(config)
+    bound_host, bound_port = listener.getsockname()[:2]
+    task_status.started(f"{bound_host}:{bound_port}")
+    try:
+        await server.serve(sockets=[listener])
+    finally:
+        listener.close()
--- /dev/null
+++ b/marigoldkeel/transports.py
@@ -0,0 +1,386 @@
+"""Framed messages over TCP between the processes of the system.
+
+All messages queued for a peer while the previous frame is being sent go into one
+frame, so busy connections send few large frames.
+"""
+
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import ByteStream, TaskGroup, TaskStatus
+from loguru import logger
+
+from marigoldkeel import exceptions
+from marigoldkeel.exceptions import (
+    InvalidInput,
+    MarigoldkeelError,
+    PeerLost,
+    PeerTimeout,
+    PeerUnavailable,
+    ProtocolError,
+)
+from marigoldkeel.messages import (
+    MAX_FRAME_BYTES,
+    Envelope,
+    Error,
+    decode_frame,
+    encode_frame,
+)
+
+
+LENGTH = struct.Struct(">I")
+CONNECT_TIMEOUT_S = 1.0
+READ_BYTES = 65536
+# Bounds the memory that a peer which stops reading can take up here.
+MAX_QUEUED_MESSAGES = 20_000
+MAX_MESSAGES_IN_FRAME = 500
+MAX_BATCH_BYTES = 4 * 1024 * 1024
+
+Handler = Callable[[Any, str], Awaitable[Any]]
+STREAM_ERRORS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``"10.0.0.1:7000"``.
+
+    :raises InvalidInput: If it is not an IP number with a port.
+    """
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    for family in (socket.AF_INET, socket.AF_INET6):
+        try:
+            socket.inet_pton(family, host)
+        except OSError:
+            continue
+        if port.isdigit() and int(port) < 65536:
+            return host, int(port)
+    raise InvalidInput(
+        f"address {address!r} is not an IP number with a port", step="parse address"
+    )
+
+
+@dataclass(slots=True)
+class PendingRequest:
+    """A request that waits for its reply."""
+
+    event: anyio.Event
+    sent: bool = False
+    reply: Any = None
+    error: MarigoldkeelError | None = None
+
+
+@dataclass(slots=True)
+class Counters:
+    """What a connection or pool has sent and received."""
+
+    messages_sent: int = 0
+    frames_sent: int = 0
+    bytes_sent: int = 0
+    messages_received: int = 0
+    bytes_received: int = 0
+    by_type: dict[str, int] = field(default_factory=dict)
+
+
+class Connection:
+    """One TCP connection that carries requests, replies and one-way messages."""
+
+    def __init__(
+        self,
+        stream: ByteStream,
+        peer: str,
+        handler: Handler | None,
+        counters: Counters,
+    ):
+        self.stream = stream
+        self.peer = peer
+        self.handler = handler
+        self.counters = counters
+        self.pending: dict[int, PendingRequest] = {}
+        self.outgoing: list[Envelope] = []
+        self.wake_writer = anyio.Event()
+        self.next_request_id = 1
+        self.closed = False
+
+    def enqueue(self, envelope: Envelope) -> None:
+        """Queue a message for the next frame.
+
+        :raises PeerUnavailable: If the connection is closed or its queue full.
+        """
+        if self.closed:
+            raise PeerUnavailable("connection closed", step="send", peer=self.peer)
+        if len(self.outgoing) >= MAX_QUEUED_MESSAGES:
+            raise PeerUnavailable("send queue is full", step="send", peer=self.peer)
+        self.outgoing.append(envelope)
+        self.wake_writer.set()
+
+    async def request(self, content: Any, timeout_s: float) -> Any:
+        """Send a message and return the reply.
+
+        :raises PeerUnavailable: If nothing was sent.
+        :raises PeerLost: If the connection broke after sending.
+        :raises PeerTimeout: If no reply came within ``timeout_s`` seconds.
+        """
+        request_id = self.next_request_id
+        self.next_request_id += 1
+        pending = PendingRequest(anyio.Event())
+        self.pending[request_id] = pending
+        try:
+            self.enqueue(Envelope(request_id, False, content))
+            with anyio.move_on_after(timeout_s):
+                await pending.event.wait()
+        finally:
+            del self.pending[request_id]
+        if pending.error is not None:
+            raise pending.error
+        if pending.reply is None:
+            raise PeerTimeout(
+                f"no reply within {timeout_s:.3f} s",
+                step=type(content).__name__.lower(),
+                peer=self.peer,
+            )
+        return pending.reply
+
+    async def run(self) -> None:
+        """Send and receive until the connection ends."""
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._write)
+                await self._read(group)
+                group.cancel_scope.cancel()
+        finally:
+            self._fail_pending()
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(self.stream)
+
+    async def _write(self) -> None:
+        while True:
+            await self.wake_writer.wait()
+            self.wake_writer = anyio.Event()
+            while self.outgoing:
+                batch = self._next_batch()
+                try:
+                    frame = encode_frame(batch)
+                except Exception as error:
+                    self._fail_batch(batch, error)
+                    continue
+                self._mark_sent(batch, len(frame))
+                try:
+                    await self.stream.send(LENGTH.pack(len(frame)) + frame)
+                except STREAM_ERRORS:
+                    await anyio.aclose_forcefully(self.stream)
+                    return
+
+    def _next_batch(self) -> list[Envelope]:
+        size = 0
+        count = 0
+        for envelope in self.outgoing[:MAX_MESSAGES_IN_FRAME]:
+            size += len(getattr(envelope.content, "body", b""))
+            if count and size > MAX_BATCH_BYTES:
+                break
+            count += 1
+        batch = self.outgoing[:count]
+        del self.outgoing[:count]
+        return batch
+
+    def _mark_sent(self, batch: list[Envelope], frame_bytes: int) -> None:
+        self.counters.frames_sent += 1
+        self.counters.bytes_sent += frame_bytes + LENGTH.size
+        self.counters.messages_sent += len(batch)
+        by_type = self.counters.by_type
+        for envelope in batch:
+            name = type(envelope.content).__name__
+            by_type[name] = by_type.get(name, 0) + 1
+            if not envelope.reply and envelope.request_id in self.pending:
+                self.pending[envelope.request_id].sent = True
+
+    def _fail_batch(self, batch: list[Envelope], error: Exception) -> None:
+        logger.error("cannot encode messages for {}: {}", self.peer, error)
+        for envelope in batch:
+            pending = self.pending.get(envelope.request_id)
+            if pending is not None and not envelope.reply:
+                pending.error = ProtocolError(str(error), "encode", self.peer)
+                pending.event.set()
+
+    async def _read(self, group: TaskGroup) -> None:
+        buffer = bytearray()
+        try:
+            while True:
+                head = await self._receive(buffer, LENGTH.size)
+                (length,) = LENGTH.unpack(head)
+                if length > MAX_FRAME_BYTES:
+                    raise ProtocolError(
+                        f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}",
+                        step="receive",
+                        peer=self.peer,
+                    )
+                frame = await self._receive(buffer, length)
+                self.counters.bytes_received += length + LENGTH.size
+                for envelope in decode_frame(frame, self.peer):
+                    self._dispatch(envelope, group)
+        except STREAM_ERRORS:
+            if buffer:
+                logger.warning("connection from {} ended inside a frame", self.peer)
+        except ProtocolError as error:
+            logger.warning("closing connection: {}", error)
+
+    async def _receive(self, buffer: bytearray, count: int) -> bytes:
+        while len(buffer) < count:
+            buffer += await self.stream.receive(READ_BYTES)
+        data = bytes(buffer[:count])
+        del buffer[:count]
+        return data
+
+    def _dispatch(self, envelope: Envelope, group: TaskGroup) -> None:
+        self.counters.messages_received += 1
+        if envelope.reply:
+            pending = self.pending.get(envelope.request_id)
+            if pending is not None:
+                self._resolve(pending, envelope.content)
+        elif self.handler is not None:
+            group.start_soon(self._handle, envelope)
+
+    def _resolve(self, pending: PendingRequest, content: Any) -> None:
+        if isinstance(content, Error):
+            cls = getattr(exceptions, content.code, MarigoldkeelError)
+            pending.error = cls(
+                content.message, content.step, content.peer or self.peer
+            )
+        else:
+            pending.reply = content
+        pending.event.set()
+
+    async def _handle(self, envelope: Envelope) -> None:
+        try:
+            reply = await self.handler(envelope.content, self.peer)
+        except MarigoldkeelError as error:
+            reply = Error(type(error).__name__, error.message, error.step, error.peer)
+        except Exception as error:
+            step = type(envelope.content).__name__.lower()
+            logger.exception("unexpected error in step {} from {}", step, self.peer)
+            reply = Error("MarigoldkeelError", f"internal error: {error}", step)
+        if envelope.request_id and reply is not None:
+            try:
+                self.enqueue(Envelope(envelope.request_id, True, reply))
+            except PeerUnavailable as error:
+                logger.warning("cannot reply: {}", error)
+
+    def _fail_pending(self) -> None:
+        self.closed = True
+        for pending in self.pending.values():
+            if pending.reply is None and pending.error is None:
+                cls = PeerLost if pending.sent else PeerUnavailable
+                pending.error = cls("connection lost", step="request", peer=self.peer)
+            pending.event.set()
+
+
+class PeerPool:
+    """Connections to other processes, one for each address, made on demand.
+
+    Usage::
+
+        async with PeerPool.open() as peers:
+            reply = await peers.request("127.0.0.1:7000", Inspect(), timeout_s=1)
+    """
+
+    def __init__(self, group: TaskGroup):
+        self.group = group
+        self.connections: dict[str, Connection] = {}
+        self.locks: dict[str, anyio.Lock] = {}
+        self.counters = Counters()
+
+    @classmethod
+    @asynccontextmanager
+    async def open(cls):
+        """Return a pool whose connections end with the context."""
+        async with anyio.create_task_group() as group:
+            yield cls(group)
+            group.cancel_scope.cancel()
+
+    async def connect(self, address: str) -> Connection:
+        """Return the connection to ``address``.
+
+        :raises PeerUnavailable: If none could be made within a second.
+        """
+        connection = self.connections.get(address)
+        if connection is not None and not connection.closed:
+            return connection
+        async with self.locks.setdefault(address, anyio.Lock()):
+            connection = self.connections.get(address)
+            if connection is None or connection.closed:
+                connection = await self._open(address)
+            return connection
+
+    async def _open(self, address: str) -> Connection:
+        host, port = parse_address(address)
+        stream = None
+        with anyio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                stream = await anyio.connect_tcp(host, port)
+            except OSError as error:
+                raise PeerUnavailable(
+                    f"cannot connect: {error}", step="connect", peer=address
+                ) from error
+        if stream is None:
+            raise PeerUnavailable("connect timed out", step="connect", peer=address)
+        connection = Connection(stream, address, None, self.counters)
+        self.connections[address] = connection
+        self.group.start_soon(self._run, address, connection)
+        return connection
+
+    async def _run(self, address: str, connection: Connection) -> None:
+        try:
+            await connection.run()
+        finally:
+            if self.connections.get(address) is connection:
+                del self.connections[address]
+                self.locks.pop(address, None)
+
+    async def request(self, address: str, content: Any, timeout_s: float) -> Any:
+        """Send a request and return its reply; see `Connection.request`."""
+        connection = await self.connect(address)
+        return await connection.request(content, timeout_s)
+
+    async def send(self, address: str, content: Any) -> None:
+        """Send a message that has no reply.
+
+        :raises PeerUnavailable: If there is no connection to the peer.
+        """
+        connection = await self.connect(address)
+        connection.enqueue(Envelope(0, False, content))
+
+
+async def serve_peers(
+    address: str,
+    handler: Handler,
+    counters: Counters,
+    *,
+    task_status: TaskStatus = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Accept connections on ``address`` and pass each message to ``handler``.
+
+    Reports the address it listens on, which differs when the port was 0.
+
+    :raises OSError: If the address cannot be bound.
+    """
+    host, port = parse_address(address)
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    local_host, local_port = listener.extra(anyio.abc.SocketAttribute.local_address)[:2]
+
+    async def accept(stream: ByteStream) -> None:
+        remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
+        peer = f"{remote[0]}:{remote[1]}"
+        await Connection(stream, peer, handler, counters).run()
+
+    async with listener:
+        task_status.started(f"{local_host}:{local_port}")
+        await listener.serve(accept)
--- /dev/null
+++ b/tests/test_transports.py
@@ -0,0 +1,138 @@
+"""Guards against lost, mismatched or unbounded messages between processes."""
+
+import socket
+
+import anyio
+import pytest
+
+from marigoldkeel.exceptions import (
+    InvalidInput,
+    PeerLost,
+    PeerTimeout,
+    PeerUnavailable,
+    ProtocolError,
+)
+from marigoldkeel.messages import (
+    Claim,
+    Claimed,
+    Envelope,
+    Heartbeat,
+    Take,
+    TaskResult,
+    decode_frame,
+    encode_frame,
+)
+from marigoldkeel.models import Member
+from marigoldkeel.transports import (
+    LENGTH,
+    Counters,
+    PeerPool,
+    parse_address,
+    serve_peers,
+)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def echo_generation(message, peer):
+    if message.generation == 13:
+        raise InvalidInput("generation 13 is refused", step="claim")
+    if message.generation == 99:
+        await anyio.sleep_forever()
+    return Claimed(verdict=1, generation=message.generation)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        Claim(3, 2**40, b"i" * 16, b"d" * 32),
+        Heartbeat(Member("a", "a@1", "127.0.0.1:1", "Meda"), 0.5, 8, 1, 2, True, ["q"]),
+        Take(b"i", "a@1", 7, 2, [TaskResult(1, 2, b"\0\xff", "é"), TaskResult()]),
+    ],
+)
+def test_codec_preserves_every_field(content):
+    frame = encode_frame([Envelope(5, True, content), Envelope(0, False, content)])
+    assert decode_frame(frame) == [
+        Envelope(5, True, content),
+        Envelope(0, False, content),
+    ]
+
+
+@pytest.mark.parametrize(
+    "frame", [b"", b"\0" * 7, b"\xff" * 64, encode_frame([])[:-4] + b"\xff" * 9]
+)
+def test_malformed_frame_is_a_protocol_error_naming_step_and_peer(frame):
+    with pytest.raises(ProtocolError) as caught:
+        decode_frame(frame, "10.0.0.1:7")
+    assert (caught.value.step, caught.value.peer) == ("decode", "10.0.0.1:7")
+
+
+@pytest.mark.parametrize("address", ["host:1", "127.0.0.1", "127.0.0.1:x", "1.1.1.1:"])
+def test_address_that_is_not_an_ip_number_with_port_is_refused(address):
+    with pytest.raises(InvalidInput):
+        parse_address(address)
+
+
+@pytest.mark.anyio
+async def test_concurrent_replies_match_their_requests():
+    replies = {}
+
+    async def ask(peers, address, generation):
+        reply = await peers.request(address, Claim(generation=generation), 5)
+        replies[generation] = reply.generation
+
+    async with anyio.create_task_group() as group:
+        address = await group.start(
+            serve_peers, "127.0.0.1:0", echo_generation, Counters()
+        )
+        async with PeerPool.open() as peers:
+            async with anyio.create_task_group() as requests:
+                for generation in range(100, 300):
+                    requests.start_soon(ask, peers, address, generation)
+            assert replies == {number: number for number in range(100, 300)}
+            with pytest.raises(InvalidInput, match="13 is refused"):
+                await peers.request(address, Claim(generation=13), 5)
+            with pytest.raises(PeerTimeout):
+                await peers.request(address, Claim(generation=99), 0.05)
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_bad_frame_closes_one_connection_and_leaves_the_server_serving():
+    async with anyio.create_task_group() as group:
+        address = await group.start(
+            serve_peers, "127.0.0.1:0", echo_generation, Counters()
+        )
+        for data in (LENGTH.pack(2**31), LENGTH.pack(8) + b"\xff" * 8, b"\0\0"):
+            async with await anyio.connect_tcp(*parse_address(address)) as stream:
+                await stream.send(data)
+                await stream.send_eof()
+                with pytest.raises(anyio.EndOfStream):
+                    await stream.receive()
+        async with PeerPool.open() as peers:
+            reply = await peers.request(address, Claim(generation=5), 5)
+            assert reply.generation == 5
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_nothing_sent_and_connection_lost_are_told_apart():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        async with PeerPool.open() as peers:
+            async with anyio.create_task_group() as group:
+
+                async def close_after_first_bytes():
+                    stream, _ = await anyio.to_thread.run_sync(listener.accept)
+                    await anyio.to_thread.run_sync(stream.recv, 10)
+                    stream.close()
+
+                group.start_soon(close_after_first_bytes)
+                with pytest.raises(PeerLost):
+                    await peers.request(address, Claim(), 5)
+    async with PeerPool.open() as peers:
+        with pytest.raises(PeerUnavailable):
+            await peers.request(address, Claim(), 5)
