--- /dev/null
+++ b/marigoldkeel/blackboard.py
@@ -0,0 +1,109 @@
+"""The tables of one daemon, which its controllers read and write."""
+
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from marigoldkeel.claims import ClaimRegister
+from marigoldkeel.configuration import Configuration
+from marigoldkeel.heartbeats import PeerState, PeerTable
+from marigoldkeel.jobs import Job
+from marigoldkeel.models import Member
+from marigoldkeel.partitions import PartitionTable
+from marigoldkeel.revisions import RevisionRegister
+
+
+def wall_clock_ms() -> int:
+    """Return the wall-clock time in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+class Blackboard:
+    """What one daemon knows.
+
+    :param member: This start of the process.
+    :param clock: Monotonic time in seconds.
+    :param wall_ms: Wall-clock time in milliseconds, used only for mint times.
+    """
+
+    __slots__ = (
+        "member",
+        "clock",
+        "wall_ms",
+        "random",
+        "peers",
+        "partitions",
+        "registers",
+        "jobs",
+        "configuration",
+        "generations_seen",
+        "load",
+        "slots",
+        "kinds",
+        "leaving",
+        "events",
+    )
+
+    def __init__(
+        self,
+        member: Member,
+        clock: Callable[[], float] = time.monotonic,
+        wall_ms: Callable[[], int] = wall_clock_ms,
+        seed: int | None = None,
+    ):
+        self.member = member
+        self.clock = clock
+        self.wall_ms = wall_ms
+        self.random = random.Random(seed)
+        self.peers = PeerTable()
+        self.partitions = PartitionTable()
+        self.registers: dict[int, ClaimRegister] = {}
+        self.jobs: dict[bytes, Job] = {}
+        self.configuration = RevisionRegister()
+        self.generations_seen: dict[int, int] = {}
+        self.load = 0.0
+        self.slots = 0
+        self.kinds: list[str] = []
+        self.leaving = False
+        self.events: Counter[str] = Counter()
+
+    @property
+    def policy(self) -> Configuration | None:
+        """The operators' configuration in force, or None before the first."""
+        return self.configuration.document
+
+    def setting(self, name: str, **scope: str) -> float:
+        """Return a configured value after exceptions; see `effective`."""
+        configuration = self.policy or Configuration()
+        return configuration.effective(name, **scope)
+
+    def see_generation(self, partition: int, generation: int) -> bool:
+        """Note a generation; False if a newer one has been seen."""
+        record = self.partitions.records.get(partition)
+        known = max(
+            self.generations_seen.get(partition, 0),
+            record.generation if record is not None else 0,
+        )
+        self.generations_seen[partition] = max(known, generation)
+        return generation >= known
+
+    def own_state(self) -> PeerState:
+        """Return this daemon's state in the form in which peers know it."""
+        return PeerState(
+            self.member,
+            self.load,
+            self.slots,
+            self.configuration.revision,
+            self.partitions.version,
+            self.leaving,
+            self.kinds,
+            self.clock(),
+        )
+
+    def live_members(self) -> Iterator[Member]:
+        """Return this member and the peers that may serve partitions."""
+        if not self.leaving:
+            yield self.member
+        for state in self.peers.live(self.clock()):
+            yield state.member
--- /dev/null
+++ b/marigoldkeel/executors.py
@@ -0,0 +1,351 @@
+"""Moves tasks from the agent's queue to the slots of its targets."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.exceptions import MarigoldkeelError
+from marigoldkeel.messages import Grant, Probe, Ran, Run, Take, TaskItem, TaskResult
+from marigoldkeel.models import Priority, TaskState
+from marigoldkeel.queues import WorkItem, WorkQueue
+from marigoldkeel.targets import TargetAdapter, TargetTable, TaskCall
+from marigoldkeel.transports import PeerPool
+
+
+TAKE_TIMEOUT_S = 1.0
+TAKE_RETRY_S = 0.1
+HOUSEKEEPING_S = 0.1
+# Longer than the longest deadline, so no grant of a remembered task is still valid.
+MAX_STARTED = 100_000
+
+
+@dataclass(slots=True)
+class PushedTask:
+    """A task that a primary or entry pushed and waits for."""
+
+    message: Run
+    task: TaskItem
+    deadline: float
+    result: TaskResult | None = None
+    done: anyio.Event = field(default_factory=anyio.Event)
+
+    def finish(self, result: TaskResult) -> None:
+        """Set the result for the waiting request."""
+        self.result = result
+        self.done.set()
+
+
+@dataclass(slots=True)
+class ProbedJob:
+    """A job that a primary offered; ``left`` is its last known pending count."""
+
+    message: Probe
+    deadline: float
+    left: int
+
+
+class Executor:
+    """Takes work in queue order and runs each task at most once."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        peers: PeerPool,
+        queue: WorkQueue,
+        targets: TargetTable,
+        adapter: TargetAdapter,
+        group: TaskGroup,
+    ):
+        self.board = board
+        self.peers = peers
+        self.queue = queue
+        self.targets = targets
+        self.adapter = adapter
+        self.group = group
+        self.wake = anyio.Event()
+        self.started: OrderedDict[tuple[bytes, int], None] = OrderedDict()
+        self.running = 0
+        self.long_running = 0
+        self.sequence = 0
+
+    async def probe(self, message: Probe) -> None:
+        """Queue an offered job; a full queue drops it, others may take its tasks."""
+        now = self.board.clock()
+        if not self.board.see_generation(message.partition, message.generation):
+            return
+        deadline = now + message.deadline_ms / 1000
+        source = ProbedJob(message, deadline, message.count)
+        self._push(message, deadline, message.count, source)
+
+    async def run(self, message: Run) -> Ran:
+        """Run pushed tasks and return when all have ended."""
+        deadline = self.board.clock() + message.deadline_ms / 1000
+        pushed = [PushedTask(message, task, deadline) for task in message.tasks]
+        for item in pushed:
+            if not self._push(message, deadline, 1, item):
+                item.finish(not_started(item.task.index, "the agent's queue is full"))
+        for item in pushed:
+            await item.done.wait()
+        return Ran([item.result for item in pushed])
+
+    def _push(self, message, deadline: float, count: int, source) -> bool:
+        item = WorkItem(
+            message.submission_id,
+            message.kind,
+            Priority(message.priority),
+            deadline,
+            count,
+            source=source,
+        )
+        accepted = not self.board.leaving and self.queue.push(item, self.board.clock())
+        self._answer_dropped()
+        self.wake.set()
+        return accepted
+
+    def _answer_dropped(self) -> None:
+        now = self.board.clock()
+        for reason, items in (
+            ("the deadline passed in the queue", self.queue.expire(now)),
+            ("displaced by urgent work", self.queue.take_displaced()),
+        ):
+            for item in items:
+                self.board.events["tasks_dropped"] += 1
+                if isinstance(item.source, PushedTask):
+                    item.source.finish(not_started(item.source.task.index, reason))
+
+    def cancel(self, submission_id: bytes) -> None:
+        """Drop the queued tasks of a submission."""
+        for item in self.queue.cancel(submission_id):
+            if isinstance(item.source, PushedTask):
+                index = item.source.task.index
+                item.source.finish(not_started(index, "cancelled"))
+
+    async def run_forever(self) -> None:
+        """Start work whenever a slot is free."""
+        while True:
+            with anyio.move_on_after(HOUSEKEEPING_S):
+                await self.wake.wait()
+            self.wake = anyio.Event()
+            self._answer_dropped()
+            self._start_work()
+            self._update_load()
+
+    def _update_load(self) -> None:
+        now = self.board.clock()
+        usable = [
+            info
+            for info in self.targets.targets.values()
+            if self.targets.free_slots(info.name, now) or info.name in self.targets.busy
+        ]
+        usable = [info for info in usable if not info.leaving]
+        self.board.slots = sum(info.slots for info in usable)
+        self.board.kinds = sorted({kind for info in usable for kind in info.kinds})
+        waiting = self.queue.depth + self.running
+        self.board.load = waiting / max(1, self.board.slots)
+        self.queue.slots = max(1, self.board.slots)
+
+    def _start_work(self) -> None:
+        """Give queued work to free slots, skipping kinds that have none."""
+        skipped = []
+        while True:
+            item = self.queue.next_item(self.board.clock(), self.long_running)
+            if item is None:
+                break
+            slots = self._acquire(item.kind, item.count)
+            if not slots:
+                skipped.append(item)
+                if not self._any_free_slot():
+                    break
+                continue
+            if isinstance(item.source, PushedTask):
+                self.group.start_soon(self._run_pushed, item, slots[0])
+            else:
+                self.group.start_soon(self._run_probed, item, slots)
+        for item in skipped:
+            self.queue.put_back(item)
+
+    def _any_free_slot(self) -> bool:
+        now = self.board.clock()
+        return any(self.targets.free_slots(name, now) for name in self.targets.targets)
+
+    def _acquire(self, kind: str, count: int) -> list[str]:
+        now = self.board.clock()
+        names = []
+        while len(names) < count:
+            name = self.targets.acquire(kind, now)
+            if name is None:
+                break
+            names.append(name)
+        self.running += len(names)
+        return names
+
+    def _release(self, names: list[str]) -> None:
+        for name in names:
+            self.targets.release(name)
+        self.running -= len(names)
+        self.wake.set()
+
+    async def _run_pushed(self, item: WorkItem, slot: str) -> None:
+        pushed = item.source
+        try:
+            result = await self._run_task(
+                pushed.message, pushed.task, slot, pushed.deadline
+            )
+        finally:
+            self._release([slot])
+        pushed.finish(result)
+
+    async def _run_probed(self, item: WorkItem, slots: list[str]) -> None:
+        probed = item.source
+        try:
+            grant = await self._take(probed, len(slots), [])
+        except BaseException:
+            self._release(slots)
+            raise
+        used, unused = slots[: len(grant.tasks)], slots[len(grant.tasks) :]
+        self._release(unused)
+        if not grant.tasks:
+            self.board.events["takes_without_task"] += 1
+        if grant.left and item.count > len(slots):
+            item.count -= len(slots)
+            self.queue.put_back(item)
+        for slot, task in zip(used, grant.tasks, strict=True):
+            self.group.start_soon(self._run_granted, item, slot, task)
+
+    async def _run_granted(self, item: WorkItem, slot: str, task: TaskItem) -> None:
+        """Run a granted task, then further ones while nothing else waits."""
+        probed = item.source
+        try:
+            while True:
+                result = await self._run_task(
+                    probed.message, task, slot, probed.deadline
+                )
+                want = int(probed.left > 0 and self._may_continue(slot))
+                grant = await self._take(probed, want, [result])
+                if not grant.tasks:
+                    break
+                task = grant.tasks[0]
+        finally:
+            self._release([slot])
+        if probed.left > 0 and not want:
+            follow_up = WorkItem(
+                item.key,
+                item.kind,
+                item.priority,
+                item.deadline,
+                1,
+                self.board.clock(),
+                probed,
+            )
+            self.queue.put_back(follow_up)
+            self.wake.set()
+
+    def _may_continue(self, slot: str) -> bool:
+        info = self.targets.targets.get(slot)
+        return info is not None and not info.leaving and self.queue.depth == 0
+
+    async def _take(
+        self, probed: ProbedJob, want: int, results: list[TaskResult]
+    ) -> Grant:
+        """Report results and ask for tasks, again under the same sequence."""
+        self.sequence += 1
+        message = probed.message
+        take = Take(
+            message.submission_id,
+            self.board.member.incarnation,
+            self.sequence,
+            want,
+            results,
+        )
+        while True:
+            try:
+                grant = await self.peers.request(message.address, take, TAKE_TIMEOUT_S)
+            except MarigoldkeelError as error:
+                if self.board.clock() > probed.deadline:
+                    logger.warning("results not delivered: {}", error)
+                    return Grant()
+                await anyio.sleep(TAKE_RETRY_S)
+                continue
+            probed.left = grant.left
+            return grant
+
+    async def _run_task(
+        self, message: Probe | Run, task: TaskItem, slot: str, deadline: float
+    ) -> TaskResult:
+        refused = self._refuse_start(message, task, deadline)
+        if refused is not None:
+            return refused
+        info = self.targets.targets.get(slot)
+        if info is None:
+            return not_started(task.index, "the target has left")
+        now = self.board.clock()
+        call = TaskCall(
+            message.submission_id,
+            task.index,
+            message.kind,
+            task.payload,
+            deadline - now,
+        )
+        is_long = self.queue.is_long(message.kind)
+        self.long_running += is_long
+        try:
+            result = await self.adapter.run(info, call)
+        finally:
+            self.long_running -= is_long
+        self._observe(message, task, result, self.board.clock() - now)
+        return result
+
+    def _refuse_start(
+        self, message: Probe | Run, task: TaskItem, deadline: float
+    ) -> TaskResult | None:
+        if self.board.clock() >= deadline:
+            return not_started(task.index, "the deadline passed before the start")
+        if message.generation == 0:
+            return None
+        if not self.board.see_generation(message.partition, message.generation):
+            self.board.events["starts_of_old_generation"] += 1
+            return not_started(task.index, "the partition has a newer generation")
+        key = (message.submission_id, task.index)
+        if key in self.started:
+            self.board.events["starts_repeated"] += 1
+            return TaskResult(task.index, TaskState.MAY_HAVE_RUN, b"", "started before")
+        self.started[key] = None
+        if len(self.started) > MAX_STARTED:
+            self.started.popitem(last=False)
+        return None
+
+    def _observe(
+        self,
+        message: Probe | Run,
+        task: TaskItem,
+        result: TaskResult,
+        run_time_s: float,
+    ) -> None:
+        if result.state == TaskState.NOT_STARTED:
+            self.started.pop((message.submission_id, task.index), None)
+            return
+        self.board.events[f"tasks_{TaskState(result.state).name.lower()}"] += 1
+        self.queue.observe(message.kind, run_time_s)
+        if result.state == TaskState.SUCCEEDED and not is_json(result.payload):
+            result.state = TaskState.FAILED
+            result.payload = b""
+            result.message = "the target's result is not JSON"
+
+
+def not_started(index: int, reason: str) -> TaskResult:
+    """Return the result of a task that provably did not start."""
+    return TaskResult(index, TaskState.NOT_STARTED, b"", reason)
+
+
+def is_json(payload: bytes) -> bool:
+    """Whether ``payload`` is one JSON value."""
+    try:
+        msgspec.json.decode(payload)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    return True
--- /dev/null
+++ b/marigoldkeel/failover.py
@@ -0,0 +1,400 @@
+"""Replaces the silent member of a partition and transfers its state.
+
+A swap is the compare-and-swap of a partition record from one generation to the
+next. Suspicion starts a swap; only the record that the store holds decides.
+"""
+
+import uuid
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.claims import (
+    ClaimRegister,
+    ClaimState,
+    Phase,
+    RegisterSnapshot,
+    Verdict,
+)
+from marigoldkeel.exceptions import MarigoldkeelError, StoreUnavailable
+from marigoldkeel.messages import (
+    Claim,
+    Claimed,
+    ClaimEntry,
+    Done,
+    Move,
+    Transfer,
+    Transferred,
+)
+from marigoldkeel.models import PartitionRecord
+from marigoldkeel.partitions import (
+    choose_primary,
+    decode_record,
+    encode_record,
+    partition_key,
+    plan_creation,
+    plan_replacement,
+)
+from marigoldkeel.primaries import PrimaryController
+from marigoldkeel.stores import KeyValueStore, Write
+from marigoldkeel.transports import PeerPool
+
+
+TICK_S = 0.25
+STORE_RETRY_S = 0.25
+TRANSFER_TIMEOUT_S = 2.0
+TRANSFER_RETRY_S = 0.25
+CLAIMS_IN_TRANSFER = 5000
+# Peers need a few heartbeats to be known before members are chosen among them.
+CREATION_DELAY_S = 2.5
+LOW_WATER_INTERVAL_S = 10.0
+
+
+class IncomingTransfer:
+    """The parts of a partition's state received so far."""
+
+    __slots__ = ("transfer_id", "sequence", "claims")
+
+    def __init__(self, transfer_id: str):
+        self.transfer_id = transfer_id
+        self.sequence = 0
+        self.claims: list[tuple[bytes, bytes, ClaimState]] = []
+
+
+class FailoverController:
+    """Keeps the partitions of one agent at two live members."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        peers: PeerPool,
+        store: KeyValueStore,
+        primaries: PrimaryController,
+        group: TaskGroup,
+    ):
+        self.board = board
+        self.peers = peers
+        self.store = store
+        self.primaries = primaries
+        self.group = group
+        self.changing: set[int] = set()
+        self.incoming: dict[int, IncomingTransfer] = {}
+        self.started_at = board.clock()
+        self.low_water_at = board.clock()
+
+    async def run_forever(self) -> None:
+        """Look for members to replace, partitions to create and old claims."""
+        while True:
+            await anyio.sleep(TICK_S)
+            for partition, register in list(self.board.registers.items()):
+                if partition not in self.changing and self._needs_change(register):
+                    self._begin(partition, self.replace)
+            if self.board.clock() - self.started_at > CREATION_DELAY_S:
+                self._create_missing()
+            self._raise_low_water()
+            self.primaries.reap()
+
+    def _begin(self, partition: int, change) -> None:
+        self.changing.add(partition)
+        self.group.start_soon(self._guard, partition, change)
+
+    async def _guard(self, partition: int, change) -> None:
+        try:
+            await change(partition)
+        except MarigoldkeelError as error:
+            logger.info("partition {}: change postponed: {}", partition, error)
+            await anyio.sleep(STORE_RETRY_S)
+        finally:
+            self.changing.discard(partition)
+
+    def _needs_change(self, register: ClaimRegister) -> bool:
+        if register.phase is Phase.RECEIVING or self.board.leaving:
+            return False
+        record = self.board.partitions.records.get(register.partition)
+        if record is None or record.generation != register.generation:
+            return False
+        other = record.standby if register.is_primary else record.primary
+        now = self.board.clock()
+        if register.is_primary and self.board.peers.is_leaving(other.incarnation):
+            return True
+        return self.board.peers.is_suspected(other.incarnation, now)
+
+    def _create_missing(self) -> None:
+        table = self.board.partitions
+        if table.version == 0 or self.board.leaving:
+            return
+        members = list(self.board.live_members())
+        for partition in range(table.partition_count):
+            if partition in table.records or partition in self.changing:
+                continue
+            if choose_primary(partition, members) == self.board.member:
+                self._begin(partition, self.create)
+
+    async def create(self, partition: int) -> None:
+        """Create the record of a partition that has none."""
+        planned = plan_creation(partition, self.board.member, self.board.live_members())
+        if planned is None:
+            return
+        try:
+            await self._swap(planned, 0)
+        except StoreUnavailable as error:
+            logger.info("partition {}: creation unanswered: {}", partition, error)
+        record = await self._read_until_answered(partition)
+        if record is not None:
+            self.apply_record(record)
+
+    async def replace(self, partition: int) -> None:
+        """Replace the other member, and become primary of the next generation."""
+        register = self.board.registers.get(partition)
+        record = await self._read(partition)
+        if register is None or record is None:
+            return
+        if record.generation != register.generation:
+            self.apply_record(record)
+            return
+        planned = self._plan(record)
+        if planned is None or not register.stop():
+            return
+        self.primaries.step_aside(partition)
+        while True:
+            await self._try_swap(planned, record.revision)
+            record = await self._read_until_answered(partition)
+            if record.generation != register.generation:
+                break
+            planned = self._plan(record) or planned
+        if record.primary == self.board.member:
+            self._enter_as_primary(register, record)
+        else:
+            self.apply_record(record)
+
+    def _plan(self, record: PartitionRecord) -> PartitionRecord | None:
+        return plan_replacement(record, self.board.member, self.board.live_members())
+
+    async def _try_swap(self, planned: PartitionRecord, revision: int) -> None:
+        try:
+            await self._swap(planned, revision)
+        except StoreUnavailable as error:
+            # The answer is lost, the swap may have taken effect: only a read tells.
+            logger.info("partition {}: swap unanswered: {}", planned.partition, error)
+            await anyio.sleep(STORE_RETRY_S)
+
+    async def _swap(self, planned: PartitionRecord, revision: int) -> None:
+        key = partition_key(planned.partition)
+        write = Write(key, encode_record(planned), revision)
+        self.board.events["swaps_tried"] += 1
+        await self.store.compare_and_swap([write])
+
+    async def _read(self, partition: int) -> PartitionRecord | None:
+        value = await self.store.get(partition_key(partition))
+        return decode_record(value.data, value.revision) if value else None
+
+    async def _read_until_answered(self, partition: int) -> PartitionRecord | None:
+        while True:
+            try:
+                return await self._read(partition)
+            except StoreUnavailable:
+                await anyio.sleep(STORE_RETRY_S)
+
+    def apply_record(self, record: PartitionRecord) -> None:
+        """Take a record learned from the store or a peer, and act on it."""
+        self.board.partitions.apply(record)
+        record = self.board.partitions.records[record.partition]
+        register = self.board.registers.get(record.partition)
+        if register is not None and register.generation >= record.generation:
+            return
+        own = self.board.member.incarnation
+        if record.primary.incarnation == own:
+            self._enter_or_create(register, record)
+            return
+        if register is not None:
+            register.stop()
+            del self.board.registers[record.partition]
+            self.primaries.step_down(record.partition)
+            logger.info(
+                "partition {}: left at generation {}",
+                record.partition,
+                record.generation,
+            )
+        if record.standby.incarnation == own:
+            self.board.registers[record.partition] = ClaimRegister.as_standby(
+                record.partition, record.generation
+            )
+
+    def _enter_or_create(
+        self, register: ClaimRegister | None, record: PartitionRecord
+    ) -> None:
+        if register is not None:
+            # Within a change, the change itself enters the generation.
+            if record.partition not in self.changing and register.stop():
+                self._enter_as_primary(register, record)
+        elif record.generation == 1:
+            register = ClaimRegister.as_primary(
+                record.partition, 1, record.low_water_ms
+            )
+            self.board.registers[record.partition] = register
+            self.group.start_soon(self.transfer, register, record)
+
+    def _enter_as_primary(
+        self, register: ClaimRegister, record: PartitionRecord
+    ) -> None:
+        self.board.partitions.apply(record)
+        register.advance(record.generation, record.low_water_ms)
+        self.primaries.adopt_generation(record.partition, record.generation)
+        self.board.events["swaps_won"] += 1
+        logger.info(
+            "partition {}: primary of generation {}, standby {}",
+            record.partition,
+            record.generation,
+            record.standby.name,
+        )
+        self.group.start_soon(self.transfer, register, record)
+
+    async def transfer(self, register: ClaimRegister, record: PartitionRecord) -> None:
+        """Give the whole state to the new standby, then open the generation."""
+        while (
+            self.board.registers.get(record.partition) is register
+            and register.generation == record.generation
+            and register.phase is Phase.TRANSFERRING
+        ):
+            try:
+                if await self._send_state(register, record):
+                    if register.generation == record.generation:
+                        register.open()
+                    return
+            except MarigoldkeelError as error:
+                logger.info("partition {}: transfer: {}", record.partition, error)
+            await anyio.sleep(TRANSFER_RETRY_S)
+
+    async def _send_state(
+        self, register: ClaimRegister, record: PartitionRecord
+    ) -> bool:
+        snapshot = register.snapshot()
+        transfer_id = uuid.uuid4().hex
+        parts = max(1, -(-len(snapshot.claims) // CLAIMS_IN_TRANSFER))
+        for sequence in range(parts):
+            start = sequence * CLAIMS_IN_TRANSFER
+            claims = snapshot.claims[start : start + CLAIMS_IN_TRANSFER]
+            message = Transfer(
+                transfer_id,
+                record.partition,
+                record.generation,
+                record.standby.incarnation,
+                snapshot.low_water_ms,
+                sequence,
+                [ClaimEntry(*claim) for claim in claims],
+                sequence == parts - 1,
+                encode_record(record),
+            )
+            reply = await self.peers.request(
+                record.standby.address, message, TRANSFER_TIMEOUT_S
+            )
+            if not reply.accepted:
+                return False
+        return True
+
+    async def receive_transfer(self, message: Transfer) -> Transferred:
+        """Take a part of a partition's state, as its new standby."""
+        if message.incarnation != self.board.member.incarnation:
+            return Transferred(False)
+        self.apply_record(decode_record(message.record))
+        register = self.board.registers.get(message.partition)
+        if register is None or register.generation != message.generation:
+            return Transferred(False, register.generation if register else 0)
+        if register.phase is not Phase.RECEIVING:
+            return Transferred(not register.is_primary, register.generation)
+        incoming = self.incoming.get(message.partition)
+        if message.sequence == 0:
+            incoming = IncomingTransfer(message.transfer_id)
+            self.incoming[message.partition] = incoming
+        if (
+            incoming is None
+            or incoming.transfer_id != message.transfer_id
+            or incoming.sequence != message.sequence
+        ):
+            return Transferred(False, register.generation)
+        incoming.sequence += 1
+        incoming.claims += [
+            (claim.submission_id, claim.digest, ClaimState(claim.state))
+            for claim in message.claims
+        ]
+        if message.last:
+            register.install(RegisterSnapshot(message.low_water_ms, incoming.claims))
+            del self.incoming[message.partition]
+        return Transferred(True, register.generation)
+
+    async def receive_claim(self, message: Claim) -> Claimed:
+        """Acknowledge or refuse a claim, as standby."""
+        register = self.board.registers.get(message.partition)
+        if register is None:
+            return Claimed(Verdict.NOT_READY)
+        verdict = register.acknowledge(
+            message.submission_id,
+            message.digest,
+            message.generation,
+            self.board.wall_ms(),
+        )
+        return Claimed(verdict, register.generation)
+
+    async def receive_move(self, message: Move) -> Done:
+        """Take over from a primary that is about to stop.
+
+        :raises MarigoldkeelError: If the partition did not change hands.
+        """
+        register = self.board.registers.get(message.partition)
+        if register is None or register.generation != message.generation:
+            return Done()
+        if message.partition not in self.changing:
+            self.changing.add(message.partition)
+            try:
+                await self.replace(message.partition)
+            finally:
+                self.changing.discard(message.partition)
+        if register.generation == message.generation:
+            raise MarigoldkeelError("the partition has not changed hands", "move")
+        return Done()
+
+    async def hand_over(self) -> None:
+        """Ask the other member of each partition to go on without this one."""
+        own = self.board.member.incarnation
+        while self.board.registers:
+            for partition, register in list(self.board.registers.items()):
+                record = self.board.partitions.records[partition]
+                if own not in (record.primary.incarnation, record.standby.incarnation):
+                    self.apply_record(record)
+                    continue
+                if register.is_primary and record.generation == register.generation:
+                    await self._ask_to_move(record)
+                else:
+                    await self._refresh(partition)
+            await anyio.sleep(TICK_S)
+
+    async def _ask_to_move(self, record: PartitionRecord) -> None:
+        message = Move(record.partition, record.generation)
+        try:
+            await self.peers.request(
+                record.standby.address, message, TRANSFER_TIMEOUT_S
+            )
+        except MarigoldkeelError as error:
+            logger.info("partition {}: not moved yet: {}", record.partition, error)
+        await self._refresh(record.partition)
+
+    async def _refresh(self, partition: int) -> None:
+        try:
+            record = await self._read(partition)
+        except MarigoldkeelError as error:
+            logger.info("partition {}: not read: {}", partition, error)
+            return
+        if record is not None:
+            self.apply_record(record)
+
+    def _raise_low_water(self) -> None:
+        now = self.board.clock()
+        if now - self.low_water_at < LOW_WATER_INTERVAL_S:
+            return
+        self.low_water_at = now
+        retention_ms = int(self.board.setting("retention_s") * 1000)
+        for register in self.board.registers.values():
+            if register.phase is Phase.ACTIVE:
+                register.raise_low_water(self.board.wall_ms() - retention_ms)
--- /dev/null
+++ b/marigoldkeel/heartbeats.py
@@ -0,0 +1,113 @@
+"""Failure detection by heartbeat and the bounded set of known peers.
+
+Promise: a peer that has sent nothing for ``suspect_after_s`` is suspected; a peer
+that restarted is known by its new incarnation only. A suspicion may be wrong, so
+it may start a change of members but must never decide that a peer has stopped.
+
+Assumes a monotonic local clock. Assumes nothing of the network.
+
+Usage::
+
+    >>> from marigoldkeel.models import Member
+    >>> peers = PeerTable(suspect_after_s=3.0)
+    >>> peers.observe(PeerState(Member("a", "a@1")), now=0.0)
+    >>> peers.is_suspected("a@1", now=2.9), peers.is_suspected("a@1", now=3.1)
+    (False, True)
+"""
+
+from dataclasses import dataclass, field
+
+from marigoldkeel.models import Member
+
+
+SUSPECT_AFTER_S = 3.0
+FORGET_AFTER_S = 60.0
+MAX_PEERS = 64
+HEARTBEAT_INTERVAL_S = 1.0
+SENDERS_AT_FULL_RATE = 32
+
+
+@dataclass(slots=True)
+class PeerState:
+    """What a heartbeat said. ``load`` is queued and running tasks over slots."""
+
+    member: Member
+    load: float = 0.0
+    slots: int = 0
+    config_revision: int = 0
+    table_version: int = 0
+    leaving: bool = False
+    kinds: list[str] = field(default_factory=list)
+    heard_at: float = 0.0
+
+
+class PeerTable:
+    """The peers heard from, at most ``max_peers`` of them."""
+
+    def __init__(
+        self, suspect_after_s: float = SUSPECT_AFTER_S, max_peers: int = MAX_PEERS
+    ):
+        self.suspect_after_s = suspect_after_s
+        self.max_peers = max_peers
+        self.states: dict[str, PeerState] = {}
+        self.first_known: dict[str, float] = {}
+
+    def observe(self, state: PeerState, now: float) -> None:
+        """Record a heartbeat; a full table drops the peer silent for longest."""
+        state.heard_at = now
+        name = state.member.name
+        if name not in self.states and len(self.states) >= self.max_peers:
+            oldest = min(self.states, key=lambda key: self.states[key].heard_at)
+            del self.states[oldest]
+        self.states[name] = state
+
+    def expect(self, incarnation: str, now: float) -> None:
+        """Start the silence of a peer that has yet to be heard."""
+        self.first_known.setdefault(incarnation, now)
+
+    def forget_old(self, now: float) -> None:
+        """Drop peers that have been silent for a minute."""
+        for name, state in list(self.states.items()):
+            if now - state.heard_at > FORGET_AFTER_S:
+                del self.states[name]
+        for incarnation, since in list(self.first_known.items()):
+            if now - since > FORGET_AFTER_S:
+                del self.first_known[incarnation]
+
+    def state_of(self, incarnation: str) -> PeerState | None:
+        """Return the state of one start of a process, if it is known."""
+        state = self.states.get(incarnation.partition("@")[0])
+        if state is not None and state.member.incarnation == incarnation:
+            return state
+        return None
+
+    def is_suspected(self, incarnation: str, now: float) -> bool:
+        """Whether a peer has been silent too long or has been restarted."""
+        state = self.states.get(incarnation.partition("@")[0])
+        if state is None:
+            self.expect(incarnation, now)
+            return now - self.first_known[incarnation] > self.suspect_after_s
+        if state.member.incarnation != incarnation:
+            return True
+        return now - state.heard_at > self.suspect_after_s
+
+    def is_leaving(self, incarnation: str) -> bool:
+        """Whether a peer has said that it is about to stop."""
+        state = self.state_of(incarnation)
+        return state is not None and state.leaving
+
+    def live(self, now: float) -> list[PeerState]:
+        """Return the peers that are neither silent nor leaving."""
+        return [
+            state
+            for state in self.states.values()
+            if not state.leaving and now - state.heard_at <= self.suspect_after_s
+        ]
+
+
+def next_interval_s(senders: int) -> float:
+    """Return the interval a receiver asks of each of its heartbeat senders.
+
+    Keeps the received heartbeats to ``SENDERS_AT_FULL_RATE`` a second.
+    """
+    return HEARTBEAT_INTERVAL_S * max(1.0, senders / SENDERS_AT_FULL_RATE)
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -121,6 +121,7 @@
   partition @0 :UInt32;
   generation @1 :UInt64;
   tasks @2 :List(TaskItem);
+  left @3 :UInt32;
 }
 
 struct Run {
--- a/marigoldkeel/messages.py
+++ b/marigoldkeel/messages.py
@@ -159,11 +159,12 @@
 @message("grant")
 @dataclass(slots=True)
 class Grant:
-    """The tasks granted by a primary; empty when none are left."""
+    """The tasks granted by a primary, and how many are ``left`` to take."""
 
     partition: int = 0
     generation: int = 0
     tasks: list[TaskItem] = field(default_factory=list)
+    left: int = 0
 
 
 @message("run")
--- /dev/null
+++ b/marigoldkeel/primaries.py
@@ -0,0 +1,345 @@
+"""Accepts submissions at the primary, places their tasks and answers them."""
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.claims import ClaimRegister, Verdict
+from marigoldkeel.dispatch import PlacementPolicy
+from marigoldkeel.exceptions import (
+    MarigoldkeelError,
+    PeerLost,
+    PeerTimeout,
+    PeerUnavailable,
+)
+from marigoldkeel.identifiers import body_digest, partition_of
+from marigoldkeel.jobs import Job
+from marigoldkeel.messages import (
+    Claim,
+    Grant,
+    Probe,
+    Run,
+    Submit,
+    Take,
+    TaskItem,
+    TaskResult,
+)
+from marigoldkeel.models import Answer, Outcome, Priority, Submission, TaskState
+from marigoldkeel.transports import PeerPool
+
+
+# An answer is kept so that a resubmission gets the same one. A claim lasts longer.
+ANSWER_RETENTION_S = 60.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+PLACEMENT_RETRY_S = 0.05
+REPLY_MARGIN_S = 0.5
+RETRY_AFTER_MS = 200
+
+REASONS = {
+    Verdict.REFUSED: "this id was refused before; use a fresh id",
+    Verdict.WRONG_GENERATION: "the partition has changed members; try again",
+    Verdict.STOPPED: "the partition is changing members; try again",
+    Verdict.NOT_READY: "the partition is not open yet; try again",
+    Verdict.TOO_OLD: "the id was minted too long ago; use a fresh id",
+    Verdict.TOO_NEW: "the id was minted in the future; check the caller's clock",
+}
+
+
+def refusal(message: str, unanswered: int, step: str, peer: str = "") -> Answer:
+    """Return the truth about an attempt that was not started.
+
+    With earlier attempts unanswered, one of them may have run elsewhere.
+    """
+    outcome = Outcome.UNKNOWN if unanswered else Outcome.NOT_RUN
+    return Answer(outcome, b"", message, step, peer, RETRY_AFTER_MS)
+
+
+def parse_tasks(body: bytes) -> list[bytes]:
+    """Return the elements of a JSON array as they were sent.
+
+    :raises InvalidInput: If the body is not a JSON array with elements.
+    """
+    try:
+        payloads = msgspec.json.decode(body, type=list[msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise msgspec.ValidationError(f"body is not a JSON array: {error}") from error
+    if not payloads:
+        raise msgspec.ValidationError("body has no tasks")
+    return [bytes(payload) for payload in payloads]
+
+
+class PrimaryController:
+    """The part of an agent that is primary of partitions."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        peers: PeerPool,
+        policy: PlacementPolicy,
+        group: TaskGroup,
+    ):
+        self.board = board
+        self.peers = peers
+        self.policy = policy
+        self.group = group
+
+    async def submit(self, message: Submit) -> Answer:
+        """Run a submission and return the answer to this attempt."""
+        register = self.board.registers.get(message.partition)
+        problem = self._check_member(message, register)
+        if problem:
+            return refusal(problem, message.unanswered, "submit")
+        digest = body_digest(message.kind, message.body)
+        if self.board.leaving:
+            register.refuse(message.submission_id, digest)
+        verdict = register.propose(
+            message.submission_id, digest, message.generation, self.board.wall_ms()
+        )
+        if verdict is Verdict.ACCEPTED:
+            return await self._start(message, register, digest)
+        if verdict is Verdict.DUPLICATE:
+            return await self._attach(message, register)
+        if verdict is Verdict.CONFLICT:
+            text = "the id was used before with another kind or body"
+            return Answer(Outcome.NOT_RUN, b"", text, "claim", conflict=True)
+        self.board.events[f"refused_{verdict.name.lower()}"] += 1
+        return refusal(REASONS[verdict], message.unanswered, "claim")
+
+    def _check_member(self, message: Submit, register: ClaimRegister | None) -> str:
+        count = self.board.partitions.partition_count
+        if partition_of(message.submission_id, count) != message.partition:
+            return "the id does not belong to this partition"
+        if register is None:
+            return "this agent is no member of the partition"
+        return ""
+
+    async def _start(
+        self, message: Submit, register: ClaimRegister, digest: bytes
+    ) -> Answer:
+        submission_id = message.submission_id
+        now = self.board.clock()
+        try:
+            payloads = parse_tasks(message.body)
+        except msgspec.ValidationError as error:
+            register.refuse(submission_id)
+            return Answer(Outcome.NOT_RUN, b"", str(error), "parse body", invalid=True)
+        submission = Submission(
+            submission_id,
+            message.partition,
+            message.generation,
+            message.team,
+            message.kind,
+            Priority(message.priority),
+            now + message.deadline_ms / 1000,
+            payloads,
+        )
+        job = Job(submission, digest, now)
+        self.board.jobs[submission_id] = job
+        problem = await self._obtain_claim(job, register)
+        if problem:
+            # Only this attempt is known not to have run; others that wait on the
+            # job may have reached another member.
+            job.finish(Answer(Outcome.UNKNOWN, b"", problem, "claim"), now)
+            del self.board.jobs[submission_id]
+            return refusal(problem, message.unanswered, "claim")
+        self.board.events["jobs_started"] += 1
+        self.group.start_soon(self._run, job)
+        await job.done.wait()
+        return job.answer
+
+    async def _attach(self, message: Submit, register: ClaimRegister) -> Answer:
+        job = self.board.jobs.get(message.submission_id)
+        if job is None:
+            return self._answer_without_job(message, register)
+        with anyio.move_on_after(message.deadline_ms / 1000 + REPLY_MARGIN_S):
+            await job.done.wait()
+        if job.answer is None:
+            return Answer(Outcome.UNKNOWN, b"", "still running", "run")
+        return job.answer
+
+    def _answer_without_job(self, message: Submit, register: ClaimRegister) -> Answer:
+        if register.is_primary:
+            text = "the agent that ran this id was lost; every task may have run"
+            answer = Answer(Outcome.FAILED, b"", text, "claim")
+            answer.may_have_run = list(range(message.tasks))
+            return answer
+        text = "the primary holds this id and cannot be reached; ask again"
+        return Answer(Outcome.UNKNOWN, b"", text, "claim")
+
+    async def _obtain_claim(self, job: Job, register: ClaimRegister) -> str:
+        """Ask the standby to hold the claim; return why it may not start."""
+        submission = job.submission
+        record = self.board.partitions.records[submission.partition]
+        if record.generation != submission.generation:
+            register.refuse(submission.submission_id)
+            return REASONS[Verdict.WRONG_GENERATION]
+        claim = Claim(
+            submission.partition,
+            submission.generation,
+            submission.submission_id,
+            job.digest,
+        )
+        timeout_s = self.board.setting("claim_timeout_ms") / 1000
+        peer = record.standby.address
+        try:
+            reply = await self.peers.request(peer, claim, timeout_s)
+        except MarigoldkeelError as error:
+            register.refuse(submission.submission_id)
+            self.board.events["claims_unanswered"] += 1
+            return f"the standby did not acknowledge: {error}"
+        if reply.verdict != Verdict.ACCEPTED:
+            register.refuse(submission.submission_id)
+            return f"the standby refused: {Verdict(reply.verdict).name.lower()}"
+        if not register.confirm(submission.submission_id, submission.generation):
+            return REASONS[Verdict.STOPPED]
+        return ""
+
+    async def _run(self, job: Job) -> None:
+        submission = job.submission
+        with anyio.move_on_after(submission.deadline - self.board.clock()):
+            await self._place(job, list(job.pending))
+            await job.done.wait()
+        job.fail("the deadline passed", self.board.clock())
+
+    async def _place(self, job: Job, indexes: list[int]) -> None:
+        """Offer or push pending tasks, waiting for an agent if none is known."""
+        kind = job.submission.kind
+        while job.answer is None:
+            agents = self._candidates(kind)
+            if agents:
+                break
+            await anyio.sleep(PLACEMENT_RETRY_S)
+        else:
+            return
+        placement = self.policy.place(indexes, agents, self.board.random)
+        addresses = {agent.member.incarnation: agent.member for agent in agents}
+        for incarnation, count in placement.probes.items():
+            member = addresses[incarnation]
+            self.group.start_soon(self._probe, job, member.address, count)
+        for incarnation, pushed in placement.pushes.items():
+            for index in pushed:
+                if index in job.pending and job.answer is None:
+                    self.group.start_soon(
+                        self._push, job, addresses[incarnation], index
+                    )
+
+    def _candidates(self, kind: str) -> list:
+        states = self.board.peers.live(self.board.clock())
+        own = self.board.own_state()
+        if not self.board.leaving:
+            states.append(own)
+        return [state for state in states if kind in state.kinds and state.slots]
+
+    async def _probe(self, job: Job, address: str, count: int) -> None:
+        submission = job.submission
+        remaining_s = submission.deadline - self.board.clock()
+        probe = Probe(
+            submission.partition,
+            submission.generation,
+            submission.submission_id,
+            submission.kind,
+            submission.priority,
+            max(0, int(remaining_s * 1000)),
+            count,
+            self.board.member.address,
+        )
+        try:
+            await self.peers.send(address, probe)
+        except PeerUnavailable as error:
+            logger.info("probe not sent: {}", error)
+
+    async def _push(self, job: Job, member, index: int) -> None:
+        submission = job.submission
+        if index not in job.pending or job.answer is not None:
+            return
+        job.pending.remove(index)
+        job.states[index] = TaskState.GRANTED
+        job.holders[index] = member.incarnation
+        remaining_s = max(0.0, submission.deadline - self.board.clock())
+        run = Run(
+            submission.partition,
+            submission.generation,
+            submission.submission_id,
+            submission.kind,
+            submission.priority,
+            int(remaining_s * 1000),
+            [TaskItem(index, submission.payloads[index])],
+        )
+        try:
+            reply = await self.peers.request(
+                member.address, run, remaining_s + REPLY_MARGIN_S
+            )
+            results = reply.results
+        except PeerUnavailable as error:
+            results = [TaskResult(index, TaskState.NOT_STARTED, b"", str(error))]
+        except (PeerLost, PeerTimeout, MarigoldkeelError) as error:
+            results = [TaskResult(index, TaskState.MAY_HAVE_RUN, b"", str(error))]
+        self._record(job, results, member.incarnation)
+
+    def _record(self, job: Job, results: list[TaskResult], holder: str) -> None:
+        returned = job.record(results, holder, self.board.clock())
+        if returned:
+            self.board.events["tasks_placed_again"] += len(returned)
+            self.group.start_soon(self._place_again, job, returned)
+
+    async def _place_again(self, job: Job, indexes: list[int]) -> None:
+        await anyio.sleep(PLACEMENT_RETRY_S)
+        await self._place(job, indexes)
+
+    async def take(self, message: Take) -> Grant:
+        """Record an agent's results and grant it more tasks of the job."""
+        job = self.board.jobs.get(message.submission_id)
+        if job is None:
+            return Grant()
+        self._record(job, message.results, message.incarnation)
+        register = self.board.registers.get(job.submission.partition)
+        want = message.want
+        if register is None or not register.is_primary:
+            want = 0
+        return job.grant(job.take(message.incarnation, message.sequence, want))
+
+    def adopt_generation(self, partition: int, generation: int) -> None:
+        """Let the jobs of a partition go on under the generation just entered.
+
+        This member survived the change, so it alone knows and runs these jobs.
+        """
+        for job in self.board.jobs.values():
+            if job.submission.partition == partition and job.answer is None:
+                job.submission.generation = generation
+
+    def step_down(self, partition: int) -> None:
+        """Hand out nothing more of a partition that another member took over."""
+        for job in list(self.board.jobs.values()):
+            if job.submission.partition == partition and job.answer is None:
+                job.pending.clear()
+                if not job.has_started:
+                    job.fail("the partition was taken over", self.board.clock())
+
+    def reap(self) -> None:
+        """Fail jobs whose agents are lost and drop old answers."""
+        now = self.board.clock()
+        running = [job for job in self.board.jobs.values() if job.answer is None]
+        holders = {name for job in running for name in job.holders.values()}
+        own = self.board.member.incarnation
+        for holder in holders:
+            if holder != own and self.board.peers.is_suspected(holder, now):
+                for job in running:
+                    job.lose_holder(holder, now)
+        self._drop_answers(now)
+
+    def _drop_answers(self, now: float) -> None:
+        kept_bytes = 0
+        for submission_id, job in reversed(list(self.board.jobs.items())):
+            if job.answer is None:
+                continue
+            kept_bytes += len(job.answer.body)
+            expired = now - job.finished_at > ANSWER_RETENTION_S
+            if expired or kept_bytes > MAX_ANSWER_BYTES:
+                del self.board.jobs[submission_id]
+
+    @property
+    def running_jobs(self) -> int:
+        """The number of jobs that have no answer yet."""
+        return sum(job.answer is None for job in self.board.jobs.values())
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,12 @@
+"""Guards against embedded-use examples in docstrings that no longer work."""
+
+import doctest
+from importlib import import_module
+
+import pytest
+
+
+@pytest.mark.parametrize("module", ["claims", "partitions", "heartbeats"])
+def test_docstring_example(module):
+    result = doctest.testmod(import_module(f"marigoldkeel.{module}"))
+    assert result.attempted and not result.failed
