Add the key-value store clients and the store stand-in

Partition records and the configuration need a client of the platform's key-value service and something to test it against.

One class holds the versioned state and the fault switches, and both the in-memory store and the HTTP stand-in derive from it, so that they cannot drift apart. Sharing message classes between client and stand-in was ruled out: an error in a shared encoding would cancel itself out in tests. Retrying inside the client was ruled out because a failed write may have taken effect.

--- /dev/null
+++ b/marigoldkeel/standins.py
@@ -0,0 +1,215 @@
+"""Stand-ins for outside systems, with faults, for the demo, tests and benchmarks."""
+
+from collections.abc import AsyncIterator
+from typing import Annotated, Any
+
+import msgspec
+
+from marigoldkeel.exceptions import InvalidInput
+from marigoldkeel.servers import HttpApplication, Request, Response
+from marigoldkeel.stores import MAX_WRITES, MemoryState, StoredValue
+
+
+NonEmpty = Annotated[bytes, msgspec.Meta(min_length=1)]
+Natural = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _Content(msgspec.Struct, forbid_unknown_fields=True):
+    pass
+
+
+class _Range(_Content):
+    key: NonEmpty
+    range_end: bytes = b""
+    limit: Natural = 0
+    revision: Natural = 0
+
+
+class _Compare(_Content):
+    key: NonEmpty
+    target: str
+    result: str = "EQUAL"
+    mod_revision: Natural = 0
+
+
+class _Put(_Content):
+    key: NonEmpty
+    value: bytes = b""
+
+
+class _Operation(_Content):
+    request_put: _Put
+
+
+class _Txn(_Content):
+    compare: list[_Compare] = []
+    success: list[_Operation] = []
+
+
+class _WatchRange(_Content):
+    key: NonEmpty
+    range_end: bytes = b""
+    start_revision: Natural = 0
+
+
+class _Watch(_Content):
+    create_request: _WatchRange
+
+
+class _Faults(_Content):
+    down: bool | msgspec.UnsetType = msgspec.UNSET
+    delay_s: Annotated[float, msgspec.Meta(ge=0)] | msgspec.UnsetType = msgspec.UNSET
+    lose_write_answers: Natural | msgspec.UnsetType = msgspec.UNSET
+    freeze_watches: bool | msgspec.UnsetType = msgspec.UNSET
+
+
+def decode_content(
+    request: Request, content_type: type, step: str, strict: bool = False
+) -> Any:
+    """Return the decoded body.
+
+    :raises InvalidInput: If it is malformed or has a field that is not supported.
+    """
+    try:
+        return msgspec.json.decode(request.body, type=content_type, strict=strict)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise InvalidInput(f"bad request: {error}", step, request.peer) from error
+
+
+class StoreStandin(MemoryState, HttpApplication):
+    """A key-value service that speaks etcd v3's JSON gateway.
+
+    Usage::
+
+        standin = StoreStandin()
+        address = await group.start(serve_http, standin, "127.0.0.1", 0)
+
+    ``POST /faults`` sets fault switches by name and ``GET /counts`` returns the
+    calls by type, so that another process can use both.
+    """
+
+    def __init__(self) -> None:
+        MemoryState.__init__(self)
+        HttpApplication.__init__(self)
+        self.route("POST", "/v3/kv/range")(self.answer_range)
+        self.route("POST", "/v3/kv/txn")(self.answer_txn)
+        self.route("POST", "/v3/watch")(self.answer_watch)
+        self.route("POST", "/faults")(self.set_faults)
+        self.route("GET", "/counts")(self.answer_counts)
+
+    async def answer_range(self, request: Request) -> Response:
+        await self.admit("range")
+        content = decode_content(request, _Range, "store range")
+        values, more = self.read(
+            content.key,
+            content.range_end or content.key + b"\0",
+            content.limit,
+            content.revision,
+        )
+        answer: dict[str, Any] = {"header": self.header()}
+        # The gateway leaves out fields that have their default value.
+        if values:
+            answer["kvs"] = [self.key_value(value) for value in values]
+        if more:
+            answer["more"] = True
+        return Response.from_json(answer)
+
+    async def answer_txn(self, request: Request) -> Response:
+        await self.admit("txn")
+        content = decode_content(request, _Txn, "store txn")
+        puts = {}
+        for operation in content.success:
+            put = operation.request_put
+            self.check_key(put.key, request)
+            puts[put.key] = put.value
+        if len(puts) < len(content.success):
+            raise InvalidInput("duplicate key", "store txn", request.peer)
+        if max(len(content.compare), len(puts)) > MAX_WRITES:
+            raise InvalidInput(
+                f"more than {MAX_WRITES} operations", "store txn", request.peer
+            )
+        expected = {}
+        for compare in content.compare:
+            if (compare.target, compare.result) != ("MOD", "EQUAL"):
+                raise InvalidInput(
+                    "only target MOD with result EQUAL is supported",
+                    "store txn",
+                    request.peer,
+                )
+            if expected.setdefault(compare.key, compare.mod_revision) != (
+                compare.mod_revision
+            ):
+                raise InvalidInput(
+                    "a key has two expected revisions", "store txn", request.peer
+                )
+        revision = self.swap(expected, puts)
+        answer: dict[str, Any] = {"header": self.header()}
+        if revision is not None:
+            answer["succeeded"] = True
+            put_answer = {"response_put": {"header": self.header()}}
+            answer["responses"] = [put_answer for _ in puts]
+        return Response.from_json(answer)
+
+    async def answer_watch(self, request: Request) -> Response:
+        await self.admit("watch")
+        content = decode_content(request, _Watch, "store watch").create_request
+        # Without a start revision, a watch begins with the next change.
+        start_revision = content.start_revision or self.revision + 1
+        return Response(
+            headers={"content-type": "application/json"},
+            chunks=self.watch_lines(
+                content.key, content.range_end or content.key + b"\0", start_revision
+            ),
+        )
+
+    async def watch_lines(
+        self, start: bytes, end: bytes, start_revision: int
+    ) -> AsyncIterator[bytes]:
+        yield self.watch_line(created=True)
+        try:
+            async for batch in self.follow(start, end, start_revision - 1):
+                yield self.watch_line(
+                    events=[{"kv": self.key_value(value)} for value in batch]
+                )
+        except InvalidInput:
+            yield self.watch_line(
+                canceled=True, compact_revision=str(self.compact_revision)
+            )
+
+    async def set_faults(self, request: Request) -> Response:
+        faults = decode_content(request, _Faults, "set faults", strict=True)
+        for name in faults.__struct_fields__:
+            value = getattr(faults, name)
+            if value is not msgspec.UNSET:
+                setattr(self, name, value)
+        return Response.from_json(
+            {name: getattr(self, name) for name in faults.__struct_fields__}
+        )
+
+    async def answer_counts(self, request: Request) -> Response:
+        return Response.from_json(dict(self.counts))
+
+    def header(self) -> dict[str, str]:
+        return {
+            "cluster_id": "1",
+            "member_id": "1",
+            "revision": str(self.revision),
+            "raft_term": "1",
+        }
+
+    def key_value(self, value: StoredValue) -> dict[str, Any]:
+        pair = {"key": value.key.encode(), "mod_revision": str(value.revision)}
+        return {**pair, "value": value.data} if value.data else pair
+
+    def watch_line(self, **fields: Any) -> bytes:
+        return msgspec.json.encode({"result": {"header": self.header(), **fields}}) + (
+            b"\n"
+        )
+
+    def check_key(self, key: bytes, request: Request) -> None:
+        try:
+            key.decode()
+        except UnicodeDecodeError as error:
+            raise InvalidInput(
+                f"key is not UTF-8: {error}", "store txn", request.peer
+            ) from error
--- /dev/null
+++ b/marigoldkeel/stores.py
@@ -0,0 +1,644 @@
+"""Clients of the key-value service that holds all durable state.
+
+A read may be repeated after StoreUnavailable. A write that raised may have taken
+effect, so no client here ever sends one twice.
+"""
+
+from abc import ABC, abstractmethod
+from bisect import bisect_left, bisect_right, insort
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+
+from marigoldkeel.exceptions import InvalidInput, StoreUnavailable
+from marigoldkeel.transports import parse_address
+
+
+CALL_TIMEOUT_S = 2.0
+# A watch that has been silent for this long is opened again, which detects a frozen
+# store for one call and without reading the prefix again.
+WATCH_IDLE_S = 15.0
+# 8,192 partition records of about 150 bytes are read in 9 calls.
+PAGE_LIMIT = 1000
+# Bounds the memory of one answer; values have up to 1 MB, a third more in base64.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# etcd's default for --max-txn-ops.
+MAX_WRITES = 128
+# Each open watch occupies one connection.
+MAX_CONNECTIONS = 64
+# Below the 75 s after which common servers close an idle connection.
+KEEPALIVE_EXPIRY_S = 30.0
+MAX_HISTORY = 20_000
+HTTP_ERRORS = (
+    httpcore.TimeoutException,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    OSError,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class StoredValue:
+    """A value and the store revision of its last change (etcd's mod_revision)."""
+
+    key: str
+    data: bytes
+    revision: int
+
+
+@dataclass(slots=True)
+class Snapshot:
+    """The values under a prefix, ordered by key, as of one store revision."""
+
+    values: list[StoredValue]
+    revision: int
+
+
+@dataclass(slots=True)
+class Write:
+    """A new value; ``expected_revision`` 0 means that the key must not exist."""
+
+    key: str
+    data: bytes
+    expected_revision: int
+
+
+class KeyValueStore(ABC):
+    """A client of the key-value service.
+
+    Usage::
+
+        async with open_store("etcd", "http://127.0.0.1:2379") as store:
+            snapshot = await store.get_prefix("/marigoldkeel/partitions/")
+
+    :ivar counts: Calls made so far by type: ``range``, ``txn`` and ``watch``.
+    """
+
+    def __init__(self) -> None:
+        self.counts: dict[str, int] = Counter()
+
+    @abstractmethod
+    async def get(self, key: str) -> StoredValue | None:
+        """Return the value of ``key``, or None if there is none.
+
+        :raises StoreUnavailable: If the store did not answer properly.
+        """
+
+    @abstractmethod
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        """Return all values whose key starts with ``prefix``, as of one revision.
+
+        :raises StoreUnavailable: If the store did not answer properly.
+        """
+
+    @abstractmethod
+    async def compare_and_swap(self, writes: list[Write]) -> int | None:
+        """Make all writes in one transaction, or none of them.
+
+        :return: The new store revision, or None when a comparison failed.
+        :raises StoreUnavailable: If the outcome is not known; read before retrying.
+        :raises InvalidInput: If the list is empty, too long or repeats a key.
+        """
+
+    @abstractmethod
+    def watch_prefix(
+        self, prefix: str, after_revision: int
+    ) -> AsyncIterator[StoredValue]:
+        """Yield each change under ``prefix`` made after ``after_revision``.
+
+        Once it ends or raises, read the prefix again: the changes of a transaction
+        share a revision, so the last one seen is no safe point to resume from. Use
+        ``contextlib.aclosing`` to release the connection when leaving early.
+
+        :raises StoreUnavailable: If the stream broke, the revision is no longer
+            available or a key was deleted.
+        """
+
+    async def aclose(self) -> None:  # noqa: B027
+        """Close all connections."""
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exception_info) -> None:
+        await self.aclose()
+
+
+STORES: dict[str, type[KeyValueStore]] = {}
+
+
+def store(kind: str) -> Callable[[type[KeyValueStore]], type[KeyValueStore]]:
+    """Register a store class that takes ``(url, timeout_s)``."""
+
+    def register(store_class: type[KeyValueStore]) -> type[KeyValueStore]:
+        STORES[kind] = store_class
+        return store_class
+
+    return register
+
+
+def open_store(
+    kind: str, url: str = "", timeout_s: float = CALL_TIMEOUT_S
+) -> KeyValueStore:
+    """Return a client of the given kind.
+
+    :param url: For example ``"http://127.0.0.1:2379"``; unused by ``memory``.
+    :param timeout_s: Seconds allowed for each call.
+    :raises InvalidInput: If the kind is unknown or the URL is not accepted.
+    """
+    if kind not in STORES:
+        known = ", ".join(sorted(STORES))
+        raise InvalidInput(
+            f"store kind {kind!r} is not one of {known}", step="open store"
+        )
+    return STORES[kind](url, timeout_s)
+
+
+def key_bytes(key: str, step: str) -> bytes:
+    """Return the encoded key; the service has no empty key."""
+    if not key:
+        raise InvalidInput("key or prefix is empty", step=step)
+    return key.encode()
+
+
+def prefix_end(prefix: bytes) -> bytes:
+    """Return the first key after all keys with ``prefix``."""
+    # UTF-8 contains no 0xFF byte, so the last byte can always be raised.
+    return prefix[:-1] + bytes([prefix[-1] + 1])
+
+
+def check_writes(writes: list[Write]) -> None:
+    """Refuse transactions that the service would reject."""
+    keys = {key_bytes(write.key, "store txn") for write in writes}
+    if not 0 < len(writes) <= MAX_WRITES or len(keys) < len(writes):
+        raise InvalidInput(
+            f"a transaction has 1 to {MAX_WRITES} writes, each to another key; "
+            f"got {len(writes)} writes to {len(keys)} keys",
+            step="store txn",
+        )
+
+
+class _Header(msgspec.Struct):
+    # The service's first revision is 1.
+    revision: int
+
+    def __post_init__(self):
+        if self.revision < 1:
+            raise ValueError(f"revision {self.revision} is not positive")
+
+
+class _KeyValue(msgspec.Struct):
+    key: bytes
+    mod_revision: int
+    value: bytes = b""
+
+    def to_stored_value(self, start: bytes, end: bytes) -> StoredValue:
+        if not start <= self.key < end or self.mod_revision < 1:
+            raise ValueError(
+                f"unexpected key {self.key!r} at revision {self.mod_revision}"
+            )
+        return StoredValue(self.key.decode(), self.value, self.mod_revision)
+
+
+class _RangeAnswer(msgspec.Struct):
+    header: _Header
+    kvs: list[_KeyValue] = []
+    more: bool = False
+
+
+class _TxnAnswer(msgspec.Struct):
+    header: _Header
+    succeeded: bool = False
+
+
+class _WatchEvent(msgspec.Struct):
+    kv: _KeyValue
+    type: str = "PUT"
+
+
+class _WatchResult(msgspec.Struct):
+    header: _Header
+    events: list[_WatchEvent] = []
+    canceled: bool = False
+    cancel_reason: str = ""
+    compact_revision: int = 0
+
+
+class _WatchAnswer(msgspec.Struct):
+    result: _WatchResult
+
+
+class _AnswerTooLarge(StoreUnavailable):
+    pass
+
+
+class _LineReader:
+    """Splits a streamed response into lines of bounded length."""
+
+    def __init__(self, parts: AsyncIterator[bytes]):
+        self.parts = parts
+        self.buffer = bytearray()
+
+    async def next_line(self) -> bytes | None:
+        searched = 0
+        while (end := self.buffer.find(b"\n", searched)) < 0:
+            searched = len(self.buffer)
+            if searched > MAX_ANSWER_BYTES:
+                raise ValueError(f"line exceeds {MAX_ANSWER_BYTES} bytes")
+            part = await anext(self.parts, None)
+            if part is None:
+                if self.buffer:
+                    raise ValueError("stream ended inside a line")
+                return None
+            self.buffer += part
+        line = bytes(self.buffer[:end])
+        del self.buffer[: end + 1]
+        return line
+
+
+@store("etcd")
+class EtcdStore(KeyValueStore):
+    """Speaks etcd v3's JSON gateway.
+
+    :param url: ``http://`` and an IP number with a port.
+    :param timeout_s: Seconds allowed for each call.
+    :param watch_idle_s: Seconds after which a silent watch is opened again.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        timeout_s: float = CALL_TIMEOUT_S,
+        watch_idle_s: float = WATCH_IDLE_S,
+        page_limit: int = PAGE_LIMIT,
+    ):
+        super().__init__()
+        self.peer = url.removeprefix("http://").rstrip("/")
+        if not url.startswith("http://"):
+            raise InvalidInput(
+                f"store URL {url!r} does not start with http://", step="open store"
+            )
+        parse_address(self.peer)
+        self.timeout_s = timeout_s
+        self.watch_idle_s = watch_idle_s
+        self.page_limit = page_limit
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, keepalive_expiry=KEEPALIVE_EXPIRY_S
+        )
+
+    async def get(self, key: str) -> StoredValue | None:
+        start = key_bytes(key, "store range")
+        answer = await self._call("range", {"key": start}, _RangeAnswer)
+        values = self._values("range", answer.kvs, start, start + b"\0")
+        return values[0] if values else None
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        start = key_bytes(prefix, "store range")
+        end = prefix_end(start)
+        values: list[StoredValue] = []
+        limit, revision, more = self.page_limit, 0, True
+        while more:
+            page = {"key": start, "range_end": end, "limit": str(limit)}
+            if revision:
+                # All pages are read as of the first one's revision.
+                page["revision"] = str(revision)
+            try:
+                answer = await self._call("range", page, _RangeAnswer)
+            except _AnswerTooLarge:
+                if limit == 1:
+                    raise
+                limit = max(1, limit // 8)
+                continue
+            values += self._values("range", answer.kvs, start, end)
+            revision = revision or answer.header.revision
+            more = answer.more
+            if more and not answer.kvs:
+                raise self._failure("range", "page is empty but not the last")
+            if more:
+                start = answer.kvs[-1].key + b"\0"
+        return Snapshot(values, revision)
+
+    async def compare_and_swap(self, writes: list[Write]) -> int | None:
+        check_writes(writes)
+        compare = [
+            {
+                "key": write.key.encode(),
+                "target": "MOD",
+                "result": "EQUAL",
+                "mod_revision": str(write.expected_revision),
+            }
+            for write in writes
+        ]
+        success = [
+            {"request_put": {"key": write.key.encode(), "value": write.data}}
+            for write in writes
+        ]
+        content = {"compare": compare, "success": success}
+        answer = await self._call("txn", content, _TxnAnswer)
+        return answer.header.revision if answer.succeeded else None
+
+    async def watch_prefix(
+        self, prefix: str, after_revision: int
+    ) -> AsyncIterator[StoredValue]:
+        start = key_bytes(prefix, "store watch")
+        end = prefix_end(start)
+        idle = True
+        while idle:
+            async with AsyncExitStack() as stack:
+                request = {
+                    "key": start,
+                    "range_end": end,
+                    "start_revision": str(after_revision + 1),
+                }
+                lines = await self._open_watch(stack, {"create_request": request})
+                while True:
+                    try:
+                        line = await lines.next_line()
+                    except httpcore.ReadTimeout:
+                        break
+                    except (*HTTP_ERRORS, ValueError) as error:
+                        raise self._failure("watch", error) from error
+                    idle = line is not None
+                    if not idle:
+                        break
+                    for value in self._watched(line, start, end):
+                        yield value
+                        after_revision = value.revision
+
+    async def aclose(self) -> None:
+        await self.pool.aclose()
+
+    async def _open_watch(self, stack: AsyncExitStack, content: dict) -> _LineReader:
+        self.counts["watch"] += 1
+        try:
+            with anyio.fail_after(self.timeout_s):
+                response = await stack.enter_async_context(
+                    self._stream("watch", content, {"read": self.watch_idle_s})
+                )
+                await self._check_status("watch", response)
+        except StoreUnavailable:
+            raise
+        except HTTP_ERRORS as error:
+            raise self._failure("watch", error) from error
+        return _LineReader(response.aiter_stream())
+
+    def _watched(self, line: bytes, start: bytes, end: bytes) -> list[StoredValue]:
+        result = self._decode("watch", line, _WatchAnswer).result
+        if result.canceled or result.compact_revision:
+            reason = result.cancel_reason or f"compacted at {result.compact_revision}"
+            raise self._failure("watch", f"watch was cancelled: {reason}")
+        if any(event.type != "PUT" for event in result.events):
+            raise self._failure("watch", "a key was deleted; read the prefix again")
+        return self._values("watch", [event.kv for event in result.events], start, end)
+
+    def _stream(self, kind: str, content: dict, timeouts: dict[str, float]):
+        return self.pool.stream(
+            "POST",
+            f"http://{self.peer}/v3/{'kv/' * (kind != 'watch')}{kind}",
+            headers={"content-type": "application/json"},
+            content=msgspec.json.encode(content),
+            extensions={"timeout": timeouts},
+        )
+
+    async def _call(self, kind: str, content: dict, answer_type: type) -> Any:
+        self.counts[kind] += 1
+        try:
+            with anyio.fail_after(self.timeout_s):
+                async with self._stream(kind, content, {}) as response:
+                    await self._check_status(kind, response)
+                    body = await self._read_body(kind, response)
+        except StoreUnavailable:
+            raise
+        except HTTP_ERRORS as error:
+            raise self._failure(kind, error) from error
+        return self._decode(kind, body, answer_type)
+
+    async def _check_status(self, kind: str, response: httpcore.Response) -> None:
+        if response.status != 200:
+            body = await self._read_body(kind, response)
+            reason = body[:200].decode(errors="replace")
+            raise self._failure(kind, f"HTTP status {response.status}: {reason}")
+
+    async def _read_body(self, kind: str, response: httpcore.Response) -> bytes:
+        body = bytearray()
+        async for part in response.aiter_stream():
+            body += part
+            if len(body) > MAX_ANSWER_BYTES:
+                raise _AnswerTooLarge(
+                    f"answer exceeds {MAX_ANSWER_BYTES} bytes",
+                    f"store {kind}",
+                    self.peer,
+                )
+        return bytes(body)
+
+    def _decode(self, kind: str, body: bytes, answer_type: type) -> Any:
+        try:
+            # The gateway sends 64-bit integers as strings.
+            return msgspec.json.decode(body, type=answer_type, strict=False)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise self._failure(kind, f"malformed answer: {error}") from error
+
+    def _values(
+        self, kind: str, pairs: list[_KeyValue], start: bytes, end: bytes
+    ) -> list[StoredValue]:
+        try:
+            return [pair.to_stored_value(start, end) for pair in pairs]
+        except ValueError as error:
+            raise self._failure(kind, f"malformed answer: {error}") from error
+
+    def _failure(self, kind: str, reason: object) -> StoreUnavailable:
+        if type(reason) is TimeoutError:
+            reason = f"no answer within {self.timeout_s} s"
+        elif isinstance(reason, Exception):
+            reason = f"{type(reason).__name__}: {reason}"
+        return StoreUnavailable(f"store failed: {reason}", f"store {kind}", self.peer)
+
+
+class MemoryState:
+    """A versioned key-value state with fault switches that a test sets.
+
+    :ivar down: Refuse every call and end every watch.
+    :ivar delay_s: Seconds to wait before a call is carried out.
+    :ivar lose_write_answers: Number of next transactions to carry out but fail.
+    :ivar freeze_watches: Deliver no changes.
+    """
+
+    peer = ""
+    down: bool = False
+    delay_s: float = 0.0
+    lose_write_answers: int = 0
+    freeze_watches: bool = False
+
+    def __init__(self, max_history: int = MAX_HISTORY):
+        self.changed = anyio.Event()
+        self.counts: dict[str, int] = Counter()
+        self.max_history = max_history
+        self.revision = 1
+        self.compact_revision = 0
+        self.keys: list[bytes] = []
+        self.versions: dict[bytes, list[StoredValue]] = {}
+        self.history: list[StoredValue] = []
+
+    def __setattr__(self, name: str, value: object) -> None:
+        super().__setattr__(name, value)
+        if name in ("down", "freeze_watches"):
+            self.wake_watches()
+
+    def wake_watches(self) -> None:
+        """Let every watch look at the state again."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def admit(self, kind: str) -> None:
+        """Count a call and apply the faults that precede it."""
+        self.counts[kind] += 1
+        if not self.down and self.delay_s:
+            await anyio.sleep(self.delay_s)
+        if self.down:
+            raise StoreUnavailable("store is down", f"store {kind}", self.peer)
+
+    def read(
+        self, start: bytes, end: bytes, limit: int = 0, revision: int = 0
+    ) -> tuple[list[StoredValue], bool]:
+        """Return up to ``limit`` values (0: all) and whether there are more.
+
+        :raises InvalidInput: If the revision is compacted or in the future.
+        """
+        if revision and not self.compact_revision <= revision <= self.revision:
+            raise InvalidInput(f"revision {revision} is not available", "store range")
+        values = []
+        for key in self.keys[
+            bisect_left(self.keys, start) : bisect_left(self.keys, end)
+        ]:
+            versions = self.versions[key]
+            index = len(versions)
+            if revision:
+                index = bisect_right(versions, revision, key=lambda v: v.revision)
+            if index:
+                if limit and len(values) == limit:
+                    return values, True
+                values.append(versions[index - 1])
+        return values, False
+
+    def swap(self, expected: dict[bytes, int], puts: dict[bytes, bytes]) -> int | None:
+        """Apply all puts if every key has its expected revision.
+
+        :raises StoreUnavailable: After the fact, if the answer is to be lost.
+        """
+        revisions = {
+            key: self.versions[key][-1].revision if key in self.versions else 0
+            for key in expected
+        }
+        succeeded = revisions == expected
+        if succeeded and puts:
+            self.revision += 1
+            for key, data in puts.items():
+                if key not in self.versions:
+                    insort(self.keys, key)
+                value = StoredValue(key.decode(), data, self.revision)
+                self.versions.setdefault(key, []).append(value)
+                self.history.append(value)
+            self.compact()
+            self.wake_watches()
+        if self.lose_write_answers:
+            self.lose_write_answers -= 1
+            raise StoreUnavailable("answer was lost", "store txn", self.peer)
+        return self.revision if succeeded else None
+
+    def compact(self) -> None:
+        """Drop the older half of a history that has become too long."""
+        if len(self.history) <= self.max_history:
+            return
+        revision = self.history[len(self.history) // 2].revision
+        kept = bisect_right(self.history, revision, key=lambda v: v.revision)
+        for value in self.history[:kept]:
+            versions = self.versions[value.key.encode()]
+            while len(versions) > 1 and versions[1].revision <= revision:
+                del versions[0]
+        del self.history[:kept]
+        self.compact_revision = revision
+
+    async def follow(
+        self, start: bytes, end: bytes, after_revision: int
+    ) -> AsyncIterator[list[StoredValue]]:
+        """Yield the changes of a range in batches until the store is down.
+
+        :raises InvalidInput: If the revision is compacted.
+        """
+        while not self.down:
+            changed = self.changed
+            if not self.freeze_watches:
+                if after_revision < self.compact_revision:
+                    raise InvalidInput(
+                        f"revision {after_revision} is compacted", "store watch"
+                    )
+                first = bisect_right(
+                    self.history, after_revision, key=lambda v: v.revision
+                )
+                after_revision = max(after_revision, self.revision)
+                batch = [
+                    value
+                    for value in self.history[first:]
+                    if start <= value.key.encode() < end
+                ]
+                if batch:
+                    yield batch
+                    continue
+            await changed.wait()
+
+
+@store("memory")
+class MemoryStore(MemoryState, KeyValueStore):
+    """A store within this process, for tests and embedding."""
+
+    peer = "memory"
+
+    def __init__(self, url: str = "", timeout_s: float = CALL_TIMEOUT_S):
+        super().__init__()
+        self.timeout_s = timeout_s
+
+    async def admit(self, kind: str) -> None:
+        try:
+            with anyio.fail_after(self.timeout_s):
+                await super().admit(kind)
+        except TimeoutError as error:
+            raise StoreUnavailable(
+                f"no answer within {self.timeout_s} s", f"store {kind}", self.peer
+            ) from error
+
+    async def get(self, key: str) -> StoredValue | None:
+        start = key_bytes(key, "store range")
+        await self.admit("range")
+        values, _ = self.read(start, start + b"\0")
+        return values[0] if values else None
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        start = key_bytes(prefix, "store range")
+        await self.admit("range")
+        return Snapshot(self.read(start, prefix_end(start))[0], self.revision)
+
+    async def compare_and_swap(self, writes: list[Write]) -> int | None:
+        check_writes(writes)
+        await self.admit("txn")
+        return self.swap(
+            {write.key.encode(): write.expected_revision for write in writes},
+            {write.key.encode(): write.data for write in writes},
+        )
+
+    async def watch_prefix(
+        self, prefix: str, after_revision: int
+    ) -> AsyncIterator[StoredValue]:
+        start = key_bytes(prefix, "store watch")
+        await self.admit("watch")
+        try:
+            async for batch in self.follow(start, prefix_end(start), after_revision):
+                for value in batch:
+                    yield value
+        except InvalidInput as error:
+            raise StoreUnavailable(error.message, error.step, self.peer) from error
