Add the agent's queue and the straggler threshold

Urgent work has to go first without starving the rest, and long work must not take every slot from short work although declared sizes are wrong.

Ruled out: ordering by arrival plus a delay per class, because a backlog that has aged in a burst would then hold up all urgent work. Aged work gets one pop in eight instead. One heap per class and length was ruled out because items queued before their kind was found to be long would stay on the wrong side, so each class and kind has its own heap and only its head is indexed by length.

--- /dev/null
+++ b/marigoldkeel/queues.py
@@ -0,0 +1,372 @@
+"""The agent's queue: classes with ageing, and long work kept apart from short.
+
+No I/O; times are monotonic seconds given by the caller.
+"""
+
+from bisect import bisect_left, insort
+from collections import deque
+from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
+from itertools import count
+from typing import Any
+
+from marigoldkeel.models import Priority
+
+
+# Share of the bound up to which each class is accepted.
+QUEUE_SHARES = {Priority.URGENT: 1.0, Priority.NORMAL: 0.8, Priority.BATCH: 0.5}
+# Aged work gets one pop in this many, so a backlog that has aged during a burst
+# cannot take more than that from urgent work.
+AGED_EVERY = 8
+# Cancelled keys that are remembered, so that an item which is put back or pushed
+# late is not run. About 1 MB.
+MAX_CANCELLED = 10_000
+MAX_KINDS = 1000
+RUN_TIME_SAMPLES = 64
+MIN_COMPACTION = 64
+
+
+@dataclass(slots=True)
+class WorkItem:
+    """Work of one submission that this agent may ask its primary for.
+
+    ``deadline`` and ``enqueued_at`` are monotonic seconds; ``count`` is the number
+    of tasks that may still be asked for; ``source`` belongs to the caller.
+    """
+
+    key: bytes
+    kind: str
+    priority: Priority
+    deadline: float
+    count: int = 1
+    enqueued_at: float = 0.0
+    source: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """An item in the queue; ``indexed`` names the index that holds it."""
+
+    item: WorkItem
+    sequence: int
+    tasks: int
+    live: bool = True
+    indexed: bool | None = None
+
+    @property
+    def order(self) -> tuple[float, int]:
+        return self.item.enqueued_at, self.sequence
+
+
+@dataclass(slots=True)
+class LazyHeap:
+    """A heap that skips dead entries; amortised O(log n), at most half dead."""
+
+    heap: list = field(default_factory=list)
+    limit: int = MIN_COMPACTION
+
+    def add(self, order: tuple, entry: Entry) -> None:
+        heappush(self.heap, (order, entry))
+        if len(self.heap) > self.limit:
+            self.heap = [pair for pair in self.heap if pair[1].live]
+            heapify(self.heap)
+            self.limit = max(MIN_COMPACTION, 2 * len(self.heap))
+
+    def first(self) -> Entry | None:
+        while self.heap and not self.heap[0][1].live:
+            heappop(self.heap)
+        return self.heap[0][1] if self.heap else None
+
+
+class RunTimes:
+    """Quantiles of the last 64 run times of each kind, in seconds.
+
+    Stragglers move a quantile only as far as their share of the samples. Keeps
+    1,000 kinds, those observed most recently; O(1) per call.
+    """
+
+    def __init__(self):
+        self.samples: dict[str, tuple[deque, list[float]]] = {}
+
+    def observe(self, kind: str, run_time_s: float) -> str | None:
+        """Add a run time and return the kind that was forgotten for it, if any."""
+        recent, ordered = self.samples.pop(kind, None) or (deque(), [])
+        self.samples[kind] = recent, ordered
+        recent.append(run_time_s)
+        insort(ordered, run_time_s)
+        if len(recent) > RUN_TIME_SAMPLES:
+            del ordered[bisect_left(ordered, recent.popleft())]
+        if len(self.samples) <= MAX_KINDS:
+            return None
+        forgotten = next(iter(self.samples))
+        del self.samples[forgotten]
+        return forgotten
+
+    def quantile(self, kind: str, q: float, min_samples: int = 1) -> float | None:
+        """Return quantile ``q`` in seconds, or ``None`` with too few samples."""
+        _, ordered = self.samples.get(kind, ((), ()))
+        if len(ordered) < max(1, min_samples):
+            return None
+        return ordered[min(len(ordered) - 1, int(q * len(ordered)))]
+
+
+class StragglerDetector:
+    """Tells from which run time on a running task counts as a straggler.
+
+    The threshold is a multiple of the 90th percentile of the kind. It is also
+    bounded by a multiple of the median, because stragglers that make up more than
+    a tenth of the samples would otherwise raise the threshold above themselves.
+    O(1).
+    """
+
+    def __init__(
+        self,
+        run_times: RunTimes,
+        factor: float = 3.0,
+        median_factor: float = 10.0,
+        min_threshold_s: float = 0.5,
+        min_samples: int = 10,
+    ):
+        self.run_times = run_times
+        self.factor = factor
+        self.median_factor = median_factor
+        self.min_threshold_s = min_threshold_s
+        self.min_samples = min_samples
+
+    def threshold_s(self, kind: str) -> float:
+        """Return the threshold in seconds, infinite with too few samples."""
+        high = self.run_times.quantile(kind, 0.9, self.min_samples)
+        if high is None:
+            return float("inf")
+        median = self.run_times.quantile(kind, 0.5)
+        threshold = min(self.factor * high, self.median_factor * median)
+        return max(self.min_threshold_s, threshold)
+
+
+class WorkQueue:
+    """A bounded queue that puts urgent work first and starves nothing.
+
+    Within a class, order is by arrival. An item below urgent has aged after
+    waiting ``ageing_s`` times its class; with k aged items due before it, it is
+    returned within ``AGED_EVERY * (k + 1)`` pops that its cap allows. Every item
+    pushed leaves once: by ``next_item``, ``expire``, ``cancel`` or
+    ``take_displaced``. All operations are amortised O(log n); ``cancel`` is O(1).
+
+    :param slots: Slots that the queue feeds.
+    :param max_tasks: Bound on queued tasks; a single larger item is accepted only
+        into an empty queue.
+    :param ageing_s: Seconds of waiting per class before an item has aged.
+    :param long_slot_share: Share of slots for long kinds (at least one slot) while
+        short work waits or did within the last ``short_window_s`` seconds. Urgent
+        long work may use all slots but one.
+    :param long_s: Median run time in seconds from which a kind is long; it is
+        short again below 80% of that.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        max_tasks: int,
+        ageing_s: float = 2.0,
+        long_slot_share: float = 0.5,
+        long_s: float = 2.0,
+        short_window_s: float = 10.0,
+        run_times: RunTimes | None = None,
+    ):
+        self.slots = slots
+        self.max_tasks = max_tasks
+        self.ageing_s = ageing_s
+        self.long_slot_share = long_slot_share
+        self.long_s = long_s
+        self.short_window_s = short_window_s
+        self.run_times = run_times or RunTimes()
+        self.long_kinds: set[str] = set()
+        self.last_short_at = float("-inf")
+        self.sequence = count()
+        self.tasks = dict.fromkeys(Priority, 0)
+        self.entries: dict[bytes, list[Entry]] = {}
+        self.cancelled: dict[bytes, None] = {}
+        # One heap per class and kind, and one index of their heads per class and
+        # length, so that a kind that changes length moves as a whole.
+        self.lanes: dict[tuple[Priority, str], LazyHeap] = {}
+        self.indexes = {(p, long): [] for p in Priority for long in (False, True)}
+        self.deadlines = LazyHeap()
+        self.newest_batch = LazyHeap()
+        self.expired: list[WorkItem] = []
+        self.displaced: list[WorkItem] = []
+        self.pops_since_aged = 0
+
+    @property
+    def depth(self) -> int:
+        """Queued tasks."""
+        return sum(self.tasks.values())
+
+    def depth_by_priority(self) -> dict[Priority, int]:
+        """Return queued tasks by class."""
+        return dict(self.tasks)
+
+    def push(self, item: WorkItem, now: float) -> bool:
+        """Queue the item and set ``enqueued_at``; return False if it is refused.
+
+        An item is refused if its class's share is full, its deadline has passed
+        or its key was cancelled. An urgent item displaces the newest batch items
+        when that makes room; the caller fetches them with ``take_displaced``.
+        """
+        self._collect_expired(now)
+        if item.deadline <= now or item.key in self.cancelled:
+            return False
+        excess = self.depth + item.count - QUEUE_SHARES[item.priority] * self.max_tasks
+        if excess > 0 and self.depth:
+            if item.priority != Priority.URGENT or excess > self.tasks[Priority.BATCH]:
+                return False
+            target = self.depth - excess
+            while self.depth > target:
+                entry = self.newest_batch.first()
+                self._remove(entry)
+                self.displaced.append(entry.item)
+        item.enqueued_at = now
+        self._insert(item)
+        if not self.is_long(item.kind):
+            self.last_short_at = now
+        return True
+
+    def put_back(self, item: WorkItem) -> bool:
+        """Return an item with tasks left to its old place, ignoring the bound.
+
+        :return: False if nothing is left of it or it was cancelled meanwhile.
+        """
+        if item.count < 1 or item.key in self.cancelled:
+            return False
+        self._insert(item)
+        return True
+
+    def next_item(self, now: float, long_running: int = 0) -> WorkItem | None:
+        """Take out the item to run next, or return None if none may start.
+
+        :param long_running: Running tasks whose kind is long.
+        """
+        self._collect_expired(now)
+        choice = aged = None
+        aged_due = now
+        short_heads = [self._head(priority, False) for priority in Priority]
+        if any(short_heads):
+            self.last_short_at = now
+        for priority, head in zip(Priority, short_heads, strict=True):
+            if long_running < self._long_cap(priority, now):
+                long_head = self._head(priority, True)
+                if head is None or (long_head and long_head.order < head.order):
+                    head = long_head
+            if head is None:
+                continue
+            choice = choice or head
+            due = head.item.enqueued_at + self.ageing_s * priority
+            if priority != Priority.URGENT and due <= aged_due:
+                aged, aged_due = head, due
+        if choice is None:
+            return None
+        self.pops_since_aged += 1
+        if aged and self.pops_since_aged >= AGED_EVERY:
+            choice = aged
+        if aged is None or choice is aged:
+            self.pops_since_aged = 0
+        self._remove(choice)
+        return choice.item
+
+    def expire(self, now: float) -> list[WorkItem]:
+        """Take out and return the items whose deadline has passed."""
+        self._collect_expired(now)
+        expired, self.expired = self.expired, []
+        return expired
+
+    def take_displaced(self) -> list[WorkItem]:
+        """Return the items displaced since the last call; they were not run."""
+        displaced, self.displaced = self.displaced, []
+        return displaced
+
+    def cancel(self, key: bytes) -> list[WorkItem]:
+        """Take out and return the items of a submission, now or when put back."""
+        self.cancelled[key] = None
+        if len(self.cancelled) > MAX_CANCELLED:
+            del self.cancelled[next(iter(self.cancelled))]
+        entries = self.entries.get(key, [])
+        items = [entry.item for entry in entries]
+        for entry in list(entries):
+            self._remove(entry)
+        return items
+
+    def observe(self, kind: str, run_time_s: float) -> None:
+        """Add an observed run time in seconds."""
+        forgotten = self.run_times.observe(kind, run_time_s)
+        if forgotten is not None:
+            self._set_long(forgotten, False)
+        limit_s = self.long_s * (0.8 if self.is_long(kind) else 1.0)
+        self._set_long(kind, self.run_times.quantile(kind, 0.5) >= limit_s)
+
+    def is_long(self, kind: str) -> bool:
+        """Return whether the kind was observed to be long; new kinds are short."""
+        return kind in self.long_kinds
+
+    def _set_long(self, kind: str, long: bool) -> None:
+        if long == self.is_long(kind):
+            return
+        (self.long_kinds.add if long else self.long_kinds.discard)(kind)
+        for priority in Priority:
+            self._index_head(priority, kind)
+
+    def _long_cap(self, priority: Priority, now: float) -> int:
+        if now - self.last_short_at > self.short_window_s:
+            return self.slots
+        cap = max(1, int(self.slots * self.long_slot_share))
+        return max(cap, self.slots - 1) if priority == Priority.URGENT else cap
+
+    def _insert(self, item: WorkItem) -> None:
+        entry = Entry(item, next(self.sequence), item.count)
+        self.tasks[item.priority] += entry.tasks
+        self.entries.setdefault(item.key, []).append(entry)
+        lane = self.lanes.setdefault((item.priority, item.kind), LazyHeap())
+        lane.add(entry.order, entry)
+        self.deadlines.add((item.deadline, entry.sequence), entry)
+        if item.priority == Priority.BATCH:
+            newest_first = (-item.enqueued_at, -entry.sequence)
+            self.newest_batch.add(newest_first, entry)
+        self._index_head(item.priority, item.kind)
+
+    def _remove(self, entry: Entry) -> None:
+        entry.live = False
+        self.tasks[entry.item.priority] -= entry.tasks
+        entries = self.entries[entry.item.key]
+        entries.remove(entry)
+        if not entries:
+            del self.entries[entry.item.key]
+
+    def _index_head(self, priority: Priority, kind: str) -> None:
+        lane = self.lanes.get((priority, kind))
+        if lane is None:
+            return
+        head = lane.first()
+        long = self.is_long(kind)
+        if head is None:
+            del self.lanes[priority, kind]
+        elif head.indexed != long:
+            head.indexed = long
+            heappush(self.indexes[priority, long], (head.order, head))
+
+    def _head(self, priority: Priority, long: bool) -> Entry | None:
+        index = self.indexes[priority, long]
+        while index:
+            entry = index[0][1]
+            kind = entry.item.kind
+            if self.is_long(kind) == long:
+                lane = self.lanes.get((priority, kind))
+                if lane is not None and lane.first() is entry:
+                    return entry
+            heappop(index)
+            if entry.indexed == long:
+                entry.indexed = None
+            self._index_head(priority, kind)
+        return None
+
+    def _collect_expired(self, now: float) -> None:
+        while (entry := self.deadlines.first()) and entry.item.deadline <= now:
+            self._remove(entry)
+            self.expired.append(entry.item)
