Add the target table, the HTTP adapter and announcements

Cause: an agent needs to know which local targets may get work and what is known of a task after an exchange with one of them failed.

Ruled out: bounding connections in httpcore's pool. A request that is queued in a full pool and cancelled between assignment and its first step leaves its connection unusable in the pool, so TargetTable bounds the exchanges instead. Judging by the type of exception whether bytes have left was also ruled out: a timeout says nothing about it. httpcore's trace event before the request headers are written decides.

Change: TargetTable, TargetAdapter with its registry, HttpTarget, and the routes POST /v1/targets and DELETE /v1/targets/NAME. A reply's headers are checked before its body is read, since httpcore closes a connection whose response was not read to its end.

Conclusion: a task is reported as not started only if no byte of its request was written or the target's own refusal carries the echo of the request.

--- /dev/null
+++ b/marigoldkeel/targets.py
@@ -0,0 +1,333 @@
+"""What an agent does towards its local targets: announcements, slots, exchanges."""
+
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Annotated
+from urllib.parse import quote
+
+import anyio
+import httpcore
+import msgspec
+
+from marigoldkeel.exceptions import InvalidInput
+from marigoldkeel.messages import TaskResult
+from marigoldkeel.models import TaskState
+from marigoldkeel.servers import MAX_BODY_BYTES, HttpApplication, Request, Response
+from marigoldkeel.transports import parse_address
+
+
+SUBMISSION_HEADER = "Marigoldkeel-Submission"
+TASK_HEADER = "Marigoldkeel-Task"
+DEADLINE_HEADER = "Marigoldkeel-Deadline-Ms"
+NOT_RUN_HEADER = "Marigoldkeel-Not-Run"
+
+RENEWAL_INTERVAL_S = 1.0
+SILENT_AFTER_S = 3.0
+# Bounds the table when targets come back under new names.
+FORGET_AFTER_S = 60.0
+# Shorter than the keep-alive of a server, so that the agent closes idle
+# connections first and no request meets a connection that is being closed.
+KEEPALIVE_EXPIRY_S = 30.0
+ERROR_TEXT_BYTES = 500
+
+
+@dataclass(slots=True)
+class TargetInfo:
+    """A target as it last announced itself; ``renewed_at`` is in seconds."""
+
+    name: str
+    address: str
+    kinds: list[str] = field(default_factory=list)
+    slots: int = 1
+    connections: int = 1
+    leaving: bool = False
+    renewed_at: float = 0.0
+
+
+class TargetTable:
+    """The targets of one agent and their busy slots. Times are in seconds.
+
+    Usage::
+
+        name = table.acquire("stock-check", clock())
+        try:
+            ...
+        finally:
+            table.release(name)
+    """
+
+    def __init__(self):
+        self.targets: dict[str, TargetInfo] = {}
+        # Kept apart from the targets, so that exchanges in progress still count
+        # when a target is withdrawn and announces itself again.
+        self.busy: dict[str, int] = {}
+
+    def announce(self, info: TargetInfo, now: float) -> None:
+        """Add or renew a target."""
+        info.renewed_at = now
+        self.targets[info.name] = info
+        for name, other in list(self.targets.items()):
+            if now - other.renewed_at > FORGET_AFTER_S:
+                del self.targets[name]
+
+    def withdraw(self, name: str) -> bool:
+        """Remove a target; exchanges in progress go on.
+
+        :return: Whether the target was known.
+        """
+        return self.targets.pop(name, None) is not None
+
+    def free_slots(self, name: str, now: float) -> int:
+        """Return how many tasks the target may get now."""
+        info = self.targets.get(name)
+        if info is None or info.leaving or now - info.renewed_at >= SILENT_AFTER_S:
+            return 0
+        return max(0, min(info.slots, info.connections) - self.busy.get(name, 0))
+
+    def available(self, kind: str, now: float) -> list[TargetInfo]:
+        """Return the targets that may get a task of this kind now."""
+        return [
+            info
+            for info in self.targets.values()
+            if kind in info.kinds and self.free_slots(info.name, now) > 0
+        ]
+
+    def acquire(
+        self,
+        kind: str,
+        now: float,
+        prefer: Callable[[TargetInfo], float | None] | None = None,
+    ) -> str | None:
+        """Take a slot of a target and return its name, or None if none is free.
+
+        :param prefer: Returns a rank, of which the lowest is taken, or None for
+            a target that must not be used. By default, the target with the
+            largest share of free slots is taken.
+        """
+        rank = prefer or (lambda info: -self.free_slots(info.name, now) / info.slots)
+        ranked = [(rank(info), info.name) for info in self.available(kind, now)]
+        usable = [item for item in ranked if item[0] is not None]
+        if not usable:
+            return None
+        name = min(usable)[1]
+        self.busy[name] = self.busy.get(name, 0) + 1
+        return name
+
+    def release(self, name: str) -> None:
+        """Give back a slot taken by `acquire`.
+
+        :raises ValueError: If no slot of the target is taken.
+        """
+        count = self.busy.get(name, 0)
+        if count == 0:
+            raise ValueError(f"no slot of target {name!r} is taken")
+        if count == 1:
+            del self.busy[name]
+        else:
+            self.busy[name] = count - 1
+
+
+@dataclass(slots=True)
+class TaskCall:
+    """One task to run on a target within ``timeout_s`` seconds from now."""
+
+    submission_id: bytes
+    index: int
+    kind: str
+    payload: bytes
+    timeout_s: float
+
+
+adapter_types: dict[str, type["TargetAdapter"]] = {}
+
+
+def target(name: str) -> Callable[[type], type]:
+    """Register a `TargetAdapter` class under the name used in settings."""
+
+    def register(cls: type) -> type:
+        adapter_types[name] = cls
+        return cls
+
+    return register
+
+
+class TargetAdapter:
+    """Carries single tasks to targets over one protocol."""
+
+    async def run(self, target: TargetInfo, task: TaskCall) -> TaskResult:
+        """Run a task and return what is known of it; raises no I/O errors.
+
+        A cancelled call leaves no connection behind that could be reused.
+        """
+        raise NotImplementedError
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+
+
+@target("http")
+class HttpTarget(TargetAdapter):
+    """Runs tasks with ``POST http://ADDRESS/v1/tasks/KIND``.
+
+    `TargetTable` bounds the connections. The pool itself has no bound, because
+    httpcore loses a connection when a request queued in a full pool is cancelled
+    between its assignment and its first step.
+    """
+
+    def __init__(self):
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=None, keepalive_expiry=KEEPALIVE_EXPIRY_S
+        )
+
+    async def run(self, target: TargetInfo, task: TaskCall) -> TaskResult:
+        exchange = HttpExchange(target, task)
+        if task.timeout_s > 0:
+            with anyio.move_on_after(task.timeout_s):
+                return await exchange.run(self.pool)
+        return exchange.broken("deadline passed")
+
+    async def aclose(self) -> None:
+        await self.pool.aclose()
+
+
+class HttpExchange:
+    """One request to a target. ``sent`` is set before its first byte may leave."""
+
+    def __init__(self, target: TargetInfo, task: TaskCall):
+        self.target = target
+        self.task = task
+        self.sent = False
+
+    async def trace(self, event: str, info: dict) -> None:
+        if event == "http11.send_request_headers.started":
+            self.sent = True
+
+    def result(
+        self, state: TaskState, payload: bytes = b"", message: str = ""
+    ) -> TaskResult:
+        if message:
+            message = f"{message} (target: {self.target.name} {self.target.address})"
+        return TaskResult(self.task.index, int(state), payload, message)
+
+    def broken(self, message: str) -> TaskResult:
+        """Return the result of an exchange that had no valid reply."""
+        state = TaskState.MAY_HAVE_RUN if self.sent else TaskState.NOT_STARTED
+        return self.result(state, message=message)
+
+    async def run(self, pool: httpcore.AsyncConnectionPool) -> TaskResult:
+        task = self.task
+        headers = [
+            ("Host", self.target.address),
+            (SUBMISSION_HEADER, str(uuid.UUID(bytes=task.submission_id))),
+            (TASK_HEADER, str(task.index)),
+            (DEADLINE_HEADER, str(max(1, round(task.timeout_s * 1000)))),
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(task.payload))),
+        ]
+        try:
+            async with pool.stream(
+                "POST",
+                f"http://{self.target.address}/v1/tasks/{quote(task.kind, safe='')}",
+                headers=headers,
+                content=task.payload,
+                extensions={"trace": self.trace},
+            ) as response:
+                return await self.read(response)
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as error:
+            text = str(error) or type(error).__name__
+            return self.broken(f"exchange failed: {text}")
+
+    async def read(self, response: httpcore.Response) -> TaskResult:
+        # The headers are checked before the body is read: httpcore closes a
+        # connection whose response was not read to its end, so a connection with
+        # a doubtful reply is never reused.
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in response.headers
+        }
+        expected = {
+            SUBMISSION_HEADER: str(uuid.UUID(bytes=self.task.submission_id)),
+            TASK_HEADER: str(self.task.index),
+        }
+        echoed = {name: headers.get(name.lower()) for name in expected}
+        not_run = response.status == 503 and headers.get(NOT_RUN_HEADER.lower()) == "1"
+        if echoed != expected:
+            # Servers answer some errors before they reach the target's code, so
+            # only a reply that settles the task has to have the echo.
+            if response.status == 200 or not_run or any(echoed.values()):
+                return self.broken(f"reply belongs to another request: {echoed}")
+        elif not_run:
+            await response.aread()
+            return self.result(TaskState.NOT_STARTED, message="target refused the task")
+        length = headers.get("content-length", "")
+        if not length.isdigit():
+            return self.broken("reply has no Content-Length")
+        if int(length) > MAX_BODY_BYTES:
+            return self.result(
+                TaskState.FAILED, message=f"reply of {length} bytes is too large"
+            )
+        body = await response.aread()
+        if len(body) != int(length):
+            return self.broken(f"reply has {len(body)} of {length} bytes")
+        if response.status == 200:
+            return self.result(TaskState.SUCCEEDED, body)
+        text = body[:ERROR_TEXT_BYTES].decode("utf-8", "replace")
+        return self.result(
+            TaskState.FAILED, message=f"target answered {response.status}: {text}"
+        )
+
+
+Name = Annotated[str, msgspec.Meta(pattern=r"\A[A-Za-z0-9._-]{1,100}\Z")]
+Count = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+
+
+class Announcement(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """The body of ``POST /v1/targets``."""
+
+    name: Name
+    address: str
+    kinds: Annotated[list[Name], msgspec.Meta(min_length=1, max_length=1000)]
+    slots: Count
+    connections: Count
+    leaving: bool = False
+
+
+def announcements(
+    table: TargetTable,
+    clock: Callable[[], float] = time.monotonic,
+    application: HttpApplication | None = None,
+) -> HttpApplication:
+    """Return an application with the agent's routes for its targets.
+
+    :param application: The application to add the routes to, by default a new one.
+    """
+    application = application or HttpApplication()
+
+    @application.route("POST", "/v1/targets")
+    async def announce(request: Request) -> Response:
+        try:
+            body = msgspec.json.decode(request.body, type=Announcement)
+        except msgspec.DecodeError as error:
+            raise InvalidInput(str(error), "announce", request.peer) from error
+        try:
+            parse_address(body.address)
+        except InvalidInput as error:
+            raise InvalidInput(
+                f"{error.message} - at `$.address`", "announce", request.peer
+            ) from error
+        table.announce(TargetInfo(**msgspec.structs.asdict(body)), clock())
+        return Response.from_json({"renew_after_s": RENEWAL_INTERVAL_S})
+
+    @application.route("DELETE", "/v1/targets/{name}")
+    async def withdraw(request: Request) -> Response:
+        return Response.from_json(
+            {"withdrawn": table.withdraw(request.arguments["name"])}
+        )
+
+    return application
