Add the runner stand-in and the fault table of targets

Cause: the demo, tests and benchmarks need a runner with a known service time, faults on demand and a history of starts that outlives the process.

--- /dev/null
+++ b/marigoldkeel/runners.py
@@ -0,0 +1,251 @@
+"""A small stand-in for a runner, with faults, for the demo, tests and benchmarks."""
+
+import os
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+from anyio.abc import TaskStatus
+from loguru import logger
+
+from marigoldkeel.exceptions import InvalidInput
+from marigoldkeel.servers import HttpApplication, Request, Response, serve_http
+from marigoldkeel.targets import (
+    NOT_RUN_HEADER,
+    RENEWAL_INTERVAL_S,
+    SUBMISSION_HEADER,
+    TASK_HEADER,
+)
+
+
+ANNOUNCEMENT_TIMEOUT_S = 1.0
+# Requests that the agent sent before it read the announcement of leaving still
+# arrive within this time.
+SETTLE_S = 0.1
+WRONG_SUBMISSION = "00000000-0000-7000-8000-000000000000"
+
+
+@dataclass(slots=True)
+class Start:
+    """One start of a task; ``time_s`` is wall-clock time in seconds."""
+
+    submission: str
+    index: int
+    runner: str
+    time_s: float
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """The faults of a runner.
+
+    :param fail_all: Answer 500 as soon as a task has started.
+    :param hang_after_start: Never answer a started task.
+    :param wrong_echo: Answer with the id of another submission.
+    :param truncate: Close the connection inside the body of the answer.
+    :param latency_s: Seconds added before a task starts.
+    """
+
+    fail_all: bool = False
+    hang_after_start: bool = False
+    wrong_echo: bool = False
+    truncate: bool = False
+    latency_s: float = 0.0
+
+
+class RunnerStandin:
+    """Answers tasks after the service time that their payload asks for.
+
+    The payload is JSON. If it is an object, ``work_ms`` is the service time at
+    speed 1; the answer has the payload in ``value``.
+
+    Usage::
+
+        runner = RunnerStandin("runner-1", kinds=["quote"])
+        address = await group.start(runner.serve, agent_http_address)
+        ...
+        await runner.stop()
+
+    :param speed: Divides the service time.
+    :param history_path: File to which each start is appended as a JSON line.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        kinds: list[str],
+        slots: int = 8,
+        connections: int = 64,
+        speed: float = 1.0,
+        history_path: str | os.PathLike[str] | None = None,
+    ):
+        self.name = name
+        self.kinds = kinds
+        self.slots = slots
+        self.connections = connections
+        self.speed = speed
+        self.faults = Faults()
+        self.starts: list[Start] = []
+        self.busy = 0
+        self.leaving = False
+        self.closed = False
+        self.changed = anyio.Event()
+        self.stopping = anyio.Event()
+        self.stopped = anyio.Event()
+        self.history = None
+        if history_path is not None:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self.history = os.open(history_path, flags, 0o644)
+        self.application = self._routes()
+
+    def _routes(self) -> HttpApplication:
+        application = HttpApplication()
+        application.route("POST", "/v1/tasks/{kind}")(self._run)
+
+        @application.route("POST", "/faults")
+        async def set_faults(request: Request) -> Response:
+            try:
+                self.faults = msgspec.json.decode(request.body, type=Faults)
+            except msgspec.DecodeError as error:
+                raise InvalidInput(str(error), "faults", request.peer) from error
+            return Response.from_json(self.faults)
+
+        @application.route("GET", "/starts")
+        async def list_starts(request: Request) -> Response:
+            return Response.from_json(self.starts)
+
+        return application
+
+    async def _run(self, request: Request) -> Response:
+        submission = request.headers.get(SUBMISSION_HEADER.lower(), "")
+        index = request.headers.get(TASK_HEADER.lower(), "")
+        echo = {SUBMISSION_HEADER: submission, TASK_HEADER: index}
+        if not submission or not index.isdigit():
+            raise InvalidInput(
+                f"{SUBMISSION_HEADER} or {TASK_HEADER} is missing", "task", request.peer
+            )
+        try:
+            payload = msgspec.json.decode(request.body)
+        except msgspec.DecodeError as error:
+            raise InvalidInput(str(error), "task", request.peer) from error
+        if self.faults.latency_s:
+            await anyio.sleep(self.faults.latency_s)
+        if self.closed or self.busy >= self.slots:
+            return Response(503, b"no free slot", {**echo, NOT_RUN_HEADER: "1"})
+        self.busy += 1
+        try:
+            self._record(Start(submission, int(index), self.name, time.time()))
+            return await self._work(payload, echo)
+        finally:
+            self.busy -= 1
+            self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait until ``condition`` holds, checked at each start and end of a task."""
+        while not condition():
+            await self.changed.wait()
+
+    def _record(self, start: Start) -> None:
+        self.starts.append(start)
+        self._notify()
+        if self.history is not None:
+            # One write per line, before the work, so that the line is whole and
+            # present even if the process is killed inside the task.
+            os.write(self.history, msgspec.json.encode(start) + b"\n")
+
+    async def _work(self, payload: Any, echo: dict[str, str]) -> Response:
+        faults = self.faults
+        if faults.hang_after_start:
+            await anyio.sleep_forever()
+        if faults.fail_all:
+            return Response(500, b"fault: fail_all", echo)
+        work_ms = payload.get("work_ms", 0) if isinstance(payload, dict) else 0
+        await anyio.sleep(work_ms / 1000 / self.speed)
+        if faults.wrong_echo:
+            echo = {**echo, SUBMISSION_HEADER: WRONG_SUBMISSION}
+        response = Response.from_json({"runner": self.name, "value": payload})
+        response.headers.update(echo)
+        if faults.truncate:
+            response.headers["content-length"] = str(len(response.body))
+            response.chunks = _first_half(response.body)
+            response.body = b""
+        return response
+
+    async def serve(
+        self,
+        agent_http_address: str | None = None,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        *,
+        task_status: TaskStatus = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until `stop` or cancellation; reports ``"host:port"``.
+
+        :param agent_http_address: The agent to announce the runner to, if any.
+        """
+        try:
+            async with anyio.create_task_group() as group:
+                address = await group.start(serve_http, self.application, host, port)
+                async with httpcore.AsyncConnectionPool() as pool:
+                    if agent_http_address:
+                        await self._announce(pool, agent_http_address, address)
+                        group.start_soon(self._renew, pool, agent_http_address, address)
+                    task_status.started(address)
+                    await self.stopping.wait()
+                    self.leaving = True
+                    if agent_http_address:
+                        await self._announce(pool, agent_http_address, address)
+                        await anyio.sleep(SETTLE_S)
+                    await self.wait_until(lambda: self.busy == 0)
+                    self.closed = True
+                    group.cancel_scope.cancel()
+        finally:
+            self.closed = True
+            if self.history is not None:
+                os.close(self.history)
+                self.history = None
+            self.stopped.set()
+
+    async def stop(self) -> None:
+        """Announce leaving, finish the work in progress and end `serve`."""
+        self.stopping.set()
+        await self.stopped.wait()
+
+    async def _renew(self, pool, agent: str, address: str) -> None:
+        while True:
+            await anyio.sleep(RENEWAL_INTERVAL_S)
+            await self._announce(pool, agent, address)
+
+    async def _announce(self, pool, agent: str, address: str) -> None:
+        content = {
+            "name": self.name,
+            "address": address,
+            "kinds": self.kinds,
+            "slots": self.slots,
+            "connections": self.connections,
+            "leaving": self.leaving,
+        }
+        try:
+            with anyio.fail_after(ANNOUNCEMENT_TIMEOUT_S):
+                response = await pool.request(
+                    "POST",
+                    f"http://{agent}/v1/targets",
+                    content=msgspec.json.encode(content),
+                )
+        except (TimeoutError, httpcore.NetworkError, httpcore.ProtocolError) as error:
+            logger.warning("agent {} did not take the announcement: {}", agent, error)
+            return
+        if response.status != 200:
+            logger.warning("agent {} answered {}", agent, response.content)
+
+
+async def _first_half(body: bytes):
+    yield body[: len(body) // 2]
