Add the operators' configuration with ranges and exceptions

The defaults, kinds, teams and exceptions form one typed document. msgspec omits map keys from the positions of its errors and does not check structs built in Python, so entries are converted one by one and validate() converts the whole document again.

Exceptions may not change retention_s and max_future_ms, on which both members of a partition must agree, nor idempotence and tokens. Rules between fields are checked for each scope now and after each expiry, because an exception may be valid only together with another that expires earlier.

--- /dev/null
+++ b/marigoldkeel/configuration.py
@@ -0,0 +1,516 @@
+"""The operators' configuration: one typed document with ranges and exceptions.
+
+A path names a field of the document: ``defaults.deadline_ms``,
+``kinds.quote.max_tasks``, ``teams.gulfline.burst``, ``exceptions.ID.value``.
+"""
+
+import math
+import re
+from collections.abc import Callable
+from datetime import UTC, datetime
+from typing import Annotated, Any, Literal, Self
+
+import msgspec
+from msgspec import Meta, Struct
+
+from marigoldkeel.exceptions import InvalidInput
+
+
+# Names are parts of paths, so they must not contain a dot.
+NAME = re.compile(r"[a-z0-9][a-z0-9_-]{0,63}")
+# Deadlines above this would outlast the retention that the claim protocol assumes.
+MAX_DEADLINE_MS = 300_000
+# One lost heartbeat must not make a live process look silent.
+MIN_HEARTBEATS_BEFORE_SUSPECT = 2
+
+PriorityName = Literal["urgent", "normal", "batch"]
+Scope = Literal["kind", "team", "domain"]
+Deadline = Annotated[int, Meta(ge=1, le=MAX_DEADLINE_MS)]
+Ratio = Annotated[float, Meta(ge=0, le=1)]
+Text = Annotated[str, Meta(min_length=1, max_length=2000)]
+Moment = Annotated[datetime, Meta(tz=True)]
+
+
+class ConfigurationError(InvalidInput):
+    """The configuration has an unknown key, a wrong type or a bad value.
+
+    :param path: The path of the field, also given as ``peer``.
+    """
+
+    def __init__(self, message: str, step: str = "", path: str = ""):
+        super().__init__(message, step, path)
+
+    @property
+    def path(self) -> str:
+        return self.peer
+
+
+class Defaults(Struct, forbid_unknown_fields=True):
+    """Values that apply fleet-wide unless a policy or exception differs."""
+
+    deadline_ms: Deadline = 10_000
+    max_deadline_ms: Deadline = MAX_DEADLINE_MS
+    claim_timeout_ms: Annotated[int, Meta(ge=10, le=60_000)] = 500
+    heartbeat_ms: Annotated[int, Meta(ge=100, le=60_000)] = 1000
+    suspect_after_ms: Annotated[int, Meta(ge=200, le=300_000)] = 3000
+    retention_s: Annotated[int, Meta(ge=1, le=86_400)] = 900
+    max_future_ms: Annotated[int, Meta(ge=0, le=600_000)] = 60_000
+    retry_budget_ratio: Ratio = 0.1
+    probe_ratio: Annotated[float, Meta(ge=1, le=10)] = 2.0
+    queue_tasks_per_slot: Annotated[int, Meta(ge=1, le=10_000)] = 16
+    ageing_ms: Annotated[int, Meta(ge=10, le=MAX_DEADLINE_MS)] = 2000
+    long_task_ms: Annotated[int, Meta(ge=10, le=MAX_DEADLINE_MS)] = 2000
+    long_slot_share: Ratio = 0.5
+    max_inflight_tasks: Annotated[int, Meta(ge=1, le=10_000_000)] = 100_000
+    drain_timeout_ms: Annotated[int, Meta(ge=1000, le=3_600_000)] = 310_000
+
+
+class KindPolicy(Struct, forbid_unknown_fields=True):
+    """How calls and tasks of one kind are treated.
+
+    Without ``deadline_ms`` the one in :class:`Defaults` applies.
+    """
+
+    priority: PriorityName = "normal"
+    idempotent: bool = False
+    read_only: bool = False
+    deadline_ms: Deadline | None = None
+    max_tasks: Annotated[int, Meta(ge=1, le=10_000)] = 150
+
+
+class TeamPolicy(Struct, forbid_unknown_fields=True):
+    """The quota of one team; an empty ``token_sha256`` means no token is needed."""
+
+    tasks_per_s: Annotated[float, Meta(ge=0, le=1_000_000)] = 1000.0
+    burst: Annotated[int, Meta(ge=1, le=10_000_000)] = 2000
+    token_sha256: Annotated[str, Meta(pattern=r"^([0-9a-f]{64})?\Z")] = ""
+
+
+class ExceptionRule(Struct, forbid_unknown_fields=True):
+    """One deviation from the defaults, with its reason.
+
+    A scope is a kind, a team or a failure domain. It can't be a host.
+    """
+
+    id: str
+    scope: Scope
+    scope_name: Text
+    setting: str
+    value: int | float | str | bool
+    reason: Text
+    author: Text
+    created_at: Moment
+    expires_at: Moment | None = None
+
+    def is_active(self, now: datetime) -> bool:
+        """Return whether the rule has not expired at ``now``."""
+        return self.expires_at is None or now < self.expires_at
+
+
+def field_types(*policies: type[Struct]) -> dict[str, Any]:
+    """Return the annotated type of each field of ``policies`` by field name."""
+    return {
+        field.name: field.type
+        for policy in policies
+        for field in msgspec.structs.fields(policy)
+    }
+
+
+# Where two classes share a field, the one in Defaults counts: an exception
+# always has a value, so it can't be the None that a KindPolicy allows.
+SETTING_TYPES = field_types(TeamPolicy, KindPolicy, Defaults)
+# Both members of a partition must agree on these two, or one of them would
+# evict claims that the other still relies on.
+FLEET_WIDE_SETTINGS = {"retention_s", "max_future_ms"}
+# Idempotence is a fact about a kind and a token is a credential, so neither is
+# open to an exception, which may expire.
+SCOPE_SETTINGS: dict[str, set[str]] = {
+    "kind": {
+        *("priority", "max_tasks", "deadline_ms", "max_deadline_ms"),
+        *("retry_budget_ratio", "probe_ratio", "ageing_ms", "long_task_ms"),
+    },
+    "team": {
+        *("tasks_per_s", "burst", "deadline_ms", "max_deadline_ms"),
+        *("retry_budget_ratio", "max_inflight_tasks"),
+    },
+    "domain": set(field_types(Defaults)) - FLEET_WIDE_SETTINGS,
+}
+
+CROSS_FIELD_RULES: tuple[tuple[tuple[str, ...], Callable[[Defaults], bool], str], ...]
+CROSS_FIELD_RULES = (
+    (
+        ("deadline_ms", "max_deadline_ms"),
+        lambda values: values.deadline_ms <= values.max_deadline_ms,
+        "deadline_ms must be at most max_deadline_ms",
+    ),
+    (
+        ("suspect_after_ms", "heartbeat_ms"),
+        lambda values: (
+            values.suspect_after_ms
+            >= MIN_HEARTBEATS_BEFORE_SUSPECT * values.heartbeat_ms
+        ),
+        f"suspect_after_ms must be at least {MIN_HEARTBEATS_BEFORE_SUSPECT} times "
+        "heartbeat_ms",
+    ),
+    # A claim must not be evicted while an attempt with its id may still arrive.
+    (
+        ("retention_s", "max_deadline_ms", "max_future_ms"),
+        lambda values: (
+            values.retention_s * 1000 >= values.max_deadline_ms + values.max_future_ms
+        ),
+        "retention_s must cover max_deadline_ms plus max_future_ms",
+    ),
+    # A planned stop must not interrupt a request that is within its deadline.
+    (
+        ("drain_timeout_ms", "max_deadline_ms"),
+        lambda values: values.drain_timeout_ms >= values.max_deadline_ms,
+        "drain_timeout_ms must be at least max_deadline_ms",
+    ),
+)
+
+
+def convert(value: Any, kind: Any, path: str, *, strict: bool = True) -> Any:
+    """Return ``value`` as a ``kind``, or raise an error that names the path."""
+    try:
+        converted = msgspec.convert(value, kind, strict=strict)
+    except msgspec.ValidationError as error:
+        message, _, position = str(error).partition(" - at `$")
+        suffix = position.rstrip("`")
+        raise ConfigurationError(
+            message, "validate configuration", f"{path}{suffix}".strip(".")
+        ) from None
+    # JSON has no NaN, and msgspec's ranges let it through.
+    if isinstance(converted, float) and not math.isfinite(converted):
+        raise ConfigurationError(
+            "Expected a finite number", "validate configuration", path
+        )
+    return converted
+
+
+class Configuration(Struct, forbid_unknown_fields=True):
+    """The whole configuration document.
+
+    Usage::
+
+        configuration = Configuration.from_toml(text)
+        deadline_ms = configuration.effective("deadline_ms", kind="quote")
+    """
+
+    defaults: Defaults = msgspec.field(default_factory=Defaults)
+    kinds: dict[str, KindPolicy] = msgspec.field(default_factory=dict)
+    teams: dict[str, TeamPolicy] = msgspec.field(default_factory=dict)
+    exceptions: list[ExceptionRule] = msgspec.field(default_factory=list)
+
+    @classmethod
+    def from_toml(cls, text: str) -> Self:
+        """Return the validated configuration written in ``text``.
+
+        :raises ConfigurationError: If it is no TOML or breaks the schema.
+        """
+        try:
+            return cls.from_builtins(msgspec.toml.decode(text))
+        except msgspec.DecodeError as error:
+            raise ConfigurationError(str(error), "parse TOML") from None
+
+    @classmethod
+    def from_json(cls, data: bytes | str) -> Self:
+        """Return the validated configuration written in ``data``.
+
+        :raises ConfigurationError: If it is no JSON or breaks the schema.
+        """
+        try:
+            return cls.from_builtins(msgspec.json.decode(data))
+        except msgspec.DecodeError as error:
+            raise ConfigurationError(str(error), "parse JSON") from None
+
+    @classmethod
+    def from_builtins(cls, document: Any) -> Self:
+        """Return the validated configuration in decoded TOML or JSON."""
+        # msgspec leaves map keys out of its error positions, so the entries are
+        # converted one by one to name them.
+        if isinstance(document, dict):
+            for section, policy in (("kinds", KindPolicy), ("teams", TeamPolicy)):
+                entries = document.get(section)
+                for name, entry in entries.items() if isinstance(entries, dict) else ():
+                    convert(entry, policy, f"{section}.{name}")
+            rules = document.get("exceptions")
+            for index, rule in enumerate(rules if isinstance(rules, list) else ()):
+                name = rule.get("id", index) if isinstance(rule, dict) else index
+                convert(rule, ExceptionRule, f"exceptions.{name}")
+        configuration = convert(document, cls, "")
+        configuration.check()
+        return configuration
+
+    def to_builtins(self, keep_datetimes: bool = False) -> dict[str, Any]:
+        """Return the document as plain dicts and lists without null values."""
+        document = msgspec.to_builtins(
+            self, builtin_types=(datetime,) if keep_datetimes else ()
+        )
+        return omit_none(document)
+
+    def to_toml(self) -> str:
+        """Return the document as TOML; :meth:`from_toml` reverses it."""
+        return msgspec.toml.encode(self.to_builtins(keep_datetimes=True)).decode()
+
+    def to_json(self) -> bytes:
+        """Return the document as JSON; :meth:`from_json` reverses it."""
+        return msgspec.json.encode(self.to_builtins())
+
+    def validate(self) -> None:
+        """Check types, ranges, references and rules between fields.
+
+        :raises ConfigurationError: For the first fault, naming the field's path.
+        """
+        # Structs built in Python are not checked by msgspec, but decoded ones are.
+        self.from_builtins(msgspec.to_builtins(self, builtin_types=(datetime,)))
+
+    def check(self) -> None:
+        """Check what the schema can't express; see :meth:`validate`."""
+        for path, value in self.flatten().items():
+            if isinstance(value, float) and not math.isfinite(value):
+                fail(path, "Expected a finite number")
+        for section in ("kinds", "teams"):
+            for name in getattr(self, section):
+                if not NAME.fullmatch(name):
+                    fail(f"{section}.{name}", f"the name must match {NAME.pattern}")
+        for name, policy in self.kinds.items():
+            if policy.read_only and not policy.idempotent:
+                fail(f"kinds.{name}.idempotent", "a read-only kind must be idempotent")
+        check_cross_fields(
+            self.defaults,
+            {field: f"defaults.{field}" for field in field_types(Defaults)},
+        )
+        targets: dict[tuple[str, str], list[ExceptionRule]] = {
+            ("kind", name): [] for name in self.kinds
+        }
+        ids = set()
+        for rule in self.exceptions:
+            if rule.id in ids:
+                fail(f"exceptions.{rule.id}.id", "the id is used twice")
+            ids.add(rule.id)
+            self.check_exception(rule)
+            rules = targets.setdefault((rule.scope, rule.scope_name), [])
+            for other in rules:
+                if other.setting == rule.setting:
+                    fail(
+                        f"exceptions.{rule.id}.setting",
+                        f"exception {other.id} already sets {rule.setting} for "
+                        f"{rule.scope} {rule.scope_name}; remove it first",
+                    )
+            rules.append(rule)
+        for (scope, name), rules in targets.items():
+            policy = self.kinds[name] if scope == "kind" else None
+            self.check_target(name, policy, rules)
+
+    def check_exception(self, rule: ExceptionRule) -> None:
+        """Check one exception against the scope and field that it overrides."""
+        path = f"exceptions.{rule.id}"
+        if not NAME.fullmatch(rule.id):
+            fail(f"{path}.id", f"the id must match {NAME.pattern}")
+        if not (rule.reason.strip() and rule.author.strip()):
+            fail(f"{path}.reason", "a reason and an author are required")
+        names = {"kind": self.kinds, "team": self.teams}.get(rule.scope)
+        if names is not None and rule.scope_name not in names:
+            fail(f"{path}.scope_name", f"no {rule.scope} is called {rule.scope_name!r}")
+        settings = SCOPE_SETTINGS[rule.scope]
+        if rule.setting not in settings:
+            fail(
+                f"{path}.setting",
+                f"{rule.setting!r} can't be set for a {rule.scope}; "
+                f"use one of {', '.join(sorted(settings))}",
+            )
+        if rule.expires_at is not None and rule.expires_at <= rule.created_at:
+            fail(f"{path}.expires_at", "it must be after created_at")
+        convert(rule.value, SETTING_TYPES[rule.setting], f"{path}.value")
+
+    def check_target(
+        self, name: str, policy: KindPolicy | None, rules: list[ExceptionRule]
+    ) -> None:
+        """Check the values of one scope now and after each expiry."""
+        fields = field_types(Defaults)
+        moments = {rule.expires_at for rule in rules if rule.expires_at} | {None}
+        for moment in moments:
+            values: dict[str, Any] = {}
+            paths: dict[str, str] = {}
+            if policy and policy.deadline_ms is not None:
+                values["deadline_ms"] = policy.deadline_ms
+                paths["deadline_ms"] = f"kinds.{name}.deadline_ms"
+            for rule in rules:
+                if rule.setting in fields and (
+                    moment is None or rule.is_active(moment)
+                ):
+                    values[rule.setting] = rule.value
+                    paths[rule.setting] = f"exceptions.{rule.id}.value"
+            check_cross_fields(msgspec.structs.replace(self.defaults, **values), paths)
+
+    def effective(
+        self,
+        setting: str,
+        kind: str | None = None,
+        team: str | None = None,
+        domain: str | None = None,
+        now: datetime | None = None,
+    ) -> Any:
+        """Return the value of a setting that applies to a request or process.
+
+        The first of these that has a value wins: an unexpired exception for the
+        kind, one for the team, one for the failure domain, the policy of the kind,
+        the policy of the team, the defaults. A kind or team without a policy has
+        the policy's default values. A ``deadline_ms`` is never above the
+        ``max_deadline_ms`` that applies, which may come from another scope.
+
+        Usage::
+
+            configuration.effective("deadline_ms", kind="quote", team="brusadelli")
+
+        :param setting: The name of a field of Defaults or of a policy.
+        :param now: An aware time, by default the current time.
+        :raises ConfigurationError: If there is no such setting.
+        """
+        if setting not in SETTING_TYPES:
+            raise ConfigurationError(
+                f"there is no setting {setting!r}", "look up setting", setting
+            )
+        now = now or datetime.now(UTC)
+        value = self.find_exception(
+            setting, {"kind": kind, "team": team, "domain": domain}, now
+        )
+        if value is None:
+            value = self.find_policy_value(setting, kind, team)
+        if setting == "deadline_ms":
+            value = min(
+                value, self.effective("max_deadline_ms", kind, team, domain, now)
+            )
+        return value
+
+    def find_exception(
+        self, setting: str, names: dict[str, str | None], now: datetime
+    ) -> Any:
+        """Return the value of the exception that applies, or None."""
+        matches = {
+            rule.scope: rule.value
+            for rule in self.exceptions
+            if rule.setting == setting
+            and rule.scope_name == names[rule.scope]
+            and rule.is_active(now)
+        }
+        return next((matches[scope] for scope in names if scope in matches), None)
+
+    def find_policy_value(
+        self, setting: str, kind: str | None, team: str | None
+    ) -> Any:
+        """Return the value of a setting without exceptions."""
+        for policy in (
+            self.kinds.get(kind or "") or KindPolicy(),
+            self.teams.get(team or "") or TeamPolicy(),
+            self.defaults,
+        ):
+            value = getattr(policy, setting, None)
+            if value is not None:
+                return value
+        raise AssertionError(f"setting {setting} has no default")
+
+    def with_value(self, path: str, text: str) -> Self:
+        """Return a copy in which the field at ``path`` has the value in ``text``.
+
+        Only fields of existing kinds and teams can be set, so that a misspelt name
+        creates nothing. ``null`` clears an optional field.
+
+        :raises ConfigurationError: If the path or the value is not accepted.
+        """
+        changed = self.copy()
+        section, _, field = path.rpartition(".")
+        parent: Any = None
+        if section == "defaults":
+            parent = changed.defaults
+        elif section.startswith(("kinds.", "teams.")):
+            group, _, name = section.partition(".")
+            parent = getattr(changed, group).get(name)
+        if parent is None or field not in parent.__struct_fields__:
+            raise ConfigurationError(
+                "no such field; use defaults.FIELD, kinds.NAME.FIELD or "
+                "teams.NAME.FIELD with an existing name",
+                "set value",
+                path,
+            )
+        kind = field_types(type(parent))[field]
+        setattr(parent, field, convert(text, kind, path, strict=False))
+        changed.validate()
+        return changed
+
+    def copy(self) -> Self:
+        """Return a copy that shares no mutable part."""
+        return msgspec.convert(self.to_builtins(keep_datetimes=True), type(self))
+
+    def flatten(self) -> dict[str, Any]:
+        """Return the JSON value of each field by its path."""
+        document = self.to_builtins()
+        document["exceptions"] = {rule["id"]: rule for rule in document["exceptions"]}
+        flat: dict[str, Any] = {}
+
+        def walk(value: Any, path: str) -> None:
+            if isinstance(value, dict):
+                for name, child in value.items():
+                    walk(child, f"{path}.{name}" if path else name)
+            else:
+                flat[path] = value
+
+        walk(document, "")
+        return flat
+
+    @classmethod
+    def example(cls) -> Self:
+        """Return the configuration used by the demo and by tests."""
+        configuration = cls(
+            kinds={
+                "stock-check": KindPolicy(
+                    "urgent", idempotent=True, read_only=True, deadline_ms=2000
+                ),
+                "cut-list": KindPolicy("normal", deadline_ms=60_000),
+                "quote": KindPolicy("normal"),
+                "flag-change": KindPolicy("urgent", deadline_ms=2000),
+                "surf-alert": KindPolicy("urgent", idempotent=True, deadline_ms=5000),
+                "swap": KindPolicy("normal"),
+            },
+            teams={"brusadelli": TeamPolicy(), "gulfline": TeamPolicy()},
+        )
+        configuration.validate()
+        return configuration
+
+
+def fail(path: str, message: str) -> None:
+    raise ConfigurationError(message, "validate configuration", path)
+
+
+def check_cross_fields(values: Defaults, paths: dict[str, str]) -> None:
+    """Check the rules between fields that have a path in ``paths``."""
+    for fields, holds, message in CROSS_FIELD_RULES:
+        path = next((paths[field] for field in fields if field in paths), None)
+        if path is not None and not holds(values):
+            fail(path, message)
+
+
+def omit_none(value: Any) -> Any:
+    """Return ``value`` without dict entries that are None; TOML has no null."""
+    if isinstance(value, dict):
+        return {
+            name: omit_none(child) for name, child in value.items() if child is not None
+        }
+    if isinstance(value, list):
+        return [omit_none(child) for child in value]
+    return value
+
+
+def difference(
+    before: Configuration, after: Configuration
+) -> tuple[dict[str, Any], dict[str, Any]]:
+    """Return the changed paths with their values before and after.
+
+    A path that one side does not have is missing from that side's dict.
+    """
+    old, new = before.flatten(), after.flatten()
+    changed = [path for path in {**old, **new} if old.get(path) != new.get(path)]
+    return (
+        {path: old[path] for path in changed if path in old},
+        {path: new[path] for path in changed if path in new},
+    )
