--- /dev/null
+++ b/marigoldkeel/entries.py
@@ -0,0 +1,461 @@
+"""The entry: the process that takes callers' requests over HTTP."""
+
+import hashlib
+import hmac
+from contextlib import AsyncExitStack
+from functools import singledispatchmethod
+
+import anyio
+import msgspec
+from anyio.abc import TaskStatus
+from loguru import logger
+
+from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.exceptions import (
+    InvalidInput,
+    MarigoldkeelError,
+    PeerUnavailable,
+    ProtocolError,
+)
+from marigoldkeel.followers import ConfigurationFollower, TableFollower, answer_pull
+from marigoldkeel.identifiers import (
+    mint_incarnation,
+    parse_submission_id,
+    partition_of,
+)
+from marigoldkeel.memberships import MembershipController
+from marigoldkeel.messages import (
+    Heartbeat,
+    Inspect,
+    Pull,
+    Report,
+    Run,
+    Submit,
+    TaskItem,
+    TaskResult,
+)
+from marigoldkeel.models import Answer, Member, Outcome, Priority, TaskState
+from marigoldkeel.primaries import REPLY_MARGIN_S, refusal
+from marigoldkeel.servers import HttpApplication, Request, Response, serve_http
+from marigoldkeel.settings import Settings
+from marigoldkeel.status import board_report, encode_report
+from marigoldkeel.stores import open_store
+from marigoldkeel.transports import PeerPool, parse_address, serve_peers
+
+
+PRIORITIES = {
+    "urgent": Priority.URGENT,
+    "normal": Priority.NORMAL,
+    "batch": Priority.BATCH,
+}
+STATUS_CODES = {
+    Outcome.COMPLETE: 200,
+    Outcome.FAILED: 502,
+    Outcome.NOT_RUN: 503,
+    Outcome.UNKNOWN: 504,
+}
+NOT_READY_RETRY_MS = 500
+DRAIN_TICK_S = 0.05
+# Time for the balancer to notice that this entry is leaving.
+LEAVE_NOTICE_S = 0.5
+
+
+class CallerRequest:
+    """A checked request of a caller. ``deadline_s`` is a duration in seconds."""
+
+    __slots__ = (
+        "submission_id",
+        "text_id",
+        "team",
+        "kind",
+        "priority",
+        "deadline_s",
+        "unanswered",
+        "tasks",
+        "body",
+        "read_only",
+        "idempotent",
+    )
+
+
+class Entry:
+    """One entry process.
+
+    Usage::
+
+        entry = Entry.from_settings(Settings.from_toml("entry.toml"))
+        await entry.run()
+    """
+
+    def __init__(self, settings: Settings, board: Blackboard):
+        self.settings = settings
+        self.board = board
+        self.stopping = anyio.Event()
+        self.http_address = ""
+        self.in_progress = 0
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> "Entry":
+        """Return an entry that has yet to run."""
+        member = Member(
+            settings.name,
+            mint_incarnation(settings.name),
+            settings.advertise or settings.listen,
+            settings.domain,
+        )
+        return cls(settings, Blackboard(member))
+
+    async def run(self, *, task_status: TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serve until `stop` is called and the requests in progress have ended."""
+        async with AsyncExitStack() as stack:
+            self.store = open_store(
+                self.settings.store.kind,
+                self.settings.store.url,
+                self.settings.store.timeout_s,
+            )
+            stack.push_async_callback(self.store.aclose)
+            self.peers = await stack.enter_async_context(PeerPool.open())
+            async with anyio.create_task_group() as group:
+                await self._start(group)
+                task_status.started(self)
+                await self.stopping.wait()
+                await self._drain()
+                group.cancel_scope.cancel()
+
+    def stop(self) -> None:
+        """Begin a planned stop; `run` returns when it is complete."""
+        self.stopping.set()
+
+    async def _start(self, group) -> None:
+        board, peers = self.board, self.peers
+        self.followers = [
+            TableFollower(board, self.store, peers, lambda record: None),
+            ConfigurationFollower(board, self.store, peers),
+        ]
+        self.membership = MembershipController(
+            board, peers, self.settings.contacts, self.followers, group
+        )
+        bound = await group.start(
+            serve_peers, self.settings.listen, self._handle, peers.counters
+        )
+        if not self.settings.advertise:
+            member = board.member
+            board.member = Member(member.name, member.incarnation, bound, member.domain)
+        host, port = parse_address(self.settings.http)
+        self.http_address = await group.start(serve_http, self._routes(), host, port)
+        for follower in self.followers:
+            group.start_soon(follower.run_forever, lambda: True)
+        group.start_soon(self.membership.run_forever)
+        logger.info(
+            "entry {} in {} listens on {}, http {}",
+            board.member.incarnation,
+            board.member.domain,
+            bound,
+            self.http_address,
+        )
+
+    async def _drain(self) -> None:
+        logger.info("entry {} is leaving", self.board.member.incarnation)
+        self.board.leaving = True
+        with anyio.move_on_after(self.board.setting("drain_timeout_ms") / 1000):
+            await anyio.sleep(LEAVE_NOTICE_S)
+            while self.in_progress:
+                await anyio.sleep(DRAIN_TICK_S)
+
+    def _routes(self) -> HttpApplication:
+        application = HttpApplication()
+
+        @application.route("POST", "/v1/jobs")
+        async def submit_job(request: Request) -> Response:
+            kind = request.headers.get("marigoldkeel-kind", "")
+            return await self._serve(request, kind, is_job=True)
+
+        @application.route("POST", "/v1/calls/{kind}")
+        async def submit_call(request: Request) -> Response:
+            return await self._serve(request, request.arguments["kind"], is_job=False)
+
+        @application.route("GET", "/v1/status")
+        async def status(request: Request) -> Response:
+            return Response.from_json(self.report())
+
+        @application.route("GET", "/v1/health")
+        async def health(request: Request) -> Response:
+            ready = self.board.configuration.ready and not self.board.leaving
+            return Response.from_json({"ready": ready}, 200 if ready else 503)
+
+        return application
+
+    def report(self) -> dict:
+        """Return the status of this entry."""
+        return {
+            "role": "entry",
+            **board_report(self.board),
+            "http": self.http_address,
+            "requests_in_progress": self.in_progress,
+        }
+
+    async def _serve(self, request: Request, kind: str, is_job: bool) -> Response:
+        self.in_progress += 1
+        try:
+            return await self._answer(request, kind, is_job)
+        finally:
+            self.in_progress -= 1
+
+    async def _answer(self, request: Request, kind: str, is_job: bool) -> Response:
+        submission = request.headers.get("marigoldkeel-submission", "")
+        if not self.board.configuration.ready:
+            answer = refusal("no configuration is known yet", 0, "admit")
+            answer.retry_after_ms = NOT_READY_RETRY_MS
+            return to_response(answer, submission, is_job)
+        try:
+            caller = self._check(request, kind, is_job)
+        except InvalidInput as error:
+            answer = Answer(
+                Outcome.NOT_RUN,
+                b"",
+                error.message,
+                error.step,
+                request.peer,
+                invalid=True,
+            )
+            return to_response(answer, submission, is_job)
+        if caller.read_only and not is_job:
+            answer = await self._run_read_only(caller)
+        else:
+            answer = await self._submit(caller)
+        return to_response(answer, caller.text_id, is_job)
+
+    def _check(self, request: Request, kind: str, is_job: bool) -> CallerRequest:
+        """Return the request in checked form.
+
+        :raises InvalidInput: Saying what the caller has to change.
+        """
+        policy = self.board.policy
+        if kind not in policy.kinds:
+            raise InvalidInput(f"unknown kind {kind!r}", "check kind")
+        caller = CallerRequest()
+        caller.kind = kind
+        caller.team = self._authenticate(request)
+        submission_id = parse_submission_id(
+            request.headers.get("marigoldkeel-submission", "")
+        )
+        caller.submission_id = submission_id.bytes
+        caller.text_id = str(submission_id)
+        scope = {"kind": kind, "team": caller.team, "domain": self.settings.domain}
+        caller.priority = PRIORITIES[policy.effective("priority", **scope)]
+        caller.deadline_s = self._deadline_s(request, scope)
+        caller.unanswered = header_number(request, "marigoldkeel-unanswered", 0)
+        caller.tasks = 1
+        caller.body = request.body
+        if is_job:
+            caller.tasks = header_number(request, "marigoldkeel-tasks", -1)
+            limit = policy.effective("max_tasks", **scope)
+            if not 1 <= caller.tasks <= limit:
+                raise InvalidInput(
+                    f"marigoldkeel-tasks must be 1 to {limit}", "check tasks"
+                )
+        else:
+            caller.body = b"[" + request.body + b"]"
+            check_json(request.body)
+        caller.read_only = policy.kinds[kind].read_only
+        caller.idempotent = policy.kinds[kind].idempotent
+        return caller
+
+    def _authenticate(self, request: Request) -> str:
+        team = request.headers.get("marigoldkeel-team", "")
+        policy = self.board.policy.teams.get(team)
+        if policy is None:
+            raise InvalidInput(f"unknown team {team!r}", "authenticate")
+        if policy.token_sha256:
+            token = request.headers.get("authorization", "").removeprefix("Bearer ")
+            digest = hashlib.sha256(token.encode()).hexdigest()
+            if not hmac.compare_digest(digest, policy.token_sha256):
+                raise InvalidInput("the team's token is wrong", "authenticate")
+        return team
+
+    def _deadline_s(self, request: Request, scope: dict[str, str]) -> float:
+        default_ms = self.board.setting("deadline_ms", **scope)
+        limit_ms = self.board.setting("max_deadline_ms", **scope)
+        deadline_ms = header_number(request, "marigoldkeel-deadline-ms", default_ms)
+        if not 1 <= deadline_ms <= limit_ms:
+            raise InvalidInput(
+                f"marigoldkeel-deadline-ms must be 1 to {limit_ms}", "check deadline"
+            )
+        return deadline_ms / 1000
+
+    async def _submit(self, caller: CallerRequest) -> Answer:
+        """Pass a submission to its primary, or its standby if nothing was sent."""
+        table = self.board.partitions
+        partition = partition_of(caller.submission_id, table.partition_count)
+        record = table.records.get(partition)
+        if record is None or not table.count_settled:
+            return refusal("the partition is not known yet", caller.unanswered, "route")
+        message = Submit(
+            partition,
+            record.generation,
+            caller.submission_id,
+            caller.team,
+            caller.kind,
+            caller.priority,
+            int(caller.deadline_s * 1000),
+            caller.unanswered,
+            caller.tasks,
+            caller.body,
+        )
+        problem = ""
+        for member in (record.primary, record.standby):
+            try:
+                reply = await self.peers.request(
+                    member.address, message, caller.deadline_s + 2 * REPLY_MARGIN_S
+                )
+            except PeerUnavailable as error:
+                problem = f"no member of the partition can be reached: {error}"
+            except MarigoldkeelError as error:
+                return Answer(Outcome.UNKNOWN, b"", error.message, "submit", error.peer)
+            else:
+                return from_message(reply)
+        return refusal(problem, caller.unanswered, "submit")
+
+    async def _run_read_only(self, caller: CallerRequest) -> Answer:
+        """Run a read-only call on the less loaded of two agents.
+
+        Without effects, a second run does no harm, so a lost one is repeated.
+        """
+        states = [
+            state
+            for state in self.board.peers.live(self.board.clock())
+            if caller.kind in state.kinds and state.slots
+        ]
+        pair = self.board.random.sample(states, min(2, len(states)))
+        pair.sort(key=lambda state: state.load)
+        deadline = self.board.clock() + caller.deadline_s
+        result = TaskResult(0, TaskState.NOT_STARTED, b"", "no agent serves this kind")
+        for state in pair:
+            remaining_s = deadline - self.board.clock()
+            if remaining_s <= 0:
+                break
+            result = await self._push(caller, state, remaining_s)
+            if result.state in (TaskState.SUCCEEDED, TaskState.FAILED):
+                break
+        return answer_from_result(result, caller.unanswered)
+
+    async def _push(self, caller: CallerRequest, state, remaining_s) -> TaskResult:
+        state.load += 1 / max(1, state.slots)
+        run = Run(
+            0,
+            0,
+            caller.submission_id,
+            caller.kind,
+            caller.priority,
+            int(remaining_s * 1000),
+            [TaskItem(0, caller.body[1:-1])],
+        )
+        try:
+            reply = await self.peers.request(
+                state.member.address, run, remaining_s + REPLY_MARGIN_S
+            )
+            return reply.results[0]
+        except PeerUnavailable as error:
+            return TaskResult(0, TaskState.NOT_STARTED, b"", str(error))
+        except MarigoldkeelError as error:
+            return TaskResult(0, TaskState.MAY_HAVE_RUN, b"", str(error))
+
+    async def _handle(self, message, peer: str):
+        return await self._receive(message)
+
+    @singledispatchmethod
+    async def _receive(self, message):
+        raise ProtocolError(
+            f"an entry takes no {type(message).__name__}", step="receive"
+        )
+
+    @_receive.register
+    async def _(self, message: Heartbeat):
+        return await self.membership.receive(message)
+
+    @_receive.register
+    async def _(self, message: Pull):
+        return await answer_pull(message, self.followers)
+
+    @_receive.register
+    async def _(self, message: Inspect):
+        return Report(encode_report(self.report()))
+
+
+def header_number(request: Request, name: str, default: int) -> int:
+    """Return a header as a number.
+
+    :raises InvalidInput: If it is not a decimal number.
+    """
+    text = request.headers.get(name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit()) or len(text) > 12:
+        raise InvalidInput(f"{name} is not a number: {text[:32]!r}", "check headers")
+    return int(text)
+
+
+def check_json(body: bytes) -> None:
+    """Check that a call's body is one JSON value.
+
+    :raises InvalidInput: If it is not.
+    """
+    try:
+        msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidInput(f"body is not JSON: {error}", "parse body") from error
+
+
+def answer_from_result(result: TaskResult, unanswered: int) -> Answer:
+    """Return the answer to a read-only call."""
+    if result.state == TaskState.SUCCEEDED:
+        return Answer(Outcome.COMPLETE, b"[" + result.payload + b"]")
+    if result.state == TaskState.NOT_STARTED:
+        return refusal(result.message, unanswered, "run")
+    answer = Answer(Outcome.FAILED, b"", result.message, "run")
+    ran = result.state == TaskState.FAILED
+    (answer.ran if ran else answer.may_have_run).append(0)
+    return answer
+
+
+def from_message(reply) -> Answer:
+    """Return the answer that a primary sent."""
+    return Answer(
+        Outcome(reply.outcome),
+        reply.body,
+        reply.message,
+        reply.step,
+        reply.peer,
+        reply.retry_after_ms,
+        reply.conflict,
+        reply.invalid,
+        reply.ran,
+        reply.may_have_run,
+    )
+
+
+def to_response(answer: Answer, submission: str, is_job: bool) -> Response:
+    """Return the HTTP form of an answer."""
+    status = STATUS_CODES[answer.outcome]
+    if answer.conflict:
+        status = 409
+    elif answer.invalid:
+        status = 400
+    headers = {"content-type": "application/json"}
+    if answer.outcome is Outcome.COMPLETE:
+        head = msgspec.json.encode({"submission": submission, "outcome": "complete"})
+        body = head[:-1] + b',"results":' + answer.body + b"}"
+        return Response(status, body, headers)
+    if answer.retry_after_ms:
+        headers["retry-after"] = str(max(1, round(answer.retry_after_ms / 1000)))
+    content = {
+        "submission": submission,
+        "outcome": answer.outcome,
+        "error": answer.message,
+        "step": answer.step,
+        "peer": answer.peer,
+        "retry_after_ms": answer.retry_after_ms,
+        "ran": answer.ran,
+        "may_have_run": answer.may_have_run,
+    }
+    return Response(status, msgspec.json.encode(content), headers)
--- a/marigoldkeel/failover.py
+++ b/marigoldkeel/failover.py
@@ -30,6 +30,7 @@
 )
 from marigoldkeel.models import PartitionRecord
 from marigoldkeel.partitions import (
+    PARTITION_COUNT_KEY,
     choose_primary,
     decode_record,
     encode_record,
@@ -134,6 +135,9 @@
 
     async def create(self, partition: int) -> None:
         """Create the record of a partition that has none."""
+        await self._settle_count()
+        if partition >= self.board.partitions.partition_count:
+            return
         planned = plan_creation(partition, self.board.member, self.board.live_members())
         if planned is None:
             return
@@ -145,6 +149,16 @@
         if record is not None:
             self.apply_record(record)
 
+    async def _settle_count(self) -> None:
+        """Agree on the number of partitions before the first record exists."""
+        table = self.board.partitions
+        stored = await self.store.get(PARTITION_COUNT_KEY)
+        if stored is None:
+            data = str(table.partition_count).encode()
+            await self.store.compare_and_swap([Write(PARTITION_COUNT_KEY, data, 0)])
+            stored = await self.store.get(PARTITION_COUNT_KEY)
+        table.set_count(int(stored.data))
+
     async def replace(self, partition: int) -> None:
         """Replace the other member, and become primary of the next generation."""
         register = self.board.registers.get(partition)
@@ -157,7 +171,6 @@
         planned = self._plan(record)
         if planned is None or not register.stop():
             return
-        self.primaries.step_aside(partition)
         while True:
             await self._try_swap(planned, record.revision)
             record = await self._read_until_answered(partition)
--- /dev/null
+++ b/marigoldkeel/followers.py
@@ -0,0 +1,221 @@
+"""Keep a daemon's partition table and configuration up to date.
+
+A few daemons watch the store; all others pull from a peer whose heartbeat shows a
+higher version. Each document has one `Follower`, and both work the same way.
+"""
+
+from collections.abc import Callable
+from contextlib import aclosing
+
+import anyio
+import msgspec
+from loguru import logger
+
+from marigoldkeel.audit import CONFIGURATION_KEY, VersionedConfiguration
+from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.exceptions import MarigoldkeelError, StoreUnavailable
+from marigoldkeel.heartbeats import PeerState
+from marigoldkeel.messages import Pull, Pulled
+from marigoldkeel.models import PartitionRecord
+from marigoldkeel.partitions import (
+    PARTITION_COUNT_KEY,
+    PARTITION_PREFIX,
+    decode_record,
+    rendezvous_score,
+)
+from marigoldkeel.stores import KeyValueStore, StoredValue
+from marigoldkeel.transports import PeerPool
+
+
+PULL_TIMEOUT_S = 2.0
+STORE_RETRY_S = 0.5
+WATCHING_AGENTS = 3
+ROLE_CHECK_S = 1.0
+
+
+class TableDocument(msgspec.Struct):
+    """The partition table as it is passed between peers."""
+
+    count: int
+    records: list[PartitionRecord]
+
+
+class Follower:
+    """Follows one document, from the store or from peers.
+
+    :cvar what: The name used in `Pull`.
+    :cvar prefix: The store prefix to watch.
+    """
+
+    what = ""
+    prefix = ""
+
+    def __init__(self, board: Blackboard, store: KeyValueStore, peers: PeerPool):
+        self.board = board
+        self.store = store
+        self.peers = peers
+        self.pulling = False
+
+    @property
+    def version(self) -> int:
+        """The version up to which this daemon has every change."""
+        raise NotImplementedError
+
+    def version_of(self, state: PeerState) -> int:
+        """Return the version that a peer's heartbeat showed."""
+        raise NotImplementedError
+
+    def load(self, values: list[StoredValue], above: int, version: int) -> None:
+        """Apply values read from the store."""
+        raise NotImplementedError
+
+    def answer(self, above: int) -> Pulled:
+        """Return the changes above a version, for a peer."""
+        raise NotImplementedError
+
+    def accept(self, pulled: Pulled) -> None:
+        """Apply changes received from a peer."""
+        raise NotImplementedError
+
+    async def run_forever(self, should_watch: Callable[[], bool]) -> None:
+        """Read the document once, then watch it while ``should_watch()``."""
+        read_once = False
+        while True:
+            try:
+                if not read_once or should_watch():
+                    revision = await self._read()
+                    read_once = True
+                    if should_watch():
+                        await self._watch(revision)
+            except MarigoldkeelError as error:
+                logger.info("{} not read from the store: {}", self.what, error)
+            await anyio.sleep(STORE_RETRY_S if not read_once else ROLE_CHECK_S)
+
+    async def _read(self) -> int:
+        snapshot = await self.store.get_prefix(self.prefix)
+        self.load(snapshot.values, 0, snapshot.revision)
+        return snapshot.revision
+
+    async def _watch(self, revision: int) -> None:
+        async with aclosing(self.store.watch_prefix(self.prefix, revision)) as changes:
+            async for value in changes:
+                self.load([value], self.version, value.revision)
+
+    async def pull_if_behind(self, state: PeerState) -> None:
+        """Pull from a peer that is ahead."""
+        if self.pulling or self.version_of(state) <= self.version:
+            return
+        self.pulling = True
+        try:
+            reply = await self.peers.request(
+                state.member.address, Pull(self.what, self.version), PULL_TIMEOUT_S
+            )
+            self.accept(reply)
+        except MarigoldkeelError as error:
+            logger.info("{} not pulled: {}", self.what, error)
+        finally:
+            self.pulling = False
+
+
+class TableFollower(Follower):
+    """Follows the partition table and passes each record to ``on_record``."""
+
+    what = "table"
+    prefix = PARTITION_PREFIX
+
+    def __init__(
+        self,
+        board: Blackboard,
+        store: KeyValueStore,
+        peers: PeerPool,
+        on_record: Callable[[PartitionRecord], None],
+    ):
+        super().__init__(board, store, peers)
+        self.on_record = on_record
+
+    @property
+    def version(self) -> int:
+        return self.board.partitions.version
+
+    def version_of(self, state: PeerState) -> int:
+        return state.table_version
+
+    def load(self, values: list[StoredValue], above: int, version: int) -> None:
+        records = []
+        for value in values:
+            if value.key == PARTITION_COUNT_KEY:
+                self.board.partitions.set_count(int(value.data))
+            else:
+                records.append(decode_record(value.data, value.revision))
+        self._apply(records, above, version)
+
+    def _apply(self, records: list[PartitionRecord], above: int, version: int) -> None:
+        for record in self.board.partitions.apply_changes(records, above, version):
+            self.on_record(record)
+
+    def answer(self, above: int) -> Pulled:
+        table = self.board.partitions
+        document = TableDocument(table.partition_count, table.changes_above(above))
+        return Pulled(above, table.version, msgspec.json.encode(document))
+
+    def accept(self, pulled: Pulled) -> None:
+        document = msgspec.json.decode(pulled.document, type=TableDocument)
+        if pulled.version:
+            self.board.partitions.set_count(document.count)
+        self._apply(document.records, pulled.above, pulled.version)
+
+
+class ConfigurationFollower(Follower):
+    """Follows the operators' configuration."""
+
+    what = "config"
+    prefix = CONFIGURATION_KEY
+
+    @property
+    def version(self) -> int:
+        return self.board.configuration.revision
+
+    def version_of(self, state: PeerState) -> int:
+        return state.config_revision
+
+    def load(self, values: list[StoredValue], above: int, version: int) -> None:
+        for value in values:
+            if value.key == CONFIGURATION_KEY:
+                self._offer(value.data)
+
+    def _offer(self, data: bytes) -> None:
+        versioned = VersionedConfiguration.from_json(data)
+        if self.board.configuration.offer(versioned.revision, versioned.configuration):
+            logger.info("configuration revision {} in force", versioned.revision)
+
+    def answer(self, above: int) -> Pulled:
+        register = self.board.configuration
+        if not register.ready:
+            return Pulled(above, 0)
+        versioned = VersionedConfiguration(register.revision, register.document)
+        return Pulled(above, register.revision, versioned.to_json())
+
+    def accept(self, pulled: Pulled) -> None:
+        if pulled.version:
+            self._offer(pulled.document)
+
+
+def is_watching_agent(board: Blackboard) -> bool:
+    """Whether this agent is among the few that watch the store.
+
+    The choice follows the peers known, so it needs no agreement; two agents more
+    or fewer cost a watch or a heartbeat of delay.
+    """
+    scores = sorted(rendezvous_score(0, member) for member in board.live_members())
+    return rendezvous_score(0, board.member) in scores[:WATCHING_AGENTS]
+
+
+async def answer_pull(message: Pull, followers: list[Follower]) -> Pulled:
+    """Answer a peer that is behind.
+
+    :raises StoreUnavailable: If the document is not known here.
+    """
+    for follower in followers:
+        if follower.what == message.what:
+            return follower.answer(message.above)
+    raise StoreUnavailable(f"no document {message.what!r}", step="pull")
--- a/marigoldkeel/partitions.py
+++ b/marigoldkeel/partitions.py
@@ -26,6 +26,7 @@
 
 
 PARTITION_PREFIX = "/marigoldkeel/partitions/"
+PARTITION_COUNT_KEY = PARTITION_PREFIX + "count"
 DEFAULT_PARTITION_COUNT = 16
 
 
@@ -61,9 +62,27 @@
 
     def __init__(self, partition_count: int = DEFAULT_PARTITION_COUNT):
         self.partition_count = partition_count
+        self.count_settled = False
         self.records: dict[int, PartitionRecord] = {}
         self.version = 0
 
+    def set_count(self, partition_count: int) -> None:
+        """Take the number of partitions that the store holds.
+
+        It never changes: with two counts in use, one id would have two partitions
+        and could start in both.
+
+        :raises ProtocolError: If another number was settled before.
+        """
+        if self.count_settled and partition_count != self.partition_count:
+            raise ProtocolError(
+                f"partition count changed from {self.partition_count} to "
+                f"{partition_count}",
+                step="read partition count",
+            )
+        self.partition_count = partition_count
+        self.count_settled = True
+
     def apply(self, record: PartitionRecord) -> bool:
         """Take a record unless an equal or newer generation is known."""
         known = self.records.get(record.partition)
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -9,6 +9,7 @@
 from marigoldkeel.claims import ClaimRegister, Verdict
 from marigoldkeel.dispatch import PlacementPolicy
 from marigoldkeel.exceptions import (
+    InvalidInput,
     MarigoldkeelError,
     PeerLost,
     PeerTimeout,
@@ -56,17 +57,19 @@
     return Answer(outcome, b"", message, step, peer, RETRY_AFTER_MS)
 
 
-def parse_tasks(body: bytes) -> list[bytes]:
+def parse_tasks(body: bytes, count: int) -> list[bytes]:
     """Return the elements of a JSON array as they were sent.
 
-    :raises InvalidInput: If the body is not a JSON array with elements.
+    :raises InvalidInput: If the body is not a JSON array of ``count`` elements.
     """
     try:
         payloads = msgspec.json.decode(body, type=list[msgspec.Raw])
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise msgspec.ValidationError(f"body is not a JSON array: {error}") from error
-    if not payloads:
-        raise msgspec.ValidationError("body has no tasks")
+        raise InvalidInput(f"body is not JSON: {error}", "parse body") from error
+    if len(payloads) != count:
+        raise InvalidInput(
+            f"body has {len(payloads)} tasks, the request says {count}", "parse body"
+        )
     return [bytes(payload) for payload in payloads]
 
 
@@ -121,10 +124,12 @@
         submission_id = message.submission_id
         now = self.board.clock()
         try:
-            payloads = parse_tasks(message.body)
-        except msgspec.ValidationError as error:
+            payloads = parse_tasks(message.body, message.tasks)
+        except InvalidInput as error:
             register.refuse(submission_id)
-            return Answer(Outcome.NOT_RUN, b"", str(error), "parse body", invalid=True)
+            return Answer(
+                Outcome.NOT_RUN, b"", error.message, error.step, invalid=True
+            )
         submission = Submission(
             submission_id,
             message.partition,
--- /dev/null
+++ b/marigoldkeel/settings.py
@@ -0,0 +1,87 @@
+"""The TOML settings of one process, checked before it starts."""
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from marigoldkeel.exceptions import InvalidInput, SettingsError
+from marigoldkeel.transports import parse_address
+
+
+Name = Annotated[str, Meta(pattern=r"\A[A-Za-z0-9._-]{1,64}\Z")]
+DomainName = Annotated[str, Meta(min_length=1, max_length=64)]
+
+
+class StoreSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Where the platform's key-value service is."""
+
+    url: str
+    kind: str = "etcd"
+    timeout_s: Annotated[float, Meta(gt=0, le=60)] = 2.0
+
+
+class Settings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """What an entry or agent needs to know to start.
+
+    :param listen: Address for messages between processes.
+    :param advertise: Address at which others reach ``listen``, if different.
+    :param http: Address for HTTP: callers at an entry, targets at an agent.
+    :param contacts: Addresses of entries, and of some agents, to announce to.
+    """
+
+    name: Name
+    domain: DomainName
+    listen: str
+    http: str
+    store: StoreSettings
+    advertise: str = ""
+    contacts: list[str] = []
+    policy: str = "late_binding"
+    partitions: Annotated[int, Meta(ge=1, le=65_536)] = 16
+    log_format: str = "text"
+    log_level: str = "INFO"
+    event_log: str = ""
+
+    @classmethod
+    def from_toml(cls, path: str | Path) -> "Settings":
+        """Return the settings in the file ``path``.
+
+        Usage::
+
+            settings = Settings.from_toml("agent.toml")
+
+        :raises SettingsError: Naming the file, the key and the reason.
+        """
+        try:
+            data = Path(path).read_bytes()
+            settings = msgspec.toml.decode(data, type=cls)
+            settings.check()
+        except OSError as error:
+            raise SettingsError(error.strerror, "read settings", str(path)) from None
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise SettingsError(str(error), "read settings", str(path)) from None
+        except InvalidInput as error:
+            raise SettingsError(error.message, "read settings", str(path)) from None
+        return settings
+
+    def check(self) -> None:
+        """Check what the schema cannot express.
+
+        :raises InvalidInput: Naming the key and the reason.
+        """
+        addresses = {"listen": self.listen, "http": self.http}
+        if self.advertise:
+            addresses["advertise"] = self.advertise
+        for index, contact in enumerate(self.contacts):
+            addresses[f"contacts[{index}]"] = contact
+        for key, address in addresses.items():
+            try:
+                parse_address(address)
+            except InvalidInput as error:
+                raise InvalidInput(f"{key}: {error.message}") from None
+        if self.log_format not in ("text", "json"):
+            raise InvalidInput(
+                f"log_format: {self.log_format!r} is not 'text' or 'json'"
+            )
