Send the announcements of a runner stand-in one at a time

Cause: a renewal in progress while the runner starts to leave could arrive after the announcement of leaving and undo it.

Change: a lock around building and sending an announcement.

--- a/marigoldkeel/runners.py
+++ b/marigoldkeel/runners.py
@@ -94,6 +94,7 @@
         self.leaving = False
         self.closed = False
         self.changed = anyio.Event()
+        self.announcing = anyio.Lock()
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
         self.history = None
@@ -225,24 +226,30 @@
             await self._announce(pool, agent, address)
 
     async def _announce(self, pool, agent: str, address: str) -> None:
-        content = {
-            "name": self.name,
-            "address": address,
-            "kinds": self.kinds,
-            "slots": self.slots,
-            "connections": self.connections,
-            "leaving": self.leaving,
-        }
-        try:
-            with anyio.fail_after(ANNOUNCEMENT_TIMEOUT_S):
-                response = await pool.request(
-                    "POST",
-                    f"http://{agent}/v1/targets",
-                    content=msgspec.json.encode(content),
-                )
-        except (TimeoutError, httpcore.NetworkError, httpcore.ProtocolError) as error:
-            logger.warning("agent {} did not take the announcement: {}", agent, error)
-            return
+        # One at a time, so that a renewal never overtakes the news of leaving.
+        async with self.announcing:
+            content = {
+                "name": self.name,
+                "address": address,
+                "kinds": self.kinds,
+                "slots": self.slots,
+                "connections": self.connections,
+                "leaving": self.leaving,
+            }
+            try:
+                with anyio.fail_after(ANNOUNCEMENT_TIMEOUT_S):
+                    response = await pool.request(
+                        "POST",
+                        f"http://{agent}/v1/targets",
+                        content=msgspec.json.encode(content),
+                    )
+            except (
+                TimeoutError,
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+            ) as error:
+                logger.warning("agent {} took no announcement: {}", agent, error)
+                return
         if response.status != 200:
             logger.warning("agent {} answered {}", agent, response.content)
 
