--- a/marigoldkeel/exceptions.py
+++ b/marigoldkeel/exceptions.py
@@ -3,6 +3,8 @@
 Each names the processing step and the peer at which the error arose.
 """
 
+from collections.abc import Sequence
+
 
 class MarigoldkeelError(Exception):
     """Base of all errors raised by marigoldkeel.
@@ -69,11 +71,36 @@
 
 
 class JobFailed(MarigoldkeelError, RuntimeError):
-    """The job failed; some of its tasks ran or may have run."""
+    """The job failed; some of its tasks ran or may have run.
+
+    :param ran: Indexes of the tasks that ran.
+    :param may_have_run: Indexes of the tasks of which it is not known.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        step: str = "",
+        peer: str = "",
+        ran: Sequence[int] = (),
+        may_have_run: Sequence[int] = (),
+    ):
+        super().__init__(message, step, peer)
+        self.ran = list(ran)
+        self.may_have_run = list(may_have_run)
 
 
 class OutcomeUnknown(MarigoldkeelError, TimeoutError):
-    """Whether the request ran is not known; ask again under the same id."""
+    """Whether the request ran is not known; ask again under the same id.
+
+    :param submission_id: The id as text, or ``""`` where it is not known.
+    """
+
+    def __init__(
+        self, message: str, step: str = "", peer: str = "", submission_id: str = ""
+    ):
+        super().__init__(message, step, peer)
+        self.submission_id = submission_id
 
 
 class Conflict(InvalidInput):
