--- a/marigoldkeel/blackboard.py
+++ b/marigoldkeel/blackboard.py
@@ -41,6 +41,7 @@
         "load",
         "slots",
         "kinds",
+        "is_agent",
         "leaving",
         "events",
     )
@@ -51,6 +52,7 @@
         clock: Callable[[], float] = time.monotonic,
         wall_ms: Callable[[], int] = wall_clock_ms,
         seed: int | None = None,
+        is_agent: bool = True,
     ):
         self.member = member
         self.clock = clock
@@ -65,6 +67,7 @@
         self.load = 0.0
         self.slots = 0
         self.kinds: list[str] = []
+        self.is_agent = is_agent
         self.leaving = False
         self.events: Counter[str] = Counter()
 
@@ -98,12 +101,13 @@
             self.partitions.version,
             self.leaving,
             self.kinds,
+            self.is_agent,
             self.clock(),
         )
 
     def live_members(self) -> Iterator[Member]:
         """Return this member and the peers that may serve partitions."""
-        if not self.leaving:
+        if self.is_agent and not self.leaving:
             yield self.member
         for state in self.peers.live(self.clock()):
             yield state.member
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -103,7 +103,7 @@
             settings.advertise or settings.listen,
             settings.domain,
         )
-        return cls(settings, Blackboard(member))
+        return cls(settings, Blackboard(member, is_agent=False))
 
     async def run(self, *, task_status: TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until `stop` is called and the requests in progress have ended."""
--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -38,6 +38,7 @@
     table_version: int = 0
     leaving: bool = False
     kinds: list[str] = field(default_factory=list)
+    is_agent: bool = True
     heard_at: float = 0.0
 
 
@@ -97,11 +98,13 @@
         return state is not None and state.leaving
 
     def live(self, now: float) -> list[PeerState]:
-        """Return the peers that are neither silent nor leaving."""
+        """Return the agents that are neither silent nor leaving."""
         return [
             state
             for state in self.states.values()
-            if not state.leaving and now - state.heard_at <= self.suspect_after_s
+            if state.is_agent
+            and not state.leaving
+            and now - state.heard_at <= self.suspect_after_s
         ]
 
 
--- a/marigoldkeel/identifiers.py
+++ b/marigoldkeel/identifiers.py
@@ -51,9 +51,9 @@
     return submission_id.int >> 80
 
 
-def partition_of(submission_id: uuid.UUID, partition_count: int) -> int:
+def partition_of(submission_id: bytes, partition_count: int) -> int:
     """Return the partition of an id, in ``range(partition_count)``."""
-    digest = hashlib.blake2b(submission_id.bytes, digest_size=8).digest()
+    digest = hashlib.blake2b(submission_id, digest_size=8).digest()
     return int.from_bytes(digest, "big") % partition_count
 
 
--- a/marigoldkeel/memberships.py
+++ b/marigoldkeel/memberships.py
@@ -91,6 +91,7 @@
             own.table_version,
             own.leaving,
             list(own.kinds),
+            own.is_agent,
         )
         interval_s = HEARTBEAT_INTERVAL_S
         try:
@@ -109,10 +110,10 @@
     async def receive(self, message: Heartbeat) -> HeartbeatReply:
         """Note a peer's heartbeat and return this daemon's state."""
         self.group.start_soon(self._observe, message)
-        self.learn([message.member] if message.slots and not message.leaving else [])
+        self.learn([message.member] if message.is_agent else [])
         own = self.board.own_state()
         states = list(self.board.peers.states.values())
-        known = [state.member for state in states if state.slots]
+        known = [state.member for state in states if state.is_agent]
         sample = self.board.random.sample(known, min(len(known), MAX_MEMBERS_IN_REPLY))
         return HeartbeatReply(
             own.member,
@@ -122,6 +123,7 @@
             own.table_version,
             own.leaving,
             list(own.kinds),
+            own.is_agent,
             int(next_interval_s(len(states)) * 1000),
             sample,
         )
@@ -135,6 +137,7 @@
             message.table_version,
             message.leaving,
             message.kinds,
+            message.is_agent,
         )
         self.board.peers.observe(state, self.board.clock())
         for follower in self.followers:
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -169,6 +169,7 @@
   tableVersion @4 :UInt64;
   leaving @5 :Bool;
   kinds @6 :List(Text);
+  isAgent @7 :Bool;
 }
 
 struct HeartbeatReply {
@@ -181,6 +182,7 @@
   kinds @6 :List(Text);
   intervalMs @7 :UInt32;
   members @8 :List(Member);
+  isAgent @9 :Bool;
 }
 
 struct Pull {
--- a/marigoldkeel/messages.py
+++ b/marigoldkeel/messages.py
@@ -7,6 +7,7 @@
 import functools
 from collections.abc import Callable
 from dataclasses import dataclass, field, fields
+from enum import Enum
 from pathlib import Path
 from typing import Any, get_args, get_origin, get_type_hints
 
@@ -241,6 +242,7 @@
     table_version: int = 0
     leaving: bool = False
     kinds: list[str] = field(default_factory=list)
+    is_agent: bool = False
 
 
 @message("heartbeatReply")
@@ -255,6 +257,7 @@
     table_version: int = 0
     leaving: bool = False
     kinds: list[str] = field(default_factory=list)
+    is_agent: bool = False
     interval_ms: int = 0
     members: list[Member] = field(default_factory=list)
 
@@ -344,7 +347,9 @@
     for attribute, name, nested, is_list in _layout(type(value)):
         content = getattr(value, attribute)
         if nested is None:
-            setattr(builder, name, content)
+            setattr(
+                builder, name, content.value if isinstance(content, Enum) else content
+            )
         elif is_list:
             if content:
                 items = builder.init(name, len(content))
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -127,9 +127,7 @@
             payloads = parse_tasks(message.body, message.tasks)
         except InvalidInput as error:
             register.refuse(submission_id)
-            return Answer(
-                Outcome.NOT_RUN, b"", error.message, error.step, invalid=True
-            )
+            return Answer(Outcome.NOT_RUN, b"", error.message, error.step, invalid=True)
         submission = Submission(
             submission_id,
             message.partition,
--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -199,4 +199,7 @@
     try:
         await server.serve(sockets=[listener])
     finally:
-        listener.close()
+        # A cancelled server would go on answering on connections kept alive.
+        server.force_exit = True
+        with anyio.CancelScope(shield=True):
+            await server.shutdown(sockets=[listener])
