Test replies that do not belong to a task

Change: a table of raw replies of a target. A refusal's body is read only if its size is known and bounded; it was read without a bound before.

Conclusion: httpcore 1.0.9 may not bound connections whose requests are cancelled; TargetTable and the caller do.

--- a/marigoldkeel/targets.py
+++ b/marigoldkeel/targets.py
@@ -172,8 +172,9 @@
     """Runs tasks with ``POST http://ADDRESS/v1/tasks/KIND``.
 
     `TargetTable` bounds the connections. The pool itself has no bound, because
-    httpcore loses a connection when a request queued in a full pool is cancelled
-    between its assignment and its first step.
+    httpcore 1.0.9 loses a connection when a request queued in a full pool is
+    cancelled between its assignment and its first step: with random
+    cancellations, a pool of 5 connections ended with all 5 unusable.
     """
 
     def __init__(self):
@@ -257,15 +258,17 @@
         }
         echoed = {name: headers.get(name.lower()) for name in expected}
         not_run = response.status == 503 and headers.get(NOT_RUN_HEADER.lower()) == "1"
-        if echoed != expected:
-            # Servers answer some errors before they reach the target's code, so
-            # only a reply that settles the task has to have the echo.
-            if response.status == 200 or not_run or any(echoed.values()):
-                return self.broken(f"reply belongs to another request: {echoed}")
-        elif not_run:
-            await response.aread()
-            return self.result(TaskState.NOT_STARTED, message="target refused the task")
+        # Servers answer some errors before they reach the target's code, so only
+        # a reply that settles the task has to have the echo.
+        settles = response.status == 200 or not_run
+        if echoed != expected and (settles or any(echoed.values())):
+            return self.broken(f"reply is not for this request: {echoed}")
         length = headers.get("content-length", "")
+        if not_run:
+            # Reads a body of known size only, to keep the connection.
+            if length.isdigit() and int(length) <= MAX_BODY_BYTES:
+                await response.aread()
+            return self.result(TaskState.NOT_STARTED, message="target refused the task")
         if not length.isdigit():
             return self.broken("reply has no Content-Length")
         if int(length) > MAX_BODY_BYTES:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -10,7 +10,7 @@
 
 from marigoldkeel.models import TaskState
 from marigoldkeel.runners import Faults, RunnerStandin
-from marigoldkeel.servers import serve_http
+from marigoldkeel.servers import HttpApplication, Response, serve_http
 from marigoldkeel.targets import (
     SILENT_AFTER_S,
     HttpTarget,
@@ -71,7 +71,14 @@
     [
         ({}, 30, TaskState.SUCCEEDED, "", 1, 1),
         ({"fail_all": True}, 30, TaskState.FAILED, "fail_all", 1, 1),
-        ({"wrong_echo": True}, 30, TaskState.MAY_HAVE_RUN, "another request", 1, 0),
+        (
+            {"wrong_echo": True},
+            30,
+            TaskState.MAY_HAVE_RUN,
+            "not for this request",
+            1,
+            0,
+        ),
         ({"truncate": True}, 30, TaskState.MAY_HAVE_RUN, "failed", 1, 0),
         ({"hang_after_start": True}, 0.3, TaskState.MAY_HAVE_RUN, "deadline", 1, 0),
         ({}, 0, TaskState.NOT_STARTED, "deadline", 0, 0),
@@ -94,6 +101,45 @@
         assert msgspec.json.decode(result.payload)["value"]["n"] == 8
 
 
+ECHO = {"Marigoldkeel-Submission": str(SUBMISSION), "Marigoldkeel-Task": "0"}
+NOT_RUN = {"Marigoldkeel-Not-Run": "1"}
+
+
+async def two_chunks():
+    yield b"1"
+    yield b"2"
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("response", "state"),
+    [
+        (Response(200, b"1", ECHO), TaskState.SUCCEEDED),
+        (Response(200, b"1"), TaskState.MAY_HAVE_RUN),
+        (Response(200, b"", ECHO, two_chunks()), TaskState.MAY_HAVE_RUN),
+        (Response(503, b"", ECHO | NOT_RUN), TaskState.NOT_STARTED),
+        (Response(503, b"", NOT_RUN), TaskState.MAY_HAVE_RUN),
+        (Response(503, b"", ECHO), TaskState.FAILED),
+        (Response(404), TaskState.FAILED),
+        (Response(404, b"", ECHO | {"Marigoldkeel-Task": "1"}), TaskState.MAY_HAVE_RUN),
+    ],
+)
+async def test_reply_settles_a_task_only_if_it_belongs_to_it(adapter, response, state):
+    """A refusal of another task, read as this one's, would start it twice."""
+    application = HttpApplication()
+
+    @application.route("POST", "/v1/tasks/quote")
+    async def answer(request):
+        return response
+
+    async with anyio.create_task_group() as group:
+        address = await group.start(serve_http, application, "127.0.0.1", 0)
+        result = await adapter.run(TargetInfo("t", address), call())
+        kept = state != TaskState.MAY_HAVE_RUN
+        assert (result.state, len(adapter.pool.connections)) == (state, kept)
+        group.cancel_scope.cancel()
+
+
 @pytest.mark.anyio
 async def test_busy_or_absent_target_has_not_started_the_task(adapter):
     runner = RunnerStandin("r", kinds=["quote"], slots=0)
