--- /dev/null
+++ b/marigoldkeel/commands.py
@@ -0,0 +1,304 @@
+"""The command line.
+
+Exit codes: 0 success; 1 failed or not accepted; 2 usage or invalid input; 3 the
+outcome is unknown; 4 not run.
+"""
+
+import signal
+import sys
+from typing import Any
+
+import anyio
+import defopt
+import httpcore
+import msgspec
+from loguru import logger
+
+from marigoldkeel.exceptions import (
+    InvalidInput,
+    JobFailed,
+    MarigoldkeelError,
+    OutcomeUnknown,
+    Refused,
+)
+
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+EXIT_UNKNOWN = 3
+EXIT_NOT_RUN = 4
+
+
+def entry(settings_file: str) -> int:
+    """Serve callers over HTTP until SIGTERM or SIGINT.
+
+    :param settings_file: The TOML settings of this process.
+    """
+    from marigoldkeel.entries import Entry
+
+    return _serve(Entry, settings_file)
+
+
+def agent(settings_file: str) -> int:
+    """Serve partitions and the targets beside this agent until SIGTERM or SIGINT.
+
+    :param settings_file: The TOML settings of this process.
+    """
+    from marigoldkeel.agents import Agent
+
+    return _serve(Agent, settings_file)
+
+
+def _serve(daemon_type: Any, settings_file: str) -> int:
+    from marigoldkeel.logs import configure_logs
+    from marigoldkeel.settings import Settings
+
+    settings = Settings.from_toml(settings_file)
+    configure_logs(settings.log_format, settings.log_level)
+    anyio.run(_run_daemon, daemon_type.from_settings(settings))
+    return EXIT_OK
+
+
+async def _run_daemon(daemon: Any) -> None:
+    async with anyio.create_task_group() as group:
+        group.start_soon(_stop_on_signal, daemon)
+        await daemon.run()
+        group.cancel_scope.cancel()
+
+
+async def _stop_on_signal(daemon: Any) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            logger.info("received {}; stopping", signal.Signals(number).name)
+            daemon.stop()
+
+
+def demo(*, seconds: float = 5.0, verbose: bool = False) -> int:
+    """Run the whole system in this process on loopback and show its measures.
+
+    :param seconds: How long requests are sent, in seconds.
+    :param verbose: Whether to show the log of the daemons.
+    """
+    from marigoldkeel.demo import run_demo
+    from marigoldkeel.logs import configure_logs
+
+    configure_logs("text", "INFO" if verbose else "WARNING")
+    timings = anyio.run(run_demo, seconds)
+    return EXIT_FAILED if any(timing.failures for timing in timings) else EXIT_OK
+
+
+def submit(
+    kind: str,
+    tasks_file: str,
+    *,
+    entries: list[str],
+    team: str,
+    token: str = "",
+    deadline_s: float = 30.0,
+    submission_id: str | None = None,
+) -> int:
+    """Run a job and print its whole answer as JSON.
+
+    :param kind: The kind of its tasks.
+    :param tasks_file: A file with a JSON array, one element a task; - for stdin.
+    :param entries: Addresses of entries.
+    :param team: The team that is charged.
+    :param token: The team's token, if it has one.
+    :param deadline_s: Seconds after which the answer is of no use.
+    :param submission_id: The id of an earlier try whose answer was lost.
+    """
+    from marigoldkeel.api import submit as submit_job
+
+    tasks = msgspec.json.decode(_read(tasks_file))
+    return _request(
+        lambda: (
+            submit_job(
+                kind,
+                tasks,
+                entries=entries,
+                team=team,
+                token=token,
+                deadline_s=deadline_s,
+                submission_id=submission_id,
+            ).results
+        )
+    )
+
+
+def call(
+    kind: str,
+    value: str,
+    *,
+    entries: list[str],
+    team: str,
+    token: str = "",
+    deadline_s: float = 30.0,
+    submission_id: str | None = None,
+) -> int:
+    """Make one call and print its result as JSON.
+
+    :param kind: The kind of the call.
+    :param value: One JSON value.
+    :param entries: Addresses of entries.
+    :param team: The team that is charged.
+    :param token: The team's token, if it has one.
+    :param deadline_s: Seconds after which the answer is of no use.
+    :param submission_id: The id of an earlier try whose answer was lost.
+    """
+    from marigoldkeel.api import call as make_call
+
+    return _request(
+        lambda: (
+            make_call(
+                kind,
+                msgspec.json.decode(value),
+                entries=entries,
+                team=team,
+                token=token,
+                deadline_s=deadline_s,
+                submission_id=submission_id,
+            ).result
+        )
+    )
+
+
+def _read(path: str) -> bytes:
+    if path == "-":
+        return sys.stdin.buffer.read()
+    with open(path, "rb") as file:
+        return file.read()
+
+
+def _request(run: Any) -> int:
+    print(msgspec.json.encode(run()).decode())
+    return EXIT_OK
+
+
+def status(address: str, *, json: bool = False) -> int:
+    """Show what an entry or agent knows of the system.
+
+    :param address: The HTTP address of an entry or agent.
+    :param json: Whether to print the whole report as JSON.
+    """
+    report = _fetch_status(address)
+    if json:
+        print(msgspec.json.format(msgspec.json.encode(report)).decode())
+    else:
+        _print_status(report)
+    return EXIT_OK
+
+
+def _fetch_status(address: str) -> dict[str, Any]:
+    try:
+        with httpcore.ConnectionPool() as pool:
+            response = pool.request("GET", f"http://{address}/v1/status")
+    except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+        raise MarigoldkeelError(str(error), "status", address) from None
+    return msgspec.json.decode(response.content)
+
+
+def _print_status(report: dict[str, Any]) -> None:
+    member = report["member"]
+    print(
+        f"{report['role']} {member['incarnation']} in {member['domain']}, "
+        f"configuration {report['config_revision']}, table {report['table_version']}"
+    )
+    print(f"{'partition':>9} {'generation':>10}  {'primary':20} {'standby':20}")
+    for record in report["partitions"]:
+        print(
+            f"{record['partition']:9} {record['generation']:10}  "
+            f"{record['primary']['name']:20} {record['standby']['name']:20}"
+        )
+    print(
+        f"{'peer':20} {'domain':14} {'load':>6} {'slots':>5} {'silent s':>8} revision"
+    )
+    for peer in report["peers"]:
+        print(
+            f"{peer['name']:20} {peer['domain']:14} {peer['load']:6.2f} "
+            f"{peer['slots']:5} {peer['silent_s']:8.1f} {peer['config_revision']:8}"
+        )
+    for name in ("queue", "running_tasks", "running_jobs", "events"):
+        if name in report:
+            print(f"{name}: {report[name]}")
+
+
+def partition_reopen(
+    partition: int,
+    *,
+    store: str,
+    status_address: str,
+    author: str,
+    reason: str,
+    members_have_stopped: bool = False,
+) -> int:
+    """Reopen a partition whose two members are both lost.
+
+    Only ids minted from now on are accepted in it. If one of the old members is
+    still running, a task may start twice, so check both hosts first.
+
+    :param partition: The number of the partition.
+    :param store: URL of the store.
+    :param status_address: HTTP address of an entry, to learn the live agents.
+    :param author: Who does this.
+    :param reason: Why, for the audit trail.
+    :param members_have_stopped: Confirms that both old processes have ended.
+    """
+    from marigoldkeel.reopening import reopen
+
+    if not members_have_stopped:
+        raise InvalidInput(
+            "confirm with --members-have-stopped that both old processes have ended",
+            "reopen partition",
+        )
+    report = _fetch_status(status_address)
+    generation = anyio.run(reopen, store, partition, report, author, reason)
+    print(f"partition {partition} reopened at generation {generation}")
+    return EXIT_OK
+
+
+def main() -> None:
+    """Run the command named on the command line."""
+    from marigoldkeel import operators
+
+    commands = {
+        "entry": entry,
+        "agent": agent,
+        "demo": demo,
+        "submit": submit,
+        "call": call,
+        "status": status,
+        "partition": {"reopen": partition_reopen},
+        "config": {
+            "show": operators.config_show,
+            "set": operators.config_set,
+            "apply": operators.config_apply,
+            "history": operators.config_history,
+            "diff": operators.config_diff,
+        },
+        "exception": {
+            "list": operators.exception_list,
+            "add": operators.exception_add,
+            "remove": operators.exception_remove,
+        },
+    }
+    try:
+        code = defopt.run(commands, cli_options="all")
+    except (InvalidInput, msgspec.DecodeError) as error:
+        code = _report(error, EXIT_INVALID)
+    except Refused as error:
+        code = _report(error, EXIT_NOT_RUN)
+    except OutcomeUnknown as error:
+        code = _report(error, EXIT_UNKNOWN)
+    except (JobFailed, MarigoldkeelError, OSError) as error:
+        code = _report(error, EXIT_FAILED)
+    sys.exit(code)
+
+
+def _report(error: Exception, code: int) -> int:
+    print(f"marigoldkeel: {error}", file=sys.stderr)
+    return code
+
+
+if __name__ == "__main__":
+    main()
