--- a/marigoldkeel/failover.py
+++ b/marigoldkeel/failover.py
@@ -242,9 +242,9 @@
             # Within a change, the change itself enters the generation.
             if record.partition not in self.changing and register.stop():
                 self._enter_as_primary(register, record)
-        elif record.generation == 1:
+        elif record.generation == 1 or record.reopened:
             register = ClaimRegister.as_primary(
-                record.partition, 1, record.low_water_ms
+                record.partition, record.generation, record.low_water_ms
             )
             self.board.registers[record.partition] = register
             self.group.start_soon(self.transfer, register, record)
--- a/marigoldkeel/models.py
+++ b/marigoldkeel/models.py
@@ -50,7 +50,8 @@
     """The members of a partition in one generation.
 
     ``revision`` is the store's revision of the record and not part of its value.
-    ``low_water_ms`` is the mint time below which ids are refused.
+    ``low_water_ms`` is the mint time below which ids are refused. ``reopened``
+    marks a generation whose members are both new and hold no claims.
     """
 
     partition: int
@@ -59,6 +60,7 @@
     standby: Member
     low_water_ms: int = 0
     revision: int = 0
+    reopened: bool = False
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/marigoldkeel/reopening.py
@@ -0,0 +1,133 @@
+"""Reopens a partition whose two members are both lost, by an operator's command."""
+
+import time
+from typing import Any
+
+import msgspec
+
+from marigoldkeel.exceptions import (
+    InvalidInput,
+    MarigoldkeelError,
+    OutcomeUnknown,
+    StoreUnavailable,
+)
+from marigoldkeel.models import Member, PartitionRecord
+from marigoldkeel.partitions import (
+    choose_primary,
+    choose_standby,
+    decode_record,
+    encode_record,
+    partition_key,
+)
+from marigoldkeel.stores import KeyValueStore, Write, open_store
+
+
+REOPENING_PREFIX = "/marigoldkeel/reopenings/"
+
+
+class ReopeningRecord(msgspec.Struct):
+    """The audit record of one reopening."""
+
+    partition: int
+    generation: int
+    who: str
+    when_ms: int
+    reason: str
+    lost: list[Member]
+
+
+def live_agents(report: dict[str, Any], silent_after_s: float = 3.0) -> list[Member]:
+    """Return the agents that an entry's status report shows as live."""
+    return [
+        Member(peer["name"], peer["incarnation"], peer["address"], peer["domain"])
+        for peer in report["peers"]
+        if peer["is_agent"]
+        and not peer["leaving"]
+        and peer["silent_s"] <= silent_after_s
+    ]
+
+
+def plan_reopening(
+    record: PartitionRecord, agents: list[Member], now_ms: int
+) -> PartitionRecord:
+    """Return the next generation with two members that hold no claims.
+
+    Every id minted before ``now_ms`` is refused in it, as it may have started
+    under the lost members.
+
+    :raises InvalidInput: If a member is still alive or no two agents are known.
+    """
+    lost = {record.primary.incarnation, record.standby.incarnation}
+    for agent in agents:
+        if agent.incarnation in lost:
+            raise InvalidInput(
+                f"member {agent.name} is alive; it replaces the other one itself",
+                "reopen partition",
+                agent.address,
+            )
+    primary = choose_primary(record.partition, agents)
+    standby = choose_standby(record.partition, primary, agents) if primary else None
+    if standby is None:
+        raise InvalidInput("fewer than two live agents are known", "reopen partition")
+    return PartitionRecord(
+        record.partition,
+        record.generation + 1,
+        primary,
+        standby,
+        max(now_ms, record.low_water_ms),
+        reopened=True,
+    )
+
+
+async def reopen(
+    store_url: str, partition: int, report: dict[str, Any], author: str, reason: str
+) -> int:
+    """Reopen a partition and record who did it in the same transaction.
+
+    :param report: An entry's status report, for the live agents.
+    :return: The new generation.
+    :raises OutcomeUnknown: If the store did not say whether the write was made.
+    """
+    for name, text in (("author", author), ("reason", reason)):
+        if not text.strip():
+            raise InvalidInput(f"{name} must not be empty", "reopen partition")
+    async with open_store("etcd", store_url) as store:
+        value = await store.get(partition_key(partition))
+        if value is None:
+            raise InvalidInput(f"no partition {partition}", "reopen partition")
+        record = decode_record(value.data, value.revision)
+        now_ms = time.time_ns() // 1_000_000
+        planned = plan_reopening(record, live_agents(report), now_ms)
+        lost = [record.primary, record.standby]
+        audit = ReopeningRecord(
+            partition, planned.generation, author, now_ms, reason, lost
+        )
+        return await _swap(store, planned, value.revision, audit)
+
+
+async def _swap(
+    store: KeyValueStore,
+    planned: PartitionRecord,
+    revision: int,
+    audit: ReopeningRecord,
+) -> int:
+    key = partition_key(planned.partition)
+    audit_key = f"{REOPENING_PREFIX}{planned.partition:05d}/{planned.generation:010d}"
+    writes = [
+        Write(key, encode_record(planned), revision),
+        Write(audit_key, msgspec.json.encode(audit), 0),
+    ]
+    try:
+        swapped = await store.compare_and_swap(writes)
+    except StoreUnavailable as error:
+        raise OutcomeUnknown(
+            "the store did not answer; run the command again to see the outcome",
+            "reopen partition",
+            error.peer,
+        ) from error
+    if swapped is None:
+        raise MarigoldkeelError(
+            "the partition changed meanwhile; look at its status again",
+            "reopen partition",
+        )
+    return planned.generation
--- a/marigoldkeel/status.py
+++ b/marigoldkeel/status.py
@@ -24,7 +24,9 @@
             {
                 "name": state.member.name,
                 "incarnation": state.member.incarnation,
+                "address": state.member.address,
                 "domain": state.member.domain,
+                "is_agent": state.is_agent,
                 "load": round(state.load, 3),
                 "slots": state.slots,
                 "leaving": state.leaving,
