Add admission, quotas, the retry budget and adaptive concurrency

Overload has to be refused by class before it queues, retries must not multiply it, and a slow target must not hold all connections.

Estimating the delay from completions per second was ruled out: with little load the rate is low because demand is. The estimate uses the observed delay per task ahead at admission and halves every 2 s without samples, since a class refused on an old estimate gets none while urgent work stays in flight.

--- /dev/null
+++ b/marigoldkeel/limits.py
@@ -0,0 +1,345 @@
+"""Admission by class, team quotas, a retry budget and adaptive concurrency.
+
+No I/O; times are monotonic seconds given by the caller. Every call is O(1).
+"""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from statistics import median
+
+from marigoldkeel.models import Priority
+
+
+# Shares of the bounds up to which each class is admitted.
+ADMISSION_SHARES = {Priority.URGENT: 1.0, Priority.NORMAL: 0.85, Priority.BATCH: 0.6}
+MAX_JOB_TASKS = 150
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 30.0
+# Weight of one sample in the moving average of the delay per task ahead.
+DELAY_WEIGHT = 0.1
+# Without samples the estimate halves in this time. Otherwise a class refused on an
+# old estimate would get no new samples while higher classes keep tasks in flight.
+DELAY_HALF_LIFE_S = 2.0
+RETRY_BUCKETS = 10
+# A round of latency samples is as long as the limit, within these bounds.
+MIN_ROUND = 20
+MAX_ROUND = 50
+ROUND_WEIGHT = 0.2
+
+
+class TokenBucket:
+    """Grants at most ``burst + rate_per_s * t`` tokens in any ``t`` seconds."""
+
+    def __init__(self, rate_per_s: float, burst: float):
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.tokens = burst
+        self.updated_at: float | None = None
+
+    def take(self, tokens: float, now: float) -> bool:
+        """Take all the tokens or none."""
+        self._refill(now)
+        if tokens > self.tokens:
+            return False
+        self.tokens -= tokens
+        return True
+
+    def wait_s(self, tokens: float, now: float) -> float:
+        """Return seconds until ``take`` can succeed; infinite if it never can."""
+        self._refill(now)
+        missing = tokens - self.tokens
+        if missing <= 0:
+            return 0.0
+        if tokens > self.burst or self.rate_per_s <= 0:
+            return float("inf")
+        return missing / self.rate_per_s
+
+    def _refill(self, now: float) -> None:
+        if self.updated_at is None or now > self.updated_at:
+            elapsed_s = now - (now if self.updated_at is None else self.updated_at)
+            self.tokens = min(self.burst, self.tokens + elapsed_s * self.rate_per_s)
+            self.updated_at = now
+
+
+class TeamQuotas:
+    """Tasks per second by team; a team without a quota is unknown.
+
+    :param rates_per_s: Tasks per second that this process may admit, by team.
+    :param burst_s: Seconds of the rate that may be used at once; the burst is at
+        least ``MAX_JOB_TASKS``, so that the largest job can be admitted.
+    """
+
+    def __init__(self, rates_per_s: Mapping[str, float], burst_s: float = 1.0):
+        self.burst_s = burst_s
+        self.buckets: dict[str, TokenBucket] = {}
+        self.change_rates(rates_per_s)
+
+    def change_rates(self, rates_per_s: Mapping[str, float]) -> None:
+        """Replace the quotas, keeping what each team has used; O(teams)."""
+        buckets = {}
+        for team, rate_per_s in rates_per_s.items():
+            burst = max(MAX_JOB_TASKS, rate_per_s * self.burst_s) if rate_per_s else 0
+            bucket = TokenBucket(rate_per_s, burst)
+            if old := self.buckets.get(team):
+                bucket.tokens = max(0, burst - (old.burst - old.tokens))
+                bucket.updated_at = old.updated_at
+            buckets[team] = bucket
+        self.buckets = buckets
+
+
+class RefusalReason(StrEnum):
+    """Why admission was refused."""
+
+    UNKNOWN_TEAM = "team has no quota"
+    OVER_QUOTA = "team is over its quota"
+    IN_FLIGHT = "too many tasks in flight for this class"
+    DELAY = "queueing delay is too long for this class"
+    DEADLINE = "deadline cannot be met"
+
+
+@dataclass(slots=True, frozen=True)
+class Admission:
+    """The verdict on a request; refused if there is a ``reason``.
+
+    ``tasks_ahead`` counts tasks in flight of its class and those above.
+    ``retry_after_s`` is 0 when waiting does not help.
+    """
+
+    priority: Priority
+    tasks_ahead: int = 0
+    reason: RefusalReason | None = None
+    retry_after_s: float = 0.0
+
+    @property
+    def admitted(self) -> bool:
+        return self.reason is None
+
+
+class AdmissionController:
+    """Admits requests at an entry or primary, refusing the lowest class first.
+
+    The queueing delay of a class is estimated as the tasks ahead of it times the
+    observed delay per task ahead, which halves every ``DELAY_HALF_LIFE_S`` without
+    a sample. A refusal uses no quota.
+
+    :param max_in_flight: Bound on tasks admitted and not released.
+    :param max_delay_s: Estimated queueing delay up to which urgent work is
+        admitted; the other classes have a share of it.
+    """
+
+    def __init__(
+        self, quotas: TeamQuotas, max_in_flight: int, max_delay_s: float = 5.0
+    ):
+        self.quotas = quotas
+        self.max_in_flight = max_in_flight
+        self.max_delay_s = max_delay_s
+        self.in_flight = dict.fromkeys(Priority, 0)
+        self.delay_per_task_s = dict.fromkeys(Priority, 0.0)
+        self.sampled_at = dict.fromkeys(Priority, 0.0)
+
+    def tasks_ahead(self, priority: Priority) -> int:
+        """Return tasks in flight of this class and those above."""
+        return sum(self.in_flight[p] for p in Priority if p <= priority)
+
+    def delay_s(self, priority: Priority, now: float) -> float:
+        """Return the estimated queueing delay of a class in seconds."""
+        return self.tasks_ahead(priority) * self._delay_per_task_s(priority, now)
+
+    def _delay_per_task_s(self, priority: Priority, now: float) -> float:
+        age_s = max(0.0, now - self.sampled_at[priority])
+        return self.delay_per_task_s[priority] * 0.5 ** (age_s / DELAY_HALF_LIFE_S)
+
+    def admit(
+        self,
+        team: str,
+        priority: Priority,
+        tasks: int,
+        deadline_s: float,
+        now: float,
+        run_time_s: float = 0.0,
+    ) -> Admission:
+        """Decide on a request; each admitted task must be released once.
+
+        :param deadline_s: Seconds left until the deadline.
+        :param run_time_s: Expected run time of the kind, if known.
+        """
+        bucket = self.quotas.buckets.get(team)
+        if bucket is None:
+            return Admission(priority, reason=RefusalReason.UNKNOWN_TEAM)
+        share = ADMISSION_SHARES[priority]
+        delay_s = self.delay_s(priority, now)
+        total = sum(self.in_flight.values())
+        reason, wait_s = None, 0.0
+        if deadline_s <= 0 or run_time_s > deadline_s:
+            return Admission(priority, reason=RefusalReason.DEADLINE)
+        if total and total + tasks > share * self.max_in_flight:
+            reason, wait_s = RefusalReason.IN_FLIGHT, delay_s / 2
+        elif delay_s > share * self.max_delay_s:
+            reason, wait_s = RefusalReason.DELAY, delay_s - share * self.max_delay_s
+        elif delay_s + run_time_s > deadline_s:
+            reason, wait_s = RefusalReason.DEADLINE, delay_s + run_time_s - deadline_s
+        elif not bucket.take(tasks, now):
+            reason, wait_s = RefusalReason.OVER_QUOTA, bucket.wait_s(tasks, now)
+            if wait_s == float("inf"):
+                return Admission(priority, reason=reason)
+        if reason:
+            wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+            return Admission(priority, reason=reason, retry_after_s=wait_s)
+        self.in_flight[priority] += tasks
+        return Admission(priority, self.tasks_ahead(priority))
+
+    def release(
+        self,
+        tasks: int,
+        now: float,
+        latency_s: float | None = None,
+        *,
+        admission: Admission,
+        run_time_s: float | None = None,
+    ) -> None:
+        """Count tasks of an admission as ended.
+
+        :param latency_s: Seconds from admission to the answer.
+        :param run_time_s: How much of it was not queueing. The estimate is updated
+            only when both are known.
+        """
+        priority = admission.priority
+        self.in_flight[priority] = max(0, self.in_flight[priority] - tasks)
+        if latency_s is None or run_time_s is None:
+            return
+        # The backlog at admission caused this delay; the present one may be short.
+        sample = max(0.0, latency_s - run_time_s) / max(1, admission.tasks_ahead)
+        old = self._delay_per_task_s(priority, now)
+        self.sampled_at[priority] = now
+        self.delay_per_task_s[priority] = old + DELAY_WEIGHT * (sample - old)
+
+
+class RetryBudget:
+    """Allows retries up to a share of the calls in a sliding window.
+
+    The total of retries never exceeds ``ratio`` times the total of calls, except
+    that ``min_per_s`` allows a few when there are hardly any calls.
+    """
+
+    def __init__(
+        self, ratio: float = 0.1, min_per_s: float = 0.1, window_s: float = 10.0
+    ):
+        self.ratio = ratio
+        self.min_retries = min_per_s * window_s
+        self.bucket_s = window_s / RETRY_BUCKETS
+        self.buckets: deque[list] = deque()  # [number, calls, retries]
+        self.calls = 0
+        self.retries = 0
+
+    def record_call(self, now: float) -> None:
+        """Count a first attempt."""
+        self._bucket(now)[1] += 1
+        self.calls += 1
+
+    def try_retry(self, now: float) -> bool:
+        """Return whether a retry is allowed, and count it if so."""
+        bucket = self._bucket(now)
+        if self.retries + 1 > max(self.ratio * self.calls, self.min_retries):
+            return False
+        bucket[2] += 1
+        self.retries += 1
+        return True
+
+    def _bucket(self, now: float) -> list:
+        number = int(now / self.bucket_s)
+        if not self.buckets or self.buckets[-1][0] < number:
+            self.buckets.append([number, 0, 0])
+        while self.buckets[0][0] <= number - RETRY_BUCKETS:
+            _, calls, retries = self.buckets.popleft()
+            self.calls -= calls
+            self.retries -= retries
+        return self.buckets[-1]
+
+
+class ConcurrencyLimit:
+    """Limits requests in flight to one target by its latency (AIMD).
+
+    Latency is divided by the expected run time of its kind, so a change to long
+    kinds leaves the limit alone. The limit falls by a tenth when the moving average
+    of the median of each round of samples exceeds ``tolerance`` times its minimum
+    over the last one to two ``window_s``, and grows by one when it was reached.
+    The minimum of unsmoothed samples lies far below the normal latency when run
+    times vary, which would make the limit collapse.
+
+    :param max_limit: Upper bound, for example the runner's connections.
+    """
+
+    def __init__(
+        self,
+        max_limit: int = 64,
+        initial: int = 8,
+        tolerance: float = 1.7,
+        window_s: float = 30.0,
+    ):
+        self.max_limit = max_limit
+        self.limit = float(min(initial, max_limit))
+        self.tolerance = tolerance
+        self.window_s = window_s
+        self.in_flight = 0
+        self.reached = False
+        self.ratios: list[float] = []
+        self.finished = 0
+        self.overloaded = 0
+        self.rounds = 0
+        self.average = 0.0
+        self.lowest = self.lowest_before = float("inf")
+        self.window_ends_at: float | None = None
+
+    def acquire(self) -> bool:
+        """Take a place for a request, if there is one."""
+        if self.in_flight >= int(self.limit):
+            self.reached = True
+            return False
+        self.in_flight += 1
+        self.reached = self.reached or self.in_flight >= int(self.limit)
+        return True
+
+    def release(
+        self,
+        now: float,
+        latency_s: float | None = None,
+        expected_s: float | None = None,
+        overloaded: bool = False,
+    ) -> None:
+        """Give the place back.
+
+        :param latency_s: Seconds the request took, if it was answered.
+        :param expected_s: Expected run time of its kind, from the whole fleet or a
+            low quantile: one that follows this target's latency would hide
+            overload. A sample without it does not count against the target.
+        :param overloaded: Whether the target refused the request or timed out.
+        """
+        self.in_flight = max(0, self.in_flight - 1)
+        self.finished += 1
+        self.overloaded += overloaded
+        if latency_s is not None and expected_s:
+            self.ratios.append(latency_s / expected_s)
+        if self.finished >= max(MIN_ROUND, min(MAX_ROUND, int(self.limit))):
+            self._adjust(now)
+
+    def _adjust(self, now: float) -> None:
+        if self.window_ends_at is None or now >= self.window_ends_at:
+            self.lowest_before, self.lowest = self.lowest, float("inf")
+            self.window_ends_at = now + self.window_s
+        slow = False
+        if self.ratios:
+            self.rounds += 1
+            weight = max(ROUND_WEIGHT, 1 / self.rounds)
+            self.average += weight * (median(self.ratios) - self.average)
+            if self.rounds * ROUND_WEIGHT >= 1:
+                self.lowest = min(self.lowest, self.average)
+            slow = self.average > self.tolerance * min(self.lowest, self.lowest_before)
+        # A few timeouts are stragglers rather than overload.
+        if slow or self.overloaded > 0.1 * self.finished:
+            self.limit = max(1.0, self.limit * 0.9)
+        elif self.reached:
+            self.limit = min(float(self.max_limit), self.limit + 1)
+        self.ratios, self.finished, self.overloaded = [], 0, 0
+        self.reached = False
