--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -257,6 +257,70 @@
     return EXIT_OK
 
 
+def standin_store(*, address: str = "127.0.0.1:2379") -> int:
+    """Serve a stand-in for the platform's store, for trials and tests.
+
+    :param address: The address to listen on.
+    """
+    from marigoldkeel.standins import StoreStandin
+
+    return anyio.run(_serve_standin, StoreStandin(), address)
+
+
+async def _serve_standin(application: Any, address: str) -> int:
+    from marigoldkeel.servers import serve_http
+    from marigoldkeel.transports import parse_address
+
+    host, port = parse_address(address)
+    async with anyio.create_task_group() as group:
+        bound = await group.start(serve_http, application, host, port)
+        print(f"listening on {bound}", flush=True)
+        await _wait_for_signal()
+        group.cancel_scope.cancel()
+    return EXIT_OK
+
+
+def standin_runner(
+    name: str,
+    agent_http: str,
+    *,
+    kinds: list[str],
+    slots: int = 8,
+    speed: float = 1.0,
+    history: str | None = None,
+) -> int:
+    """Serve a stand-in for a runner, for trials and tests.
+
+    :param name: The runner's name.
+    :param agent_http: The HTTP address of its agent.
+    :param kinds: The kinds of tasks that it takes.
+    :param slots: How many tasks it runs at once.
+    :param speed: Divides the service time that a task asks for.
+    :param history: A file to which each start of a task is appended.
+    """
+    from marigoldkeel.runners import RunnerStandin
+
+    runner = RunnerStandin(
+        name, kinds=kinds, slots=slots, speed=speed, history_path=history
+    )
+    return anyio.run(_serve_runner, runner, agent_http)
+
+
+async def _serve_runner(runner: Any, agent_http: str) -> int:
+    async with anyio.create_task_group() as group:
+        bound = await group.start(runner.serve, agent_http)
+        print(f"listening on {bound}", flush=True)
+        await _wait_for_signal()
+        await runner.stop()
+    return EXIT_OK
+
+
+async def _wait_for_signal() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
 def main() -> None:
     """Run the command named on the command line."""
     from marigoldkeel import operators
@@ -269,6 +333,7 @@
         "call": call,
         "status": status,
         "partition": {"reopen": partition_reopen},
+        "standin": {"store": standin_store, "runner": standin_runner},
         "config": {
             "show": operators.config_show,
             "set": operators.config_set,
@@ -283,7 +348,7 @@
         },
     }
     try:
-        code = defopt.run(commands, cli_options="all")
+        code = defopt.run(commands)
     except (InvalidInput, msgspec.DecodeError) as error:
         code = _report(error, EXIT_INVALID)
     except Refused as error:
