--- a/marigoldkeel/agents.py
+++ b/marigoldkeel/agents.py
@@ -251,4 +251,5 @@
         answer.invalid,
         answer.ran,
         answer.may_have_run,
+        answer.run_ms,
     )
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskStatus
 from loguru import logger
 
+from marigoldkeel.admissions import QUOTA_STEP, Admissions, CallerRequest
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.exceptions import (
     InvalidInput,
@@ -23,6 +24,7 @@
     parse_submission_id,
     partition_of,
 )
+from marigoldkeel.limits import RetryBudget
 from marigoldkeel.memberships import MembershipController
 from marigoldkeel.messages import (
     Heartbeat,
@@ -60,24 +62,6 @@
 LEAVE_NOTICE_S = 0.5
 
 
-class CallerRequest:
-    """A checked request of a caller. ``deadline_s`` is a duration in seconds."""
-
-    __slots__ = (
-        "submission_id",
-        "text_id",
-        "team",
-        "kind",
-        "priority",
-        "deadline_s",
-        "unanswered",
-        "tasks",
-        "body",
-        "read_only",
-        "idempotent",
-    )
-
-
 class Entry:
     """One entry process.
 
@@ -93,6 +77,8 @@
         self.stopping = anyio.Event()
         self.http_address = ""
         self.in_progress = 0
+        self.admissions = Admissions(board)
+        self.retries = RetryBudget(board.setting("retry_budget_ratio"))
 
     @classmethod
     def from_settings(cls, settings: Settings) -> "Entry":
@@ -219,10 +205,19 @@
                 invalid=True,
             )
             return to_response(answer, submission, is_job)
-        if caller.read_only and not is_job:
-            answer = await self._run_read_only(caller)
-        else:
-            answer = await self._submit(caller)
+        admission = self.admissions.admit(caller)
+        if not admission.admitted:
+            answer = self.admissions.refuse(admission, caller.unanswered)
+            return to_response(answer, caller.text_id, is_job)
+        started_at = self.board.clock()
+        answer = None
+        try:
+            if caller.read_only and not is_job:
+                answer = await self._run_read_only(caller)
+            else:
+                answer = await self._submit(caller)
+        finally:
+            self.admissions.release(admission, caller, started_at, answer)
         return to_response(answer, caller.text_id, is_job)
 
     def _check(self, request: Request, kind: str, is_job: bool) -> CallerRequest:
@@ -328,7 +323,9 @@
         ]
         pair = self.board.random.sample(states, min(2, len(states)))
         pair.sort(key=lambda state: state.load)
-        deadline = self.board.clock() + caller.deadline_s
+        now = self.board.clock()
+        deadline = now + caller.deadline_s
+        self.retries.record_call(now)
         result = TaskResult(0, TaskState.NOT_STARTED, b"", "no agent serves this kind")
         for state in pair:
             remaining_s = deadline - self.board.clock()
@@ -337,6 +334,9 @@
             result = await self._push(caller, state, remaining_s)
             if result.state in (TaskState.SUCCEEDED, TaskState.FAILED):
                 break
+            # Retries without a bound would double the load of an overloaded fleet.
+            if not self.retries.try_retry(self.board.clock()):
+                break
         return answer_from_result(result, caller.unanswered)
 
     async def _push(self, caller: CallerRequest, state, remaining_s) -> TaskResult:
@@ -409,10 +409,11 @@
 def answer_from_result(result: TaskResult, unanswered: int) -> Answer:
     """Return the answer to a read-only call."""
     if result.state == TaskState.SUCCEEDED:
-        return Answer(Outcome.COMPLETE, b"[" + result.payload + b"]")
+        body = b"[" + result.payload + b"]"
+        return Answer(Outcome.COMPLETE, body, run_ms=result.run_ms)
     if result.state == TaskState.NOT_STARTED:
         return refusal(result.message, unanswered, "run")
-    answer = Answer(Outcome.FAILED, b"", result.message, "run")
+    answer = Answer(Outcome.FAILED, b"", result.message, "run", run_ms=result.run_ms)
     ran = result.state == TaskState.FAILED
     (answer.ran if ran else answer.may_have_run).append(0)
     return answer
@@ -431,6 +432,7 @@
         reply.invalid,
         reply.ran,
         reply.may_have_run,
+        reply.run_ms,
     )
 
 
@@ -439,6 +441,8 @@
     status = STATUS_CODES[answer.outcome]
     if answer.conflict:
         status = 409
+    elif answer.step == QUOTA_STEP:
+        status = 429
     elif answer.invalid:
         status = 400
     headers = {"content-type": "application/json"}
--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -329,6 +329,7 @@
         if result.state == TaskState.NOT_STARTED:
             self.started.pop((message.submission_id, task.index), None)
             return
+        result.run_ms = int(run_time_s * 1000)
         self.board.events[f"tasks_{TaskState(result.state).name.lower()}"] += 1
         self.queue.observe(message.kind, run_time_s)
         if result.state == TaskState.SUCCEEDED and not is_json(result.payload):
--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -33,6 +33,7 @@
         "answer",
         "done",
         "started_at",
+        "run_ms",
         "finished_at",
     )
 
@@ -50,6 +51,7 @@
         self.answer: Answer | None = None
         self.done = anyio.Event()
         self.started_at = now
+        self.run_ms = 0
         self.finished_at = 0.0
 
     @property
@@ -117,6 +119,7 @@
             return False
         self.states[index] = state if state in ENDED else TaskState.MAY_HAVE_RUN
         self.results[index] = result.payload
+        self.run_ms = max(self.run_ms, result.run_ms)
         self.unfinished -= 1
         if state is not TaskState.SUCCEEDED:
             self.fail(f"task {index}: {result.message or state.name.lower()}", now)
@@ -151,6 +154,7 @@
     def finish(self, answer: Answer, now: float) -> None:
         """Set the answer, once; later calls change nothing."""
         if self.answer is None:
+            answer.run_ms = self.run_ms
             self.answer = answer
             self.finished_at = now
             self.pending.clear()
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -72,6 +72,7 @@
   invalid @7 :Bool;
   ran @8 :List(UInt32);
   mayHaveRun @9 :List(UInt32);
+  runMs @10 :UInt32;
 }
 
 struct Claim {
@@ -102,6 +103,7 @@
   state @1 :UInt8;
   payload @2 :Data;
   message @3 :Text;
+  runMs @4 :UInt32;
 }
 
 struct Take {
--- a/marigoldkeel/messages.py
+++ b/marigoldkeel/messages.py
@@ -87,6 +87,7 @@
     invalid: bool = False
     ran: list[int] = field(default_factory=list)
     may_have_run: list[int] = field(default_factory=list)
+    run_ms: int = 0
 
 
 @message("claim")
@@ -126,12 +127,16 @@
 
 @dataclass(slots=True)
 class TaskResult:
-    """What happened to one task; ``state`` is a `models.TaskState` value."""
+    """What happened to one task; ``state`` is a `models.TaskState` value.
+
+    ``run_ms`` is the time the target took, without queueing.
+    """
 
     index: int = 0
     state: int = 0
     payload: bytes = b""
     message: str = ""
+    run_ms: int = 0
 
 
 @message("take")
--- a/marigoldkeel/models.py
+++ b/marigoldkeel/models.py
@@ -82,7 +82,8 @@
     """The answer to one attempt of a submission.
 
     ``body`` is a JSON array of results when the outcome is complete.
-    ``ran`` and ``may_have_run`` are task indexes of a failed job.
+    ``ran`` and ``may_have_run`` are task indexes of a failed job. ``run_ms`` is
+    the longest run time of a task, which tells queueing from running.
     """
 
     outcome: Outcome
@@ -95,3 +96,4 @@
     invalid: bool = False
     ran: list[int] = field(default_factory=list)
     may_have_run: list[int] = field(default_factory=list)
+    run_ms: int = 0
