Add configuration changes with an audit trail

A change and its audit record must not exist without each other, so one transaction writes the configuration and the current audit chunk. The stored value also names that chunk; finding it by a prefix read was ruled out because it would fetch the whole trail for every change.

After a lost answer the change id is looked up in the trail. While the configuration is unchanged, the same transaction is repeated, since the lost one may still arrive and at most one of the two can succeed. Once the configuration has moved on, the lost write can no longer take effect and the edit is applied to the newer revision unless the same paths were changed.

A repeated change id is found in one chunk if it is a UUIDv7: order_ms never falls and is no lower than the mint time of the id, so older chunks cannot hold it, whatever the clocks do.

--- /dev/null
+++ b/marigoldkeel/audit.py
@@ -0,0 +1,563 @@
+"""Changes of the stored configuration and their audit trail.
+
+``/marigoldkeel/config`` holds the document with its revision, and the chunks
+``/marigoldkeel/audit/NNNNNNNN`` hold the audit records in order. One transaction
+writes both, so neither exists without the other.
+"""
+
+import random
+import uuid
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from enum import StrEnum
+from typing import Any
+
+import anyio
+import msgspec
+
+from marigoldkeel.configuration import Configuration, ConfigurationError, difference
+from marigoldkeel.exceptions import InvalidInput, StoreUnavailable
+from marigoldkeel.identifiers import UUID_VERSION, mint_time_ms
+from marigoldkeel.stores import KeyValueStore, StoredValue, Write
+
+
+CONFIGURATION_KEY = "/marigoldkeel/config"
+AUDIT_PREFIX = "/marigoldkeel/audit/"
+# A chunk and the document share a transaction, which etcd limits to 1.5 MiB.
+MAX_CHUNK_BYTES = 512 * 1024
+MAX_DOCUMENT_BYTES = 256 * 1024
+# Retention: a new chunk empties the one this many numbers before it, which limits
+# the trail to 32 MiB. The store interface has no delete.
+AUDIT_CHUNKS_KEPT = 64
+MAX_ATTEMPTS = 20
+# 20 attempts at this delay outlast a short outage of the store.
+RETRY_DELAY_S = 0.25
+MAX_RACE_DELAY_S = 0.05
+# Keeps messages about a long race or a very old revision readable.
+MAX_DESCRIBED = 5
+
+
+class ChangeOutcome(StrEnum):
+    """What an operator is told about a change; a closed set."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    UNKNOWN = "unknown"
+
+
+class AuditRecord(msgspec.Struct):
+    """One accepted change.
+
+    ``before`` and ``after`` hold the changed paths only; a path that is missing
+    from one of them did not exist on that side. ``order_ms`` never falls from one
+    record to the next and is no lower than the mint time of a UUIDv7 change id.
+    """
+
+    who: str
+    when: datetime
+    reason: str
+    change_id: str
+    revision: int
+    before: dict[str, Any]
+    after: dict[str, Any]
+    order_ms: int = 0
+
+    @property
+    def paths(self) -> set[str]:
+        return {*self.before, *self.after}
+
+
+@dataclass(slots=True)
+class VersionedConfiguration:
+    """The configuration in force as of ``revision``; 0 if none was stored yet."""
+
+    revision: int
+    configuration: Configuration
+    change_id: str = ""
+    audit_chunk: int = 0
+
+    @classmethod
+    def from_json(cls, data: bytes) -> "VersionedConfiguration":
+        """Return the decoded value of the configuration key.
+
+        :raises ConfigurationError: If it is malformed.
+        """
+        try:
+            stored = msgspec.json.decode(data, type=_StoredConfiguration)
+        except msgspec.MsgspecError as error:
+            raise ConfigurationError(
+                f"malformed value: {error}", "read configuration", CONFIGURATION_KEY
+            ) from None
+        configuration = Configuration.from_builtins(stored.document)
+        return cls(stored.revision, configuration, stored.change_id, stored.audit_chunk)
+
+    def to_json(self) -> bytes:
+        """Return the value of the configuration key."""
+        return msgspec.json.encode(
+            _StoredConfiguration(
+                self.revision,
+                self.configuration.to_builtins(),
+                self.change_id,
+                self.audit_chunk,
+            )
+        )
+
+
+class _StoredConfiguration(msgspec.Struct):
+    revision: int
+    document: dict[str, Any]
+    change_id: str
+    audit_chunk: int = 0
+
+
+@dataclass(slots=True)
+class ChangeResult:
+    """The answer to a change.
+
+    :ivar revision: The revision at which it was accepted, otherwise 0.
+    :ivar reason: Why it was not accepted or why the outcome is unknown.
+    :ivar invalid: Whether the edit or its result was at fault, not the moment.
+    :ivar edited: The document that the caller's edit produced.
+    :ivar before: Values that the edit replaces, by path.
+    :ivar after: Values that the edit sets, by path.
+    :ivar meanwhile: Changes by others that the edit did not take into account.
+    """
+
+    outcome: ChangeOutcome
+    change_id: str
+    revision: int = 0
+    reason: str = ""
+    invalid: bool = False
+    edited: Configuration | None = None
+    before: dict[str, Any] = field(default_factory=dict)
+    after: dict[str, Any] = field(default_factory=dict)
+    meanwhile: list[AuditRecord] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _State:
+    """The stored configuration and the current audit chunk, as read."""
+
+    current: VersionedConfiguration
+    store_revision: int
+    chunk_revision: int
+    records: list[AuditRecord]
+
+
+@dataclass(slots=True)
+class _Plan:
+    """A transaction prepared against one state."""
+
+    state: _State
+    edited: Configuration
+    record: AuditRecord
+    writes: list[Write]
+
+
+def chunk_key(number: int) -> str:
+    """Return the store key of an audit chunk."""
+    return f"{AUDIT_PREFIX}{number:08d}"
+
+
+def decode_records(stored: StoredValue | None) -> list[AuditRecord]:
+    """Return the records of a chunk; none if it is missing or was emptied."""
+    if stored is None:
+        return []
+    try:
+        return msgspec.json.decode(stored.data, type=list[AuditRecord])
+    except msgspec.MsgspecError as error:
+        raise ConfigurationError(
+            f"malformed audit chunk: {error}", "read audit trail", stored.key
+        ) from None
+
+
+def change_mint_ms(change_id: str) -> int:
+    """Return the mint time of a UUIDv7 change id and 0 for any other id."""
+    try:
+        parsed = uuid.UUID(change_id)
+    except ValueError:
+        return 0
+    return mint_time_ms(parsed) if parsed.version == UUID_VERSION else 0
+
+
+def describe_changes(records: list[AuditRecord]) -> str:
+    """Return one line that names who changed what, newest first."""
+    lines = [
+        f"revision {record.revision} by {record.who} changed "
+        f"{', '.join(sorted(record.paths)) or 'nothing'}"
+        for record in records[: -MAX_DESCRIBED - 1 : -1]
+    ]
+    if len(records) > MAX_DESCRIBED:
+        lines.append(f"{len(records) - MAX_DESCRIBED} earlier changes")
+    return "; ".join(lines)
+
+
+class ConfigurationStore:
+    """Reads and changes the operators' configuration.
+
+    Usage::
+
+        result = await ConfigurationStore(store).change(
+            lambda configuration: configuration.with_value(path, text),
+            author, reason, change_id,
+        )
+
+    Reads must be linearizable, as etcd's are by default. Two changes of one id are
+    recognised while the audit record of the first is kept.
+
+    :param store: A client of the key-value service.
+    :param now: Returns the current time, for audit records only.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        now: Callable[[], datetime] = lambda: datetime.now(UTC),
+        retry_delay_s: float = RETRY_DELAY_S,
+    ):
+        self.store = store
+        self.now = now
+        self.retry_delay_s = retry_delay_s
+
+    async def read(self) -> VersionedConfiguration:
+        """Return the configuration in force; the built-in defaults at revision 0.
+
+        :raises StoreUnavailable: If the store did not answer.
+        :raises ConfigurationError: If the stored value is malformed.
+        """
+        stored = await self.store.get(CONFIGURATION_KEY)
+        if stored is None:
+            return VersionedConfiguration(0, Configuration())
+        return VersionedConfiguration.from_json(stored.data)
+
+    async def change(
+        self,
+        edit: Callable[[Configuration], Configuration],
+        author: str,
+        reason: str,
+        change_id: str,
+        expected_revision: int | None = None,
+        repeated: bool = False,
+    ) -> ChangeResult:
+        """Apply an edit and record it, once per change id.
+
+        An edit that lost a race is applied to the newer revision, unless a path it
+        changes was changed meanwhile. It may therefore be called several times,
+        each time with a fresh copy.
+
+        :param expected_revision: Reject the change at any other revision.
+        :param repeated: Whether an earlier call with this id may have been
+            answered "unknown". A store that can't be read then means "unknown"
+            again, as that call may have taken effect.
+        :raises ConfigurationError: If author, reason or change id is empty, or if
+            what is stored is malformed.
+        """
+        for name, text in (
+            ("author", author),
+            ("reason", reason),
+            ("change_id", change_id),
+        ):
+            if not text.strip():
+                raise ConfigurationError("must not be empty", "change", name)
+        plan: _Plan | None = None
+        lost = repeated
+        failure = ""
+        for _ in range(MAX_ATTEMPTS):
+            try:
+                state = await self._read_state()
+                earlier = await self._find(state, change_id)
+                if earlier is not None:
+                    return ChangeResult(
+                        ChangeOutcome.ACCEPTED,
+                        change_id,
+                        earlier.revision,
+                        before=earlier.before,
+                        after=earlier.after,
+                    )
+                # While the configuration is unchanged, a transaction whose answer
+                # was lost may still take effect. Repeating the same one is safe,
+                # since at most one of the two can succeed; any other answer is not.
+                if plan is None or plan.state.store_revision != state.store_revision:
+                    lost = False
+                    meanwhile = await self._find_meanwhile(
+                        state, plan, expected_revision
+                    )
+                    earlier_plan = plan
+                    try:
+                        plan = self._plan(state, edit, author, reason, change_id)
+                    except ConfigurationError as error:
+                        return rejected(
+                            plan, change_id, str(error), meanwhile, invalid=True
+                        )
+                    obstacle = find_obstacle(
+                        earlier_plan, state, meanwhile, expected_revision
+                    )
+                    if obstacle:
+                        return rejected(
+                            earlier_plan or plan, change_id, obstacle, meanwhile
+                        )
+                    if len(plan.writes) > 2:
+                        await self._empty_old_chunk(plan)
+            except StoreUnavailable as error:
+                failure = str(error)
+                if not lost:
+                    return rejected(
+                        plan, change_id, f"nothing was written: {failure}", []
+                    )
+                await anyio.sleep(self.retry_delay_s)
+                continue
+            try:
+                swapped = await self.store.compare_and_swap(plan.writes)
+            except StoreUnavailable as error:
+                lost = True
+                failure = str(error)
+                await anyio.sleep(self.retry_delay_s)
+                continue
+            if swapped is not None:
+                return ChangeResult(
+                    ChangeOutcome.ACCEPTED,
+                    change_id,
+                    plan.record.revision,
+                    edited=plan.edited,
+                    before=plan.record.before,
+                    after=plan.record.after,
+                )
+            await anyio.sleep(random.uniform(0, MAX_RACE_DELAY_S))
+        if lost:
+            result = rejected(plan, change_id, failure, [])
+            result.outcome = ChangeOutcome.UNKNOWN
+            return result
+        return rejected(
+            plan, change_id, f"lost {MAX_ATTEMPTS} races against other changes", []
+        )
+
+    async def history(
+        self, limit: int, change_id: str | None = None
+    ) -> list[AuditRecord]:
+        """Return audit records, newest first.
+
+        :param limit: The highest number of records returned.
+        :param change_id: Return only the record of this change, if any.
+        :raises StoreUnavailable: If the store did not answer.
+        """
+        state = await self._read_state()
+        if change_id is not None:
+            record = await self._find(state, change_id)
+            return [record][:limit] if record else []
+        found: list[AuditRecord] = []
+        async for records in self._chunks(state):
+            found += reversed(records)
+            if len(found) >= limit:
+                break
+        return found[:limit]
+
+    async def diff(
+        self, revision_a: int, revision_b: int
+    ) -> tuple[dict[str, Any], dict[str, Any]]:
+        """Return the changed paths with their values at each of two revisions.
+
+        Revision 0 is the built-in defaults.
+
+        :raises InvalidInput: If a revision is in the future or its records are no
+            longer kept.
+        """
+        low, high = sorted((revision_a, revision_b))
+        state = await self._read_state()
+        records = [
+            record
+            for record in await self._records_after(state, low)
+            if record.revision <= high
+        ]
+        if low < 0 or len(records) != high - low:
+            raise InvalidInput(
+                f"the audit trail does not cover revisions {low} to {high}", "diff"
+            )
+        old: dict[str, Any] = {}
+        new: dict[str, Any] = {}
+        for record in records:
+            for path in record.paths:
+                old.setdefault(path, record.before.get(path))
+                new[path] = record.after.get(path)
+        changed = [path for path in old if old[path] != new[path]]
+        if revision_a > revision_b:
+            old, new = new, old
+        return (
+            {path: old[path] for path in changed if old[path] is not None},
+            {path: new[path] for path in changed if new[path] is not None},
+        )
+
+    async def _read_state(self) -> _State:
+        stored = await self.store.get(CONFIGURATION_KEY)
+        chunk = None
+        if stored is None:
+            chunk = await self.store.get(chunk_key(0))
+            if chunk is not None:
+                # The first change may have come between the two reads.
+                stored = await self.store.get(CONFIGURATION_KEY)
+                if stored is None:
+                    raise ConfigurationError(
+                        "an audit trail exists, but no configuration; restore it "
+                        "rather than starting again at revision 1",
+                        "read configuration",
+                        CONFIGURATION_KEY,
+                    )
+        if stored is None:
+            return _State(VersionedConfiguration(0, Configuration()), 0, 0, [])
+        current = VersionedConfiguration.from_json(stored.data)
+        chunk = await self.store.get(chunk_key(current.audit_chunk))
+        return _State(
+            current,
+            stored.revision,
+            chunk.revision if chunk else 0,
+            decode_records(chunk),
+        )
+
+    async def _chunks(self, state: _State) -> AsyncIterator[list[AuditRecord]]:
+        """Yield the records of each kept chunk, newest chunk first."""
+        newest = state.current.audit_chunk
+        records = state.records
+        for number in range(newest, max(-1, newest - AUDIT_CHUNKS_KEPT), -1):
+            if number != newest:
+                records = decode_records(await self.store.get(chunk_key(number)))
+            if not records:
+                return
+            yield records
+
+    async def _find(self, state: _State, change_id: str) -> AuditRecord | None:
+        """Return the record of a change.
+
+        Reads one chunk for a UUIDv7 minted recently and every chunk for other ids.
+        """
+        mint_ms = change_mint_ms(change_id)
+        async for records in self._chunks(state):
+            for record in reversed(records):
+                if record.change_id == change_id:
+                    return record
+            if records[0].order_ms < mint_ms:
+                return None
+        return None
+
+    async def _records_after(self, state: _State, revision: int) -> list[AuditRecord]:
+        """Return the kept records above ``revision``, oldest first."""
+        found: list[AuditRecord] = []
+        async for records in self._chunks(state):
+            found = [r for r in records if r.revision > revision] + found
+            if records[0].revision <= revision + 1:
+                break
+        return found
+
+    async def _find_meanwhile(
+        self, state: _State, plan: _Plan | None, expected_revision: int | None
+    ) -> list[AuditRecord]:
+        """Return what changed since the revision on which the edit was based."""
+        base = plan.state.current.revision if plan else expected_revision
+        if base is None or base >= state.current.revision:
+            return []
+        return await self._records_after(state, base)
+
+    def _plan(
+        self,
+        state: _State,
+        edit: Callable[[Configuration], Configuration],
+        author: str,
+        reason: str,
+        change_id: str,
+    ) -> _Plan:
+        """Return the transaction that applies an edit to a state.
+
+        :raises ConfigurationError: If the edit or its result is not accepted.
+        """
+        current = state.current
+        edited = edit(current.configuration.copy())
+        edited.validate()
+        now = self.now()
+        before, after = difference(current.configuration, edited)
+        last_order_ms = state.records[-1].order_ms if state.records else 0
+        order_ms = max(
+            int(now.timestamp() * 1000), last_order_ms, change_mint_ms(change_id)
+        )
+        record = AuditRecord(
+            author,
+            now,
+            reason,
+            change_id,
+            current.revision + 1,
+            before,
+            after,
+            order_ms,
+        )
+        chunk, expected = current.audit_chunk, state.chunk_revision
+        data = msgspec.json.encode([*state.records, record])
+        rolled = len(data) > MAX_CHUNK_BYTES and bool(state.records)
+        if rolled:
+            chunk, expected = chunk + 1, 0
+            data = msgspec.json.encode([record])
+        document = VersionedConfiguration(
+            record.revision, edited, change_id, chunk
+        ).to_json()
+        if len(document) > MAX_DOCUMENT_BYTES or len(data) > MAX_CHUNK_BYTES:
+            raise ConfigurationError(
+                f"the document or the record of the change is too large "
+                f"({len(document)} of {MAX_DOCUMENT_BYTES} bytes and {len(data)} of "
+                f"{MAX_CHUNK_BYTES} bytes); split the change",
+                "change",
+            )
+        writes = [
+            Write(CONFIGURATION_KEY, document, state.store_revision),
+            Write(chunk_key(chunk), data, expected),
+        ]
+        if rolled and chunk >= AUDIT_CHUNKS_KEPT:
+            writes.append(Write(chunk_key(chunk - AUDIT_CHUNKS_KEPT), b"[]", 0))
+        return _Plan(state, edited, record, writes)
+
+    async def _empty_old_chunk(self, plan: _Plan) -> None:
+        """Fill in the revision of the chunk that the plan empties."""
+        write = plan.writes[-1]
+        stored = await self.store.get(write.key)
+        write.expected_revision = stored.revision if stored else 0
+
+
+def rejected(
+    plan: _Plan | None,
+    change_id: str,
+    reason: str,
+    meanwhile: list[AuditRecord],
+    invalid: bool = False,
+) -> ChangeResult:
+    """Return a rejection that preserves what the caller's edit produced."""
+    result = ChangeResult(
+        ChangeOutcome.REJECTED,
+        change_id,
+        reason=reason,
+        invalid=invalid,
+        meanwhile=meanwhile,
+    )
+    if plan is not None:
+        result.edited = plan.edited
+        result.before = plan.record.before
+        result.after = plan.record.after
+    return result
+
+
+def find_obstacle(
+    plan: _Plan | None,
+    state: _State,
+    meanwhile: list[AuditRecord],
+    expected_revision: int | None,
+) -> str:
+    """Return why an edit must not be applied to ``state``, or ``""``.
+
+    :param plan: The plan that lost a race, if any.
+    """
+    revision = state.current.revision
+    if expected_revision not in (None, revision):
+        return (
+            f"expected revision {expected_revision}, but the current one is "
+            f"{revision}: {describe_changes(meanwhile)}"
+        )
+    if plan is not None:
+        conflicting = [r for r in meanwhile if r.paths & plan.record.paths]
+        if conflicting:
+            return f"the same fields changed meanwhile: {describe_changes(conflicting)}"
+    return ""
