--- a/marigoldkeel/agents.py
+++ b/marigoldkeel/agents.py
@@ -107,13 +107,8 @@
     def _make_controllers(self, group) -> None:
         settings, board, peers = self.settings, self.board, self.peers
         setting = board.setting
-        self.queue = WorkQueue(
-            1,
-            int(setting("queue_tasks_per_slot") * 64),
-            setting("ageing_ms") / 1000,
-            setting("long_slot_share"),
-            setting("long_task_ms") / 1000,
-        )
+        # The executor sets the configured values and keeps them up to date.
+        self.queue = WorkQueue(1, int(setting("queue_tasks_per_slot")))
         policy = make_policy(settings.policy, setting("probe_ratio"))
         self.primaries = PrimaryController(board, peers, policy, group)
         self.executor = Executor(
--- a/marigoldkeel/blackboard.py
+++ b/marigoldkeel/blackboard.py
@@ -77,8 +77,12 @@
         return self.configuration.document
 
     def setting(self, name: str, **scope: str) -> float:
-        """Return a configured value after exceptions; see `effective`."""
+        """Return a configured value after exceptions; see `effective`.
+
+        Exceptions for this daemon's failure domain apply.
+        """
         configuration = self.policy or Configuration()
+        scope.setdefault("domain", self.member.domain)
         return configuration.effective(name, **scope)
 
     def see_generation(self, partition: int, generation: int) -> bool:
--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -72,6 +72,7 @@
         self.running = 0
         self.long_running = 0
         self.sequence = 0
+        self.applied_revision = -1
 
     async def probe(self, message: Probe) -> None:
         """Queue an offered job; a full queue drops it, others may take its tasks."""
@@ -131,10 +132,21 @@
             with anyio.move_on_after(HOUSEKEEPING_S):
                 await self.wake.wait()
             self.wake = anyio.Event()
+            self._apply_configuration()
             self._answer_dropped()
             self._start_work()
             self._update_load()
 
+    def _apply_configuration(self) -> None:
+        revision = self.board.configuration.revision
+        if revision == self.applied_revision:
+            return
+        self.applied_revision = revision
+        setting = self.board.setting
+        self.queue.ageing_s = setting("ageing_ms") / 1000
+        self.queue.long_slot_share = setting("long_slot_share")
+        self.queue.long_s = setting("long_task_ms") / 1000
+
     def _update_load(self) -> None:
         now = self.board.clock()
         usable = [
@@ -148,6 +160,8 @@
         waiting = self.queue.depth + self.running
         self.board.load = waiting / max(1, self.board.slots)
         self.queue.slots = max(1, self.board.slots)
+        per_slot = self.board.setting("queue_tasks_per_slot")
+        self.queue.max_tasks = self.queue.slots * per_slot
 
     def _start_work(self) -> None:
         """Give queued work to free slots, skipping kinds that have none."""
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -216,6 +216,7 @@
             await anyio.sleep(PLACEMENT_RETRY_S)
         else:
             return
+        self.policy.probe_ratio = self.board.setting("probe_ratio", kind=kind)
         placement = self.policy.place(indexes, agents, self.board.random)
         addresses = {agent.member.incarnation: agent.member for agent in agents}
         for incarnation, count in placement.probes.items():
