Answer not run when the deadline kept every task from starting

Cause: at the deadline a job whose task was still queued at an agent was answered failed, with the task listed as one that may have run, although the agent was about to report that it had not started. Ruled out: the agent's queue; it drops expired work and says so. Change: at the deadline the primary hands out nothing more and waits up to 0.5 s for these reports. Before: the new test in test_entries failed with JobFailed. After: Refused. The entry's own rejections (404, 413) now name the submission too, as callers treat any other answer as lost.

--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -334,18 +334,7 @@
         "status": status,
         "partition": {"reopen": partition_reopen},
         "standin": {"store": standin_store, "runner": standin_runner},
-        "config": {
-            "show": operators.config_show,
-            "set": operators.config_set,
-            "apply": operators.config_apply,
-            "history": operators.config_history,
-            "diff": operators.config_diff,
-        },
-        "exception": {
-            "list": operators.exception_list,
-            "add": operators.exception_add,
-            "remove": operators.exception_remove,
-        },
+        **operators.COMMANDS,
     }
     try:
         code = defopt.run(commands)
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -149,7 +149,7 @@
                 await anyio.sleep(DRAIN_TICK_S)
 
     def _routes(self) -> HttpApplication:
-        application = HttpApplication()
+        application = HttpApplication(describe_rejection=describe_not_run)
 
         @application.route("POST", "/v1/jobs")
         async def submit_job(request: Request) -> Response:
@@ -382,6 +382,12 @@
         return Report(encode_report(self.report()))
 
 
+def describe_not_run(headers: dict[str, str]) -> dict[str, str]:
+    """Return the fields by which a caller knows the answer to its own request."""
+    submission = headers.get("marigoldkeel-submission", "")
+    return {"submission": submission, "outcome": Outcome.NOT_RUN}
+
+
 def header_number(request: Request, name: str, default: int) -> int:
     """Return a header as a number.
 
--- a/marigoldkeel/failover.py
+++ b/marigoldkeel/failover.py
@@ -49,7 +49,7 @@
 TRANSFER_RETRY_S = 0.25
 CLAIMS_IN_TRANSFER = 5000
 # Peers need a few heartbeats to be known before members are chosen among them.
-CREATION_DELAY_S = 2.5
+CREATION_DELAY_S = 1.5
 LOW_WATER_INTERVAL_S = 10.0
 
 
--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -34,6 +34,7 @@
         "done",
         "started_at",
         "run_ms",
+        "closed",
         "finished_at",
     )
 
@@ -52,6 +53,7 @@
         self.done = anyio.Event()
         self.started_at = now
         self.run_ms = 0
+        self.closed = False
         self.finished_at = 0.0
 
     @property
@@ -70,7 +72,7 @@
         key = (holder, sequence)
         if key in self.grants:
             return self.grants[key]
-        if self.answer is not None or want <= 0:
+        if self.closed or want <= 0:
             return []
         granted = [self.pending.popleft() for _ in range(min(want, len(self.pending)))]
         for index in granted:
@@ -84,7 +86,7 @@
         """Return the message that gives out ``indexes``."""
         submission = self.submission
         tasks = [TaskItem(index, submission.payloads[index]) for index in indexes]
-        left = len(self.pending) if self.answer is None else 0
+        left = 0 if self.closed else len(self.pending)
         return Grant(submission.partition, submission.generation, tasks, left)
 
     def record(
@@ -111,11 +113,11 @@
             del self.holders[index]
             self.states[index] = TaskState.PENDING
             self.placements[index] += 1
-            if self.placements[index] < MAX_PLACEMENTS:
+            if not self.closed and self.placements[index] < MAX_PLACEMENTS:
                 self.pending.append(index)
                 return True
             self.states[index] = TaskState.NOT_STARTED
-            self.fail(f"task {index} could not be placed: {result.message}", now)
+            self.close(f"task {index} could not be placed: {result.message}", now)
             return False
         self.states[index] = state if state in ENDED else TaskState.MAY_HAVE_RUN
         self.results[index] = result.payload
@@ -135,6 +137,17 @@
                 self.states[index] = TaskState.MAY_HAVE_RUN
                 self.fail(f"agent {holder} was lost with task {index}", now, holder)
 
+    def close(self, message: str, now: float) -> None:
+        """Hand out nothing more, and end the job once no task is held.
+
+        A held task may still turn out not to have started, and a job of which
+        nothing started is answered "not run" rather than "failed".
+        """
+        self.closed = True
+        self.pending.clear()
+        if TaskState.GRANTED not in self.states:
+            self.fail(message, now)
+
     def fail(self, message: str, now: float, peer: str = "") -> None:
         """End the job: failed, or not run when nothing can have started."""
         if not self.has_started:
@@ -156,6 +169,7 @@
         if self.answer is None:
             answer.run_ms = self.run_ms
             self.answer = answer
+            self.closed = True
             self.finished_at = now
             self.pending.clear()
             self.submission.payloads = []
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -35,7 +35,10 @@
 ANSWER_RETENTION_S = 60.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 PLACEMENT_RETRY_S = 0.05
+# Agents report within this time which of their tasks the deadline kept from
+# starting; an entry waits twice as long.
 REPLY_MARGIN_S = 0.5
+DEADLINE_PASSED = "the deadline passed"
 RETRY_AFTER_MS = 200
 
 REASONS = {
@@ -204,12 +207,15 @@
         with anyio.move_on_after(submission.deadline - self.board.clock()):
             await self._place(job, list(job.pending))
             await job.done.wait()
-        job.fail("the deadline passed", self.board.clock())
+        job.close(DEADLINE_PASSED, self.board.clock())
+        with anyio.move_on_after(REPLY_MARGIN_S):
+            await job.done.wait()
+        job.fail(DEADLINE_PASSED, self.board.clock())
 
     async def _place(self, job: Job, indexes: list[int]) -> None:
         """Offer or push pending tasks, waiting for an agent if none is known."""
         kind = job.submission.kind
-        while job.answer is None:
+        while not job.closed:
             agents = self._candidates(kind)
             if agents:
                 break
@@ -224,7 +230,7 @@
             self.group.start_soon(self._probe, job, member.address, count)
         for incarnation, pushed in placement.pushes.items():
             for index in pushed:
-                if index in job.pending and job.answer is None:
+                if index in job.pending and not job.closed:
                     self.group.start_soon(
                         self._push, job, addresses[incarnation], index
                     )
@@ -256,7 +262,7 @@
 
     async def _push(self, job: Job, member, index: int) -> None:
         submission = job.submission
-        if index not in job.pending or job.answer is not None:
+        if index not in job.pending or job.closed:
             return
         job.pending.remove(index)
         job.states[index] = TaskState.GRANTED
@@ -317,9 +323,7 @@
         """Hand out nothing more of a partition that another member took over."""
         for job in list(self.board.jobs.values()):
             if job.submission.partition == partition and job.answer is None:
-                job.pending.clear()
-                if not job.has_started:
-                    job.fail("the partition was taken over", self.board.clock())
+                job.close("the partition was taken over", self.board.clock())
 
     def reap(self) -> None:
         """Fail jobs whose agents are lost and drop old answers."""
--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -58,6 +58,9 @@
 class HttpApplication:
     """An ASGI application whose endpoints are registered by a decorator.
 
+    :param describe_rejection: Returns fields that are added to the error of a
+        request which no endpoint has seen, from its headers.
+
     Usage::
 
         application = HttpApplication()
@@ -66,8 +69,13 @@
         async def call(request): ...
     """
 
-    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES):
+    def __init__(
+        self,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        describe_rejection: Callable[[dict[str, str]], dict] = lambda headers: {},
+    ):
         self.max_body_bytes = max_body_bytes
+        self.describe_rejection = describe_rejection
         self.routes: list[tuple[str, re.Pattern[str], Endpoint]] = []
 
     def route(self, method: str, path: str) -> Callable[[Endpoint], Endpoint]:
@@ -88,18 +96,18 @@
     async def _respond(self, scope, receive) -> Response:
         client = scope.get("client") or ("", 0)
         peer = f"{client[0]}:{client[1]}"
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
         try:
             endpoint, arguments = self._find(scope["method"], scope["path"])
             if endpoint is None:
-                return error_response(404, "no such resource", "route", peer)
-            headers = {
-                name.decode("latin-1").lower(): value.decode("latin-1")
-                for name, value in scope["headers"]
-            }
+                return self._reject(404, "no such resource", "route", peer, headers)
             body = await self._read_body(receive, peer)
             if body is None:
                 message = f"body exceeds {self.max_body_bytes} bytes"
-                return error_response(413, message, "read body", peer)
+                return self._reject(413, message, "read body", peer, headers)
             request = Request(
                 scope["method"], scope["path"], headers, body, peer, arguments
             )
@@ -112,6 +120,13 @@
             logger.exception("unexpected error serving {}", scope["path"])
             return error_response(500, f"internal error: {error}", "http", peer)
 
+    def _reject(
+        self, status: int, message: str, step: str, peer: str, headers: dict[str, str]
+    ) -> Response:
+        fields = self.describe_rejection(headers)
+        content = {"error": message, "step": step, "peer": peer, **fields}
+        return Response.from_json(content, status)
+
     def _find(self, method: str, path: str) -> tuple[Endpoint | None, dict[str, str]]:
         for route_method, pattern, endpoint in self.routes:
             match = pattern.match(path)
--- /dev/null
+++ b/tests/test_entries.py
@@ -0,0 +1,158 @@
+"""Guards against untrue or unclear answers of an entry, and lost requests."""
+
+import uuid
+
+import anyio
+import httpcore
+import msgspec
+import pytest
+
+from marigoldkeel.demo import LocalSystem
+from marigoldkeel.exceptions import Conflict, JobFailed, Refused
+from marigoldkeel.identifiers import mint_submission_id
+from marigoldkeel.runners import Faults
+from marigoldkeel.servers import MAX_BODY_BYTES
+
+
+pytestmark = pytest.mark.anyio
+JOB = {
+    "Marigoldkeel-Team": "brusadelli",
+    "Marigoldkeel-Kind": "cut-list",
+    "Marigoldkeel-Tasks": "1",
+}
+OLD_ID = str(mint_submission_id(now_ms=1_000))
+BAD_INPUT = [
+    ("/v1/jobs", {"Marigoldkeel-Kind": "unheard-of"}, b"[1]", 400, "unknown kind"),
+    ("/v1/jobs", {"Marigoldkeel-Team": "nobody"}, b"[1]", 400, "unknown team"),
+    ("/v1/jobs", {"Marigoldkeel-Submission": ""}, b"[1]", 400, "not a UUIDv7"),
+    (
+        "/v1/jobs",
+        {"Marigoldkeel-Submission": str(uuid.UUID(int=7))},
+        b"[1]",
+        400,
+        "not a UUIDv7",
+    ),
+    ("/v1/jobs", {"Marigoldkeel-Tasks": "0"}, b"[]", 400, "must be 1 to 150"),
+    ("/v1/jobs", {"Marigoldkeel-Tasks": "151"}, b"[1]", 400, "must be 1 to 150"),
+    ("/v1/jobs", {"Marigoldkeel-Tasks": "2"}, b"[1]", 400, "has 1 tasks"),
+    ("/v1/jobs", {"Marigoldkeel-Tasks": "-1"}, b"[1]", 400, "not a number"),
+    ("/v1/jobs", {"Marigoldkeel-Deadline-Ms": "0"}, b"[1]", 400, "deadline-ms"),
+    ("/v1/jobs", {"Marigoldkeel-Deadline-Ms": "9" * 9}, b"[1]", 400, "deadline-ms"),
+    ("/v1/jobs", {}, b"[1", 400, "not JSON"),
+    ("/v1/jobs", {}, b'{"a": 1}', 400, "not JSON"),
+    ("/v1/jobs", {}, b"\xff\xfe", 400, "not JSON"),
+    ("/v1/jobs", {}, b"[" + b"1" * MAX_BODY_BYTES + b"]", 413, "exceeds"),
+    ("/v1/calls/quote", {}, b"1,2", 400, "not JSON"),
+    ("/v1/calls/stock-check", {}, b"{", 400, "not JSON"),
+    ("/v1/calls/unheard-of", {}, b"1", 400, "unknown kind"),
+    ("/v2/jobs", {}, b"[1]", 404, "no such resource"),
+    # Ids outside the window of mint times that the partition accepts.
+    (
+        "/v1/jobs",
+        {"Marigoldkeel-Submission": str(mint_submission_id(now_ms=2**47))},
+        b"[1]",
+        503,
+        "in the future",
+    ),
+]
+
+
+async def post(system: LocalSystem, path: str, headers: dict, body: bytes):
+    merged = {"Marigoldkeel-Submission": str(mint_submission_id()), **JOB, **headers}
+    merged["Content-Length"] = str(len(body))
+    merged["Host"] = "entry"
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request(
+            "POST",
+            f"http://{system.entries[0].http_address}{path}",
+            headers=list(merged.items()),
+            content=body,
+        )
+    return response.status, msgspec.json.decode(response.content), merged
+
+
+async def test_bad_input_is_answered_not_run_with_the_reason_and_runs_nothing():
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        for path, headers, body, status, reason in BAD_INPUT:
+            answer = await post(system, path, headers, body)
+            assert (answer[0], answer[1]["outcome"]) == (status, "not_run"), answer
+            assert reason in answer[1]["error"]
+            assert answer[1]["step"]
+            assert answer[1]["submission"] == answer[2]["Marigoldkeel-Submission"]
+        status, answer, _ = await post(system, "/v1/jobs", {}, b"[1]")
+        assert (status, answer["outcome"], len(answer["results"])) == (
+            200,
+            "complete",
+            1,
+        )
+        assert sum(len(runner.starts) for runner in system.runners) == 1
+
+
+async def test_resubmission_gets_the_same_answer_and_another_body_is_a_conflict():
+    async with LocalSystem.open(agents=3, entries=2, partitions=4) as system:
+        submission_id = mint_submission_id()
+        answers = []
+
+        async def submit(entry: int, tasks: list) -> None:
+            address = system.entries[entry].http_address
+            async with system.session("brusadelli") as session:
+                session.entries = [address]
+                result = await session.submit(
+                    "cut-list", tasks, submission_id=submission_id, unanswered=0
+                )
+                answers.append(result.results)
+
+        async with anyio.create_task_group() as group:
+            for entry in (0, 1, 0, 1):
+                group.start_soon(submit, entry, [{"work_ms": 20}] * 5)
+        assert answers == [answers[0]] * 4
+        assert sum(len(runner.starts) for runner in system.runners) == 5
+        with pytest.raises(Conflict):
+            await submit(0, [{"work_ms": 21}])
+        assert sum(len(runner.starts) for runner in system.runners) == 5
+
+
+async def test_quota_refuses_with_retry_after_and_leaves_other_teams_alone():
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        policy = system.entries[0].board.policy.teams["brusadelli"]
+        policy.tasks_per_s = 1.0
+        headers = {"Marigoldkeel-Tasks": "150"}
+        body = msgspec.json.encode([{"work_ms": 1}] * 150)
+        first = await post(system, "/v1/jobs", headers, body)
+        second = await post(system, "/v1/jobs", headers, body)
+        assert (first[0], second[0], second[1]["outcome"]) == (200, 429, "not_run")
+        assert second[1]["retry_after_ms"] > 0
+        other = await post(
+            system, "/v1/jobs", {**headers, "Marigoldkeel-Team": "gulfline"}, body
+        )
+        assert other[0] == 200
+        assert sum(len(runner.starts) for runner in system.runners) == 300
+
+
+async def test_failed_task_fails_the_whole_job_and_lists_what_ran():
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        for runner in system.runners:
+            runner.faults = Faults(fail_all=True)
+        async with system.session("brusadelli") as session:
+            with pytest.raises(JobFailed) as caught:
+                await session.submit("cut-list", [1, 2, 3])
+        assert caught.value.ran
+        starts = [
+            (start.submission, start.index)
+            for runner in system.runners
+            for start in runner.starts
+        ]
+        assert len(starts) == len(set(starts)) <= 3
+
+
+async def test_work_that_no_target_can_run_is_refused_at_its_deadline():
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        for agent in system.agents:
+            for info in agent.targets.targets.values():
+                info.kinds = ["stock-check"]
+        for runner in system.runners:
+            runner.kinds = ["stock-check"]
+        async with system.session("brusadelli", max_attempts=1) as session:
+            with pytest.raises(Refused):
+                await session.submit("cut-list", [1], deadline_s=1.0)
+        assert not any(runner.starts for runner in system.runners)
