Add outlier ejection with half-open probing

A target that fails everything fast looks idle to a policy that counts load, and a kind of work that fails everywhere must not empty the fleet.

Counting consecutive failures per target was ruled out: it cannot take back the failures of a kind that is found bad only later. The last ten results are kept with their kinds, so failures of a bad kind stop counting and targets ejected for them return. Such a return also resets the backoff; a test showed it doubled for the next, real ejection.

--- /dev/null
+++ b/marigoldkeel/ejection.py
@@ -0,0 +1,234 @@
+"""Outlier ejection of targets with half-open probing.
+
+No I/O; times are monotonic seconds given by the caller.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+
+RESULTS_KEPT = 10
+# Consecutive failures of a kind on a target that count as evidence against either.
+FAILING_STREAK = 2
+# Targets that must have tried a kind before it can be called bad.
+MIN_TARGETS_TRIED = 3
+MAX_KINDS = 1000
+SUCCESS_WEIGHT = 0.2
+SPEED_WEIGHT = 0.1
+NEUTRAL_WEIGHT = 0.5
+
+
+@dataclass(slots=True)
+class TargetHealth:
+    """What was seen of one target; ``slowness`` is 1.0 for a typical target."""
+
+    results: deque = field(default_factory=lambda: deque(maxlen=RESULTS_KEPT))
+    success: float = 1.0
+    slowness: float = 1.0
+    backoff_s: float = 0.0
+    probe_at: float = 0.0
+    probing_until: float | None = None
+    reinstated_at: float = float("-inf")
+
+
+@dataclass(slots=True)
+class KindHealth:
+    """Streaks of failures of one kind by target, least recently seen first."""
+
+    streaks: dict[str, tuple[int, float]] = field(default_factory=dict)
+    failing: int = 0
+    run_time_s: float | None = None
+
+    def set_streak(self, target: str, streak: int, now: float) -> None:
+        self.forget(target)
+        self.streaks[target] = streak, now
+        self.failing += streak >= FAILING_STREAK
+
+    def forget(self, target: str) -> None:
+        streak, _ = self.streaks.pop(target, (0, 0.0))
+        self.failing -= streak >= FAILING_STREAK
+
+    def expire(self, before: float) -> None:
+        while self.streaks:
+            target = next(iter(self.streaks))
+            if self.streaks[target][1] > before:
+                return
+            self.forget(target)
+
+    @property
+    def bad(self) -> bool:
+        tried = len(self.streaks)
+        return tried >= MIN_TARGETS_TRIED and 2 * self.failing > tried
+
+
+class OutlierDetector:
+    """Ejects targets that fail, unless it is the kind of work that fails.
+
+    A target is ejected when ``max_failures`` of its last 10 results failed, not
+    counting bad kinds. A kind is bad while it fails on more than half of the
+    targets that tried it within ``window_s``; its failures no longer count, and
+    targets ejected only for them are reinstated. After the backoff an ejected
+    target gets one probe at a time; the backoff doubles with every failed probe and
+    every ejection that follows a reinstatement by less than ``max_backoff_s``.
+
+    ``record``, ``available`` and ``weight`` are amortised O(1), except that a
+    change of the bad kinds costs O(ejected targets). Memory is O(kinds * targets),
+    for at most 1,000 kinds.
+
+    :param max_ejected_share: Share of targets ejected at most, rounded down, so a
+        few targets may allow no ejection at all.
+    :param probe_timeout_s: Seconds after which a probe without a result is given up.
+    """
+
+    def __init__(
+        self,
+        max_ejected_share: float = 0.3,
+        max_failures: int = 5,
+        backoff_s: float = 1.0,
+        max_backoff_s: float = 60.0,
+        window_s: float = 30.0,
+        probe_timeout_s: float = 10.0,
+    ):
+        self.max_ejected_share = max_ejected_share
+        self.max_failures = max_failures
+        self.backoff_s = backoff_s
+        self.max_backoff_s = max_backoff_s
+        self.window_s = window_s
+        self.probe_timeout_s = probe_timeout_s
+        self.targets: dict[str, TargetHealth] = {}
+        self.kinds: dict[str, KindHealth] = {}
+        self.bad: set[str] = set()
+        self.ejected: dict[str, None] = {}  # longest ejected first
+
+    def add(self, target: str) -> None:
+        """Make a target known, so that it counts in the share."""
+        self.targets.setdefault(target, TargetHealth())
+
+    def remove(self, target: str, now: float) -> None:
+        """Forget a target that left; O(kinds)."""
+        self.targets.pop(target, None)
+        self.ejected.pop(target, None)
+        for kind in list(self.kinds):
+            self.kinds[kind].forget(target)
+            self._update_bad(kind, now)
+        while len(self.ejected) > self._max_ejected():
+            self._reinstate(next(iter(self.ejected)), now)
+
+    def available(self, target: str, now: float) -> bool:
+        """Return whether the target may be sent work now; changes nothing."""
+        if target not in self.ejected:
+            return True
+        health = self.targets[target]
+        if health.probing_until is not None and now < health.probing_until:
+            return False
+        return now >= health.probe_at
+
+    def start(self, target: str, now: float) -> None:
+        """Note that work is sent; to an ejected target it is the only probe."""
+        if target in self.ejected:
+            self.targets[target].probing_until = now + self.probe_timeout_s
+
+    def record(
+        self,
+        target: str,
+        kind: str,
+        succeeded: bool,
+        now: float,
+        run_time_s: float | None = None,
+    ) -> None:
+        """Count a result, with its run time in seconds if it succeeded."""
+        self.add(target)
+        health = self.targets[target]
+        kind_health = self.kinds.pop(kind, None) or KindHealth()
+        self.kinds[kind] = kind_health
+        if len(self.kinds) > MAX_KINDS:
+            oldest = next(iter(self.kinds))
+            del self.kinds[oldest]
+            self.bad.discard(oldest)
+        streak, _ = kind_health.streaks.get(target, (0, 0.0))
+        kind_health.set_streak(target, 0 if succeeded else streak + 1, now)
+        self._update_bad(kind, now)
+        if succeeded and run_time_s:
+            self._record_speed(health, kind_health, run_time_s)
+        counts = succeeded or kind not in self.bad
+        if counts:
+            health.results.append((kind, succeeded))
+            health.success += SUCCESS_WEIGHT * (succeeded - health.success)
+        if target not in self.ejected:
+            if self._failed(health) and len(self.ejected) < self._max_ejected():
+                self._eject(target, now)
+        elif health.probing_until is not None:
+            health.probing_until = None
+            if succeeded:
+                self._reinstate(target, now)
+            elif counts:
+                self._back_off(health, now)
+
+    def bad_kinds(self, now: float) -> list[str]:
+        """Return the kinds that fail on most targets, sorted."""
+        for kind in list(self.bad):
+            self._update_bad(kind, now)
+        return sorted(self.bad)
+
+    def weight(self, target: str) -> float:
+        """Return 0 to 1: the share of successes times the relative speed.
+
+        A typical or unknown target has 0.5, one of twice the speed or more 1.0.
+        Failures lower it however fast they are; run times of failures are ignored.
+        """
+        health = self.targets.get(target)
+        if health is None:
+            return NEUTRAL_WEIGHT
+        return health.success * min(1.0, NEUTRAL_WEIGHT / health.slowness)
+
+    def _record_speed(
+        self, health: TargetHealth, kind: KindHealth, run_time_s: float
+    ) -> None:
+        if kind.run_time_s is None:
+            kind.run_time_s = run_time_s
+        slowness = run_time_s / kind.run_time_s
+        kind.run_time_s += SPEED_WEIGHT * (run_time_s - kind.run_time_s)
+        health.slowness += SPEED_WEIGHT * (slowness - health.slowness)
+
+    def _max_ejected(self) -> int:
+        return int(self.max_ejected_share * len(self.targets))
+
+    def _failed(self, health: TargetHealth) -> bool:
+        failures = sum(
+            not succeeded and kind not in self.bad for kind, succeeded in health.results
+        )
+        return failures >= self.max_failures
+
+    def _eject(self, target: str, now: float) -> None:
+        health = self.targets[target]
+        if now - health.reinstated_at >= self.max_backoff_s:
+            health.backoff_s = 0.0
+        self.ejected[target] = None
+        health.probing_until = None
+        self._back_off(health, now)
+
+    def _back_off(self, health: TargetHealth, now: float) -> None:
+        doubled_s = max(self.backoff_s, 2 * health.backoff_s)
+        health.backoff_s = min(self.max_backoff_s, doubled_s)
+        health.probe_at = now + health.backoff_s
+
+    def _reinstate(self, target: str, now: float) -> None:
+        del self.ejected[target]
+        health = self.targets[target]
+        health.results.clear()
+        health.probing_until = None
+        health.reinstated_at = now
+
+    def _update_bad(self, kind: str, now: float) -> None:
+        health = self.kinds[kind]
+        health.expire(now - self.window_s)
+        if health.bad == (kind in self.bad):
+            return
+        if not health.bad:
+            self.bad.discard(kind)
+            return
+        self.bad.add(kind)
+        for target in list(self.ejected):
+            if not self._failed(self.targets[target]):
+                self._reinstate(target, now)
+                self.targets[target].backoff_s = 0.0
