Keep work away from agents whose targets fail

Primaries and entries share one outlier detector per daemon, as an agent has too few targets of its own to tell a bad target from a bad kind. With a runner that fails everything at once, at most 10 of 100 calls fail (test bound); a kind that fails everywhere ejects nobody.

--- a/marigoldkeel/blackboard.py
+++ b/marigoldkeel/blackboard.py
@@ -7,9 +7,11 @@
 
 from marigoldkeel.claims import ClaimRegister
 from marigoldkeel.configuration import Configuration
+from marigoldkeel.ejection import OutlierDetector
 from marigoldkeel.heartbeats import PeerState, PeerTable
 from marigoldkeel.jobs import Job
-from marigoldkeel.models import Member
+from marigoldkeel.messages import TaskResult
+from marigoldkeel.models import Member, TaskState
 from marigoldkeel.partitions import PartitionTable
 from marigoldkeel.revisions import RevisionRegister
 
@@ -37,6 +39,7 @@
         "registers",
         "jobs",
         "configuration",
+        "detector",
         "generations_seen",
         "load",
         "slots",
@@ -63,6 +66,7 @@
         self.registers: dict[int, ClaimRegister] = {}
         self.jobs: dict[bytes, Job] = {}
         self.configuration = RevisionRegister()
+        self.detector = OutlierDetector()
         self.generations_seen: dict[int, int] = {}
         self.load = 0.0
         self.slots = 0
@@ -109,6 +113,35 @@
             self.clock(),
         )
 
+    def candidates(self, kind: str) -> list[PeerState]:
+        """Return the live agents that may be sent work of a kind."""
+        now = self.clock()
+        states = self.peers.live(now)
+        if self.is_agent and not self.leaving:
+            states.append(self.own_state())
+        return [
+            state
+            for state in states
+            if kind in state.kinds
+            and state.slots
+            and self.detector.available(state.member.name, now)
+        ]
+
+    def record_result(self, agent: str, kind: str, result: TaskResult) -> None:
+        """Count the result of a task towards the ejection of the agent's targets.
+
+        :param agent: The agent's name or incarnation.
+        """
+        if result.state == TaskState.NOT_STARTED:
+            return
+        self.detector.record(
+            agent.partition("@")[0],
+            kind,
+            result.state == TaskState.SUCCEEDED,
+            self.clock(),
+            result.run_ms / 1000,
+        )
+
     def live_members(self) -> Iterator[Member]:
         """Return this member and the peers that may serve partitions."""
         if self.is_agent and not self.leaving:
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -316,11 +316,7 @@
 
         Without effects, a second run does no harm, so a lost one is repeated.
         """
-        states = [
-            state
-            for state in self.board.peers.live(self.board.clock())
-            if caller.kind in state.kinds and state.slots
-        ]
+        states = self.board.candidates(caller.kind)
         pair = self.board.random.sample(states, min(2, len(states)))
         pair.sort(key=lambda state: state.load)
         now = self.board.clock()
@@ -331,7 +327,9 @@
             remaining_s = deadline - self.board.clock()
             if remaining_s <= 0:
                 break
+            self.board.detector.start(state.member.name, self.board.clock())
             result = await self._push(caller, state, remaining_s)
+            self.board.record_result(state.member.name, caller.kind, result)
             if result.state in (TaskState.SUCCEEDED, TaskState.FAILED):
                 break
             # Retries without a bound would double the load of an overloaded fleet.
--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -66,14 +66,19 @@
         """Start the silence of a peer that has yet to be heard."""
         self.first_known.setdefault(incarnation, now)
 
-    def forget_old(self, now: float) -> None:
-        """Drop peers that have been silent for a minute."""
-        for name, state in list(self.states.items()):
-            if now - state.heard_at > FORGET_AFTER_S:
-                del self.states[name]
+    def forget_old(self, now: float) -> list[str]:
+        """Drop peers that have been silent for a minute and return their names."""
+        forgotten = [
+            name
+            for name, state in self.states.items()
+            if now - state.heard_at > FORGET_AFTER_S
+        ]
+        for name in forgotten:
+            del self.states[name]
         for incarnation, since in list(self.first_known.items()):
             if now - since > FORGET_AFTER_S:
                 del self.first_known[incarnation]
+        return forgotten
 
     def state_of(self, incarnation: str) -> PeerState | None:
         """Return the state of one start of a process, if it is known."""
--- a/marigoldkeel/memberships.py
+++ b/marigoldkeel/memberships.py
@@ -54,7 +54,8 @@
             self.board.peers.suspect_after_s = (
                 self.board.setting("suspect_after_ms") / 1000
             )
-            self.board.peers.forget_old(now)
+            for name in self.board.peers.forget_old(now):
+                self.board.detector.remove(name, now)
             for address in self.contacts():
                 if address not in self.sending and self.due.get(address, 0.0) <= now:
                     self.sending.add(address)
@@ -140,5 +141,7 @@
             message.is_agent,
         )
         self.board.peers.observe(state, self.board.clock())
+        if state.is_agent:
+            self.board.detector.add(state.member.name)
         for follower in self.followers:
             await follower.pull_if_behind(state)
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -216,7 +216,7 @@
         """Offer or push pending tasks, waiting for an agent if none is known."""
         kind = job.submission.kind
         while not job.closed:
-            agents = self._candidates(kind)
+            agents = self.board.candidates(kind)
             if agents:
                 break
             await anyio.sleep(PLACEMENT_RETRY_S)
@@ -225,6 +225,9 @@
         self.policy.probe_ratio = self.board.setting("probe_ratio", kind=kind)
         placement = self.policy.place(indexes, agents, self.board.random)
         addresses = {agent.member.incarnation: agent.member for agent in agents}
+        for incarnation in (*placement.probes, *placement.pushes):
+            name = addresses[incarnation].name
+            self.board.detector.start(name, self.board.clock())
         for incarnation, count in placement.probes.items():
             member = addresses[incarnation]
             self.group.start_soon(self._probe, job, member.address, count)
@@ -235,13 +238,6 @@
                         self._push, job, addresses[incarnation], index
                     )
 
-    def _candidates(self, kind: str) -> list:
-        states = self.board.peers.live(self.board.clock())
-        own = self.board.own_state()
-        if not self.board.leaving:
-            states.append(own)
-        return [state for state in states if kind in state.kinds and state.slots]
-
     async def _probe(self, job: Job, address: str, count: int) -> None:
         submission = job.submission
         remaining_s = submission.deadline - self.board.clock()
@@ -289,6 +285,8 @@
         self._record(job, results, member.incarnation)
 
     def _record(self, job: Job, results: list[TaskResult], holder: str) -> None:
+        for result in results:
+            self.board.record_result(holder, job.submission.kind, result)
         returned = job.record(results, holder, self.board.clock())
         if returned:
             self.board.events["tasks_placed_again"] += len(returned)
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -156,3 +156,39 @@
             with pytest.raises(Refused):
                 await session.submit("cut-list", [1], deadline_s=1.0)
         assert not any(runner.starts for runner in system.runners)
+
+
+async def test_a_runner_that_fails_everything_fast_does_not_attract_the_calls():
+    async with LocalSystem.open(agents=5, entries=1, partitions=4) as system:
+        bad = system.runners[0]
+        bad.faults = Faults(fail_all=True)
+        failed = 0
+        async with system.session("brusadelli") as session:
+            for _ in range(100):
+                try:
+                    await session.call("stock-check", {"work_ms": 5})
+                except JobFailed:
+                    failed += 1
+        # One in five without a preference either way; ejected after five failures,
+        # with a few probes after that.
+        assert 1 <= failed <= 10
+        assert len(bad.starts) <= 10
+
+
+async def test_a_kind_that_fails_everywhere_does_not_empty_the_fleet():
+    async with LocalSystem.open(agents=4, entries=1, partitions=4) as system:
+        original = [runner._work for runner in system.runners]
+        for runner, work in zip(system.runners, original, strict=True):
+
+            async def fail_marked(payload, echo, work=work, runner=runner):
+                runner.faults.fail_all = payload.get("bad", False)
+                return await work(payload, echo)
+
+            runner._work = fail_marked
+        async with system.session("brusadelli") as session:
+            for _ in range(40):
+                with pytest.raises(JobFailed):
+                    await session.call("quote", {"bad": True})
+            for _ in range(40):
+                await session.call("stock-check", {"work_ms": 1})
+        assert all(runner.starts for runner in system.runners)
