Let a job outlive the connection on which it came

Cause: handlers run in the task group of their connection, so when an entry died between claim and start, the primary's claim stayed pending for ever and every resubmission waited for a job that never ran. A swap begun by a Move request had the same flaw and could leave a member stopped. Ruled out: the caller's side; the entry does not cancel on a lost caller. Change: claims, jobs and swaps run in the agent's own task group; a stopped register is always taken up again. Also, a PeerUnavailable that a peer reports no longer looks like a local one, which means that nothing was sent.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -286,6 +286,8 @@
                 await anyio.sleep(TAKE_RETRY_S)
                 continue
             probed.left = grant.left
+            # A primary that survived a change of members grants under the new one.
+            message.generation = max(message.generation, grant.generation)
             return grant
 
     async def _run_task(
--- a/marigoldkeel/failover.py
+++ b/marigoldkeel/failover.py
@@ -50,6 +50,7 @@
 CLAIMS_IN_TRANSFER = 5000
 # Peers need a few heartbeats to be known before members are chosen among them.
 CREATION_DELAY_S = 1.5
+MOVE_TICK_S = 0.02
 LOW_WATER_INTERVAL_S = 10.0
 
 
@@ -116,6 +117,8 @@
         record = self.board.partitions.records.get(register.partition)
         if record is None or record.generation != register.generation:
             return False
+        if register.phase is Phase.STOPPED:
+            return True
         other = record.standby if register.is_primary else record.primary
         now = self.board.clock()
         if register.is_primary and self.board.peers.is_leaving(other.incarnation):
@@ -358,12 +361,12 @@
         register = self.board.registers.get(message.partition)
         if register is None or register.generation != message.generation:
             return Done()
+        # Runs on its own: a swap that has begun must be settled even if the
+        # connection of the request ends.
         if message.partition not in self.changing:
-            self.changing.add(message.partition)
-            try:
-                await self.replace(message.partition)
-            finally:
-                self.changing.discard(message.partition)
+            self._begin(message.partition, self.replace)
+        while message.partition in self.changing:
+            await anyio.sleep(MOVE_TICK_S)
         if register.generation == message.generation:
             raise MarigoldkeelError("the partition has not changed hands", "move")
         return Done()
--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -17,7 +17,8 @@
     """Hands out each task at most once and assembles the answer.
 
     ``pending`` holds the indexes that no agent has been given. ``answer`` is set
-    exactly once, and from then on no task is handed out.
+    exactly once, and from then on no task is handed out. ``first_answer`` replaces
+    it for the attempt that made the job, if that attempt knows more.
     """
 
     __slots__ = (
@@ -31,6 +32,7 @@
         "grants",
         "unfinished",
         "answer",
+        "first_answer",
         "done",
         "started_at",
         "run_ms",
@@ -50,6 +52,7 @@
         self.grants: dict[tuple[str, int], list[int]] = {}
         self.unfinished = count
         self.answer: Answer | None = None
+        self.first_answer: Answer | None = None
         self.done = anyio.Event()
         self.started_at = now
         self.run_ms = 0
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -143,17 +143,25 @@
         )
         job = Job(submission, digest, now)
         self.board.jobs[submission_id] = job
+        # The entry's connection may end at any time; the job must not end with it.
+        self.group.start_soon(self._claim_and_run, job, register, message.unanswered)
+        await job.done.wait()
+        return job.first_answer or job.answer
+
+    async def _claim_and_run(
+        self, job: Job, register: ClaimRegister, unanswered: int
+    ) -> None:
         problem = await self._obtain_claim(job, register)
         if problem:
-            # Only this attempt is known not to have run; others that wait on the
-            # job may have reached another member.
-            job.finish(Answer(Outcome.UNKNOWN, b"", problem, "claim"), now)
-            del self.board.jobs[submission_id]
-            return refusal(problem, message.unanswered, "claim")
+            # Only the attempt that made the job is known not to have run; others
+            # that wait for it may have reached another member before.
+            job.first_answer = refusal(problem, unanswered, "claim")
+            answer = Answer(Outcome.UNKNOWN, b"", problem, "claim")
+            job.finish(answer, self.board.clock())
+            del self.board.jobs[job.submission.submission_id]
+            return
         self.board.events["jobs_started"] += 1
-        self.group.start_soon(self._run, job)
-        await job.done.wait()
-        return job.answer
+        await self._run(job)
 
     async def _attach(self, message: Submit, register: ClaimRegister) -> Answer:
         job = self.board.jobs.get(message.submission_id)
@@ -177,13 +185,14 @@
     async def _obtain_claim(self, job: Job, register: ClaimRegister) -> str:
         """Ask the standby to hold the claim; return why it may not start."""
         submission = job.submission
+        generation = submission.generation
         record = self.board.partitions.records[submission.partition]
-        if record.generation != submission.generation:
+        if record.generation != generation:
             register.refuse(submission.submission_id)
             return REASONS[Verdict.WRONG_GENERATION]
         claim = Claim(
             submission.partition,
-            submission.generation,
+            generation,
             submission.submission_id,
             job.digest,
         )
@@ -198,7 +207,7 @@
         if reply.verdict != Verdict.ACCEPTED:
             register.refuse(submission.submission_id)
             return f"the standby refused: {Verdict(reply.verdict).name.lower()}"
-        if not register.confirm(submission.submission_id, submission.generation):
+        if not register.confirm(submission.submission_id, generation):
             return REASONS[Verdict.STOPPED]
         return ""
 
--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -15,7 +15,6 @@
 from anyio.abc import ByteStream, TaskGroup, TaskStatus
 from loguru import logger
 
-from marigoldkeel import exceptions
 from marigoldkeel.exceptions import (
     InvalidInput,
     MarigoldkeelError,
@@ -23,6 +22,7 @@
     PeerTimeout,
     PeerUnavailable,
     ProtocolError,
+    StoreUnavailable,
 )
 from marigoldkeel.messages import (
     MAX_FRAME_BYTES,
@@ -41,6 +41,12 @@
 MAX_MESSAGES_IN_FRAME = 500
 MAX_BATCH_BYTES = 4 * 1024 * 1024
 
+# Only these keep their class across a connection. `PeerUnavailable` must not: here
+# it means that nothing was sent, which is not so of a request that was answered.
+REMOTE_ERRORS = {
+    cls.__name__: cls for cls in (InvalidInput, ProtocolError, StoreUnavailable)
+}
+
 Handler = Callable[[Any, str], Awaitable[Any]]
 STREAM_ERRORS = (
     anyio.EndOfStream,
@@ -251,7 +257,7 @@
 
     def _resolve(self, pending: PendingRequest, content: Any) -> None:
         if isinstance(content, Error):
-            cls = getattr(exceptions, content.code, MarigoldkeelError)
+            cls = REMOTE_ERRORS.get(content.code, MarigoldkeelError)
             pending.error = cls(
                 content.message, content.step, content.peer or self.peer
             )
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -112,6 +112,25 @@
         assert sum(len(runner.starts) for runner in system.runners) == 5
 
 
+async def test_job_outlives_the_entrys_connection_and_a_resubmission_is_answered():
+    async with LocalSystem.open(agents=3, entries=2, partitions=4) as system:
+        entry = system.entries[0]
+
+        async def cut_connections_once_started() -> None:
+            while not any(runner.starts for runner in system.runners):
+                await anyio.sleep(0.005)
+            for connection in list(entry.peers.connections.values()):
+                await anyio.aclose_forcefully(connection.stream)
+
+        async with system.session("brusadelli") as session:
+            async with anyio.create_task_group() as group:
+                group.start_soon(cut_connections_once_started)
+                result = await session.submit("cut-list", [{"work_ms": 100}] * 5)
+        assert len(result.results) == 5
+        assert result.attempts > 1
+        assert sum(len(runner.starts) for runner in system.runners) == 5
+
+
 async def test_quota_refuses_with_retry_after_and_leaves_other_teams_alone():
     async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
         policy = system.entries[0].board.policy.teams["brusadelli"]
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -7,6 +7,7 @@
 
 from marigoldkeel.exceptions import (
     InvalidInput,
+    MarigoldkeelError,
     PeerLost,
     PeerTimeout,
     PeerUnavailable,
@@ -40,6 +41,8 @@
 async def echo_generation(message, peer):
     if message.generation == 13:
         raise InvalidInput("generation 13 is refused", step="claim")
+    if message.generation == 14:
+        raise PeerUnavailable("another peer cannot be reached", step="claim")
     if message.generation == 99:
         await anyio.sleep_forever()
     return Claimed(verdict=1, generation=message.generation)
@@ -95,6 +98,10 @@
             assert replies == {number: number for number in range(100, 300)}
             with pytest.raises(InvalidInput, match="13 is refused"):
                 await peers.request(address, Claim(generation=13), 5)
+            # Only a local PeerUnavailable says that nothing was sent.
+            with pytest.raises(MarigoldkeelError) as caught:
+                await peers.request(address, Claim(generation=14), 5)
+            assert not isinstance(caught.value, PeerUnavailable)
             with pytest.raises(PeerTimeout):
                 await peers.request(address, Claim(generation=99), 0.05)
         group.cancel_scope.cancel()
