Bound the heartbeats of a daemon at any size of the fleet

A daemon keeps 16 peers besides its partitions' members, half of the contacts it learns from other failure domains, and asks further senders to come back after five minutes. Of two peers only one sends and the other replies, and members are listed only on request.

--- a/marigoldkeel/configuration.py
+++ b/marigoldkeel/configuration.py
@@ -13,6 +13,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from marigoldkeel.claims import MAX_FUTURE_MS
 from marigoldkeel.exceptions import InvalidInput
 
 
@@ -54,7 +55,6 @@
     heartbeat_ms: Annotated[int, Meta(ge=100, le=60_000)] = 1000
     suspect_after_ms: Annotated[int, Meta(ge=200, le=300_000)] = 3000
     retention_s: Annotated[int, Meta(ge=1, le=86_400)] = 900
-    max_future_ms: Annotated[int, Meta(ge=0, le=600_000)] = 60_000
     retry_budget_ratio: Ratio = 0.1
     probe_ratio: Annotated[float, Meta(ge=1, le=10)] = 2.0
     queue_tasks_per_slot: Annotated[int, Meta(ge=1, le=10_000)] = 16
@@ -119,9 +119,9 @@
 # Where two classes share a field, the one in Defaults counts: an exception
 # always has a value, so it can't be the None that a KindPolicy allows.
 SETTING_TYPES = field_types(TeamPolicy, KindPolicy, Defaults)
-# Both members of a partition must agree on these two, or one of them would
-# evict claims that the other still relies on.
-FLEET_WIDE_SETTINGS = {"retention_s", "max_future_ms"}
+# Both members of a partition must agree on it, or one of them would evict claims
+# that the other still relies on.
+FLEET_WIDE_SETTINGS = {"retention_s"}
 # Idempotence is a fact about a kind and a token is a credential, so neither is
 # open to an exception, which may expire.
 SCOPE_SETTINGS: dict[str, set[str]] = {
@@ -154,11 +154,11 @@
     ),
     # A claim must not be evicted while an attempt with its id may still arrive.
     (
-        ("retention_s", "max_deadline_ms", "max_future_ms"),
+        ("retention_s", "max_deadline_ms"),
         lambda values: (
-            values.retention_s * 1000 >= values.max_deadline_ms + values.max_future_ms
+            values.retention_s * 1000 >= values.max_deadline_ms + MAX_FUTURE_MS
         ),
-        "retention_s must cover max_deadline_ms plus max_future_ms",
+        f"retention_s must cover max_deadline_ms plus {MAX_FUTURE_MS} ms",
     ),
     # A planned stop must not interrupt a request that is within its deadline.
     (
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -78,7 +78,7 @@
         self.http_address = ""
         self.in_progress = 0
         self.admissions = Admissions(board)
-        self.retries = RetryBudget(board.setting("retry_budget_ratio"))
+        self.retries = RetryBudget()
 
     @classmethod
     def from_settings(cls, settings: Settings) -> "Entry":
@@ -321,6 +321,7 @@
         pair.sort(key=lambda state: state.load)
         now = self.board.clock()
         deadline = now + caller.deadline_s
+        self.retries.ratio = self.board.setting("retry_budget_ratio", kind=caller.kind)
         self.retries.record_call(now)
         result = TaskResult(0, TaskState.NOT_STARTED, b"", "no agent serves this kind")
         for state in pair:
--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -11,6 +11,7 @@
     >>> from marigoldkeel.models import Member
     >>> peers = PeerTable(suspect_after_s=3.0)
     >>> peers.observe(PeerState(Member("a", "a@1")), now=0.0)
+    True
     >>> peers.is_suspected("a@1", now=2.9), peers.is_suspected("a@1", now=3.1)
     (False, True)
 """
@@ -22,9 +23,12 @@
 
 SUSPECT_AFTER_S = 3.0
 FORGET_AFTER_S = 60.0
-MAX_PEERS = 64
+# Each pair of peers exchanges one heartbeat and one reply per interval.
+MAX_PEERS = 16
 HEARTBEAT_INTERVAL_S = 1.0
-SENDERS_AT_FULL_RATE = 32
+# Asked of a sender for which the receiver has no room. With 3,900 agents, 13 of
+# them a second ask an entry whether there is room now.
+FULL_INTERVAL_S = 300.0
 
 
 @dataclass(slots=True)
@@ -53,14 +57,22 @@
         self.states: dict[str, PeerState] = {}
         self.first_known: dict[str, float] = {}
 
-    def observe(self, state: PeerState, now: float) -> None:
-        """Record a heartbeat; a full table drops the peer silent for longest."""
+    def observe(self, state: PeerState, now: float, must_keep: bool = False) -> bool:
+        """Record a heartbeat.
+
+        :param must_keep: Whether the peer is kept even if the table is full.
+        :return: False if there is no room, because no known peer is silent.
+        """
         state.heard_at = now
         name = state.member.name
         if name not in self.states and len(self.states) >= self.max_peers:
             oldest = min(self.states, key=lambda key: self.states[key].heard_at)
-            del self.states[oldest]
+            if now - self.states[oldest].heard_at > self.suspect_after_s:
+                del self.states[oldest]
+            elif not must_keep:
+                return False
         self.states[name] = state
+        return True
 
     def expect(self, incarnation: str, now: float) -> None:
         """Start the silence of a peer that has yet to be heard."""
@@ -111,11 +123,3 @@
             and not state.leaving
             and now - state.heard_at <= self.suspect_after_s
         ]
-
-
-def next_interval_s(senders: int) -> float:
-    """Return the interval a receiver asks of each of its heartbeat senders.
-
-    Keeps the received heartbeats to ``SENDERS_AT_FULL_RATE`` a second.
-    """
-    return HEARTBEAT_INTERVAL_S * max(1.0, senders / SENDERS_AT_FULL_RATE)
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -172,6 +172,7 @@
   leaving @5 :Bool;
   kinds @6 :List(Text);
   isAgent @7 :Bool;
+  wantsMembers @8 :Bool;
 }
 
 struct HeartbeatReply {
--- a/marigoldkeel/messages.py
+++ b/marigoldkeel/messages.py
@@ -238,7 +238,10 @@
 @message("heartbeat")
 @dataclass(slots=True)
 class Heartbeat:
-    """The sender is alive. ``load`` is queued and running work over slots."""
+    """The sender is alive. ``load`` is queued and running work over slots.
+
+    ``wants_members`` asks for members that the receiver knows.
+    """
 
     member: Member = field(default_factory=Member)
     load: float = 0.0
@@ -248,6 +251,7 @@
     leaving: bool = False
     kinds: list[str] = field(default_factory=list)
     is_agent: bool = False
+    wants_members: bool = False
 
 
 @message("heartbeatReply")
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -114,13 +114,13 @@
 
 async def test_job_outlives_the_entrys_connection_and_a_resubmission_is_answered():
     async with LocalSystem.open(agents=3, entries=2, partitions=4) as system:
-        entry = system.entries[0]
 
         async def cut_connections_once_started() -> None:
             while not any(runner.starts for runner in system.runners):
                 await anyio.sleep(0.005)
-            for connection in list(entry.peers.connections.values()):
-                await anyio.aclose_forcefully(connection.stream)
+            for entry in system.entries:
+                for connection in list(entry.peers.connections.values()):
+                    await anyio.aclose_forcefully(connection.stream)
 
         async with system.session("brusadelli") as session:
             async with anyio.create_task_group() as group:
--- /dev/null
+++ b/tests/test_memberships.py
@@ -0,0 +1,84 @@
+"""Guards against control traffic that grows with the fleet, and against silence."""
+
+import pytest
+
+from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.heartbeats import FULL_INTERVAL_S, PeerState, PeerTable
+from marigoldkeel.memberships import MAX_LEARNED, MembershipController
+from marigoldkeel.messages import Heartbeat
+from marigoldkeel.models import Member
+
+
+pytestmark = pytest.mark.anyio
+
+
+class NoGroup:
+    def start_soon(self, *args):
+        pass
+
+
+def make_controller(now, name="m", contacts=()):
+    board = Blackboard(Member(name, f"{name}@1", "127.0.0.1:1", "x"), lambda: now[0])
+    return MembershipController(board, None, list(contacts), [], NoGroup())
+
+
+def member(number, domain="x"):
+    name = f"a{number:04d}"
+    return Member(name, f"{name}@1", f"127.0.0.1:{1000 + number}", domain)
+
+
+@pytest.mark.parametrize("fleet", [10, 100, 1000, 3900])
+async def test_a_daemon_keeps_a_bounded_number_of_senders(fleet):
+    now = [0.0]
+    controller = make_controller(now)
+    replies = [
+        await controller.receive(Heartbeat(member(number), is_agent=True))
+        for number in range(fleet)
+    ]
+    table = controller.board.peers
+    assert len(table.states) == min(fleet, table.max_peers)
+    often = sum(reply.interval_ms < FULL_INTERVAL_S * 1000 for reply in replies)
+    assert often == min(fleet, table.max_peers)
+    assert len(controller.contacts()) <= MAX_LEARNED
+
+
+async def test_learned_contacts_are_of_several_failure_domains():
+    controller = make_controller([0.0])
+    controller.learn([member(number) for number in range(100)])
+    controller.learn([member(number, "y") for number in range(100, 200)])
+    domains = [item.domain for item in controller.learned.values()]
+    assert len(domains) == MAX_LEARNED
+    assert domains.count("x") == domains.count("y")
+
+
+@pytest.mark.parametrize(
+    ("peer", "silent_s", "sends"),
+    [("z", 0.0, True), ("a", 0.0, False), ("a", 1.4, False), ("a", 1.6, True)],
+)
+async def test_one_of_two_peers_sends_and_the_other_only_after_silence(
+    peer, silent_s, sends
+):
+    now = [0.0]
+    controller = make_controller(now)
+    address = "127.0.0.1:9"
+    await controller.receive(Heartbeat(Member(peer, f"{peer}@1", address, "x")))
+    now[0] = silent_s
+    assert controller._is_covered(address, now[0]) is not sends
+
+
+def test_a_full_table_makes_room_only_for_silent_or_needed_peers():
+    table = PeerTable(suspect_after_s=3.0, max_peers=2)
+    assert table.observe(PeerState(member(1)), 0.0)
+    assert table.observe(PeerState(member(2)), 2.0)
+    assert not table.observe(PeerState(member(3)), 2.5)
+    assert table.observe(PeerState(member(4)), 2.5, must_keep=True)
+    assert table.observe(PeerState(member(3)), 3.5)
+    assert sorted(table.states) == ["a0002", "a0003", "a0004"]
+
+
+def test_a_restarted_peer_is_suspected_under_its_old_incarnation_only():
+    table = PeerTable()
+    table.observe(PeerState(Member("a", "a@1")), 0.0)
+    table.observe(PeerState(Member("a", "a@2")), 0.1)
+    assert table.is_suspected("a@1", 0.2)
+    assert not table.is_suspected("a@2", 0.2)
