Refuse ids that lost members may have started after a reopening

Cause: members accept ids minted up to 60 s ahead of their clock, but a reopening set the low-water mark to the operator's time. An id minted 60 s ahead, started by the lost members and sent again after the reopening, started a second time. Ruled out: a mark lost on the way to the new members; both held it. Change: the mark is the operator's time plus MAX_FUTURE_MS plus 1 ms. Before: test_reopening_refuses_ids_minted_ahead_of_the_clock counts 4 starts of 2 tasks. After: 2 starts, and the repeated attempt is refused. Conclusion: for a minute after a reopening, ids minted by correct clocks are refused too, and callers go on under a later id or another partition. The operator's clock must not be behind those of the lost members.

--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -234,8 +234,10 @@
 ) -> int:
     """Reopen a partition whose two members are both lost.
 
-    Only ids minted from now on are accepted in it. If one of the old members is
-    still running, a task may start twice, so check both hosts first.
+    Only ids minted a minute or more from now are accepted in it, as the lost
+    members accepted ids of callers whose clocks are up to a minute ahead. If one of
+    the old members is still running, a task may start twice, so check both hosts
+    first.
 
     :param partition: The number of the partition.
     :param store: URL of the store.
--- a/marigoldkeel/reopening.py
+++ b/marigoldkeel/reopening.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from marigoldkeel.claims import MAX_FUTURE_MS
 from marigoldkeel.exceptions import (
     InvalidInput,
     MarigoldkeelError,
@@ -52,8 +53,9 @@
 ) -> PartitionRecord:
     """Return the next generation with two members that hold no claims.
 
-    Every id minted before ``now_ms`` is refused in it, as it may have started
-    under the lost members.
+    The lost members may have started any id that they accepted, so the low-water
+    mark is above the newest mint time that they accept. The operator's clock must
+    not be behind the clocks of the lost members.
 
     :raises InvalidInput: If a member is still alive or no two agents are known.
     """
@@ -74,7 +76,7 @@
         record.generation + 1,
         primary,
         standby,
-        max(now_ms, record.low_water_ms),
+        max(now_ms + MAX_FUTURE_MS + 1, record.low_water_ms),
         reopened=True,
     )
 
--- a/tests/test_claim_protocol.py
+++ b/tests/test_claim_protocol.py
@@ -2,6 +2,7 @@
 
 import os
 
+import pytest
 from hypothesis import HealthCheck, seed, settings
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -12,7 +13,8 @@
 )
 from hypothesis.strategies import booleans, integers, sampled_from
 
-from tests.protocol_model import AGENTS, PARTIES, World
+from marigoldkeel.claims import MAX_FUTURE_MS
+from tests.protocol_model import AGENTS, PARTIES, TASKS, World
 
 
 SEED = os.environ.get("MARIGOLDKEEL_SEED")
@@ -199,3 +201,36 @@
     run_machine()
     missing = [name for name in EVENTS if not ProtocolMachine.totals.get(name)]
     assert not missing, ProtocolMachine.totals
+
+
+@pytest.fixture
+def world():
+    world = World()
+    yield world
+    world.close()
+
+
+def run_to(world, *parties, rounds=30):
+    world.settle(parties, rounds)
+
+
+def test_reopening_refuses_ids_minted_ahead_of_the_clock(world):
+    """Guards against a second start when a caller's clock is ahead.
+
+    Members accept ids minted up to `MAX_FUTURE_MS` ahead, so the low-water mark of
+    a reopened partition must be above all of these.
+    """
+    attempts = world.mint(skew_ms=MAX_FUTURE_MS)
+    world.send(attempts)
+    run_to(world, *AGENTS)
+    world.packets.clear()
+    world.restart("a")
+    world.restart("b")
+    world.reopen()
+    for name in AGENTS:
+        world.learn(name, world.records[-1])
+    world.settle()
+    world.send(attempts)
+    world.settle()
+    assert world.counts["start"] == TASKS
+    assert world.checker.violations == []
