--- a/tests/test_claim_protocol.py
+++ b/tests/test_claim_protocol.py
@@ -74,9 +74,9 @@
         for attempts in self.world.submissions.values():
             self.world.send(attempts)
 
-    @rule(which=indexes, rounds=integers(1, 6), candidate=names)
+    @rule(which=indexes, rounds=integers(1, 6), candidate=names, ask=booleans())
     @precondition(lambda self: self.world.submissions)
-    def lose_primary_of(self, which, rounds, candidate):
+    def lose_primary_of(self, which, rounds, candidate, ask):
         """Lose the primary before its answer arrives, often after the start."""
         world = self.world
         record = world.records[-1]
@@ -85,6 +85,9 @@
         world.settle((record.primary.name, record.standby.name), rounds)
         world.restart(record.primary.name)
         world.replace(record.standby.name, candidate)
+        if ask:
+            world.settle(AGENTS, rounds=12)
+            self.resubmit_all()
 
     @rule(which=indexes)
     @precondition(lambda self: self.world.packets)
@@ -175,6 +178,8 @@
             if not self.world.agents[name].alive:
                 self.world.restart(name)
             self.world.learn(name, self.world.records[-1])
+        self.world.settle(AGENTS, rounds=12)
+        self.resubmit_all()
 
     @invariant()
     def history_is_clean(self):
