Test directed interleavings of swaps, transfers and restarts

They settle two questions. A repeated swap compares against the revision that was read, so of a delayed write and its repetition one takes effect, and the record read afterwards decides which. Refusals made while the state is received are kept, and a transferred claim wins over them.

--- a/tests/protocol_model.py
+++ b/tests/protocol_model.py
@@ -193,6 +193,8 @@
             mock.patch(f"marigoldkeel.{module}.anyio", MODEL_ANYIO)
             for module in ("failover", "primaries", "jobs")
         ]
+        # Small parts, so that most transfers have several.
+        self.patches.append(mock.patch("marigoldkeel.failover.CLAIMS_IN_TRANSFER", 2))
         for patch in self.patches:
             patch.start()
         self.now_ms = START_MS
@@ -306,6 +308,19 @@
         else:
             self.resume(operation, revision)
 
+    def step_when(self, name, kind, fate=0):
+        """Let the coroutine of an agent go on that waits for ``kind``."""
+        (operation,) = [
+            each
+            for each in self.operations
+            if each.wait.kind == kind and party_of(each) == name
+        ]
+        self.step(operation, fate)
+
+    def take_packets(self, message_class):
+        """Return the packets in flight of one class of message, oldest first."""
+        return [each for each in self.packets if type(each.content) is message_class]
+
     def deliver(self, packet):
         """Deliver a message, or a reply if its receiver still waits for it."""
         self.packets.remove(packet)
--- a/tests/test_claim_protocol.py
+++ b/tests/test_claim_protocol.py
@@ -13,8 +13,16 @@
 )
 from hypothesis.strategies import booleans, integers, sampled_from
 
-from marigoldkeel.claims import MAX_FUTURE_MS
-from tests.protocol_model import AGENTS, PARTIES, TASKS, World
+from marigoldkeel.claims import (
+    MAX_FUTURE_MS,
+    ClaimRegister,
+    ClaimState,
+    Phase,
+    RegisterSnapshot,
+    Verdict,
+)
+from marigoldkeel.messages import Transfer, Transferred
+from tests.protocol_model import AGENTS, PARTIES, PARTITION, TASKS, World
 
 
 SEED = os.environ.get("MARIGOLDKEEL_SEED")
@@ -215,10 +223,6 @@
     world.close()
 
 
-def run_to(world, *parties, rounds=30):
-    world.settle(parties, rounds)
-
-
 def test_reopening_refuses_ids_minted_ahead_of_the_clock(world):
     """Guards against a second start when a caller's clock is ahead.
 
@@ -227,7 +231,7 @@
     """
     attempts = world.mint(skew_ms=MAX_FUTURE_MS)
     world.send(attempts)
-    run_to(world, *AGENTS)
+    world.settle(AGENTS)
     world.packets.clear()
     world.restart("a")
     world.restart("b")
@@ -239,3 +243,164 @@
     world.settle()
     assert world.counts["start"] == TASKS
     assert world.checker.violations == []
+
+
+def generations(world, name):
+    """Return the generation of an agent's register and whether it is primary."""
+    register = world.agents[name].register
+    return register and (register.generation, register.is_primary, register.phase)
+
+
+def start_one(world, lose_answer=True):
+    attempts = world.mint()
+    world.send(attempts)
+    world.settle(AGENTS)
+    if lose_answer:
+        world.packets.clear()
+    return attempts
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        pytest.param(["get", ("swap", 1), "sleep", "get"], id="answer lost"),
+        pytest.param(
+            ["get", ("swap", 2), "apply", "sleep", "get"], id="delayed, then read"
+        ),
+        pytest.param(
+            ["get", ("swap", 2), "sleep", "get", "apply", "swap", "get"],
+            id="read, then the delayed write, then the repeated swap",
+        ),
+        pytest.param(
+            ["get", ("swap", 2), "sleep", "get", "swap", "apply", "get"],
+            id="read, then the repeated swap, then the delayed write",
+        ),
+        pytest.param(
+            ["get", ("swap", 2), "sleep", "get", ("swap", 1), "apply", "sleep", "get"],
+            id="the repeated swap has its answer lost",
+        ),
+    ],
+)
+def test_unanswered_swap_is_resolved_by_a_read(world, steps):
+    """Guards against a second or a wrong generation after an unanswered swap.
+
+    The repeated swap names another standby than the first, so that a member that
+    trusts its plan instead of the record enters with the wrong one.
+    """
+    world.crash("a")
+    world.replace("b", "c")
+    world.step_when("b", "begin")
+    for step in steps:
+        if step == "apply":
+            world.apply_delayed_write(0)
+            continue
+        kind, fate = step if isinstance(step, tuple) else (step, 0)
+        world.step_when("b", kind, fate)
+        world.agents["b"].board.candidates = [world.agents["d"].member]
+    assert [record.generation for record in world.records] == [1, 2]
+    assert generations(world, "b") == (2, True, Phase.TRANSFERRING)
+    world.settle()
+    standby = world.records[-1].standby.name
+    assert generations(world, "b") == (2, True, Phase.ACTIVE)
+    assert generations(world, standby) == (2, False, Phase.ACTIVE)
+
+
+def test_member_without_the_whole_state_does_not_swap(world):
+    """Guards against a new generation that lacks the claims of the one before."""
+    attempts = start_one(world)
+    attempts_before = start_one(world), start_one(world)
+    world.crash("a")
+    world.replace("b", "c")
+    world.settle(("b",))
+    # The first of two parts arrives, then the sender is lost.
+    world.deliver(world.take_packets(Transfer)[0])
+    assert generations(world, "c") == (2, False, Phase.RECEIVING)
+    world.crash("b")
+    world.replace("c", "d")
+    world.settle()
+    assert [record.generation for record in world.records] == [1, 2]
+    for each in (attempts, *attempts_before):
+        world.send(each)
+    world.settle()
+    assert world.checker.violations == []
+    assert world.counts["start"] == 3 * TASKS
+
+
+def test_repeated_transfer_does_not_erase_newer_claims(world):
+    """Guards against a late copy of the first transfer that replaces the state."""
+    world.crash("a")
+    world.replace("b", "c")
+    world.settle(("b",))
+    repeated = world.take_packets(Transfer)[0]
+    world.settle()
+    attempts = start_one(world)
+    world.packets.append(repeated)
+    world.deliver(repeated)
+    world.crash("b")
+    world.replace("c", "d")
+    world.settle()
+    world.send(attempts)
+    world.settle()
+    assert world.counts == {**world.counts, "start": TASKS, "answer failed": 1}
+    assert world.checker.violations == []
+
+
+def test_restarted_standby_refuses_a_transfer_to_its_predecessor(world):
+    """Guards against a restarted process that takes up its predecessor's role."""
+    world.crash("a")
+    world.replace("b", "c")
+    world.settle(("b",))
+    (packet,) = world.take_packets(Transfer)
+    world.restart("c")
+    world.deliver(packet)
+    (reply,) = world.take_packets(Transferred)
+    assert not reply.content.accepted
+    world.settle()
+    assert generations(world, "c") is None
+    assert generations(world, "b") == (2, True, Phase.TRANSFERRING)
+
+
+@pytest.mark.parametrize(("winner", "loser"), [("a", "b"), ("b", "a")])
+def test_loser_of_a_race_steps_down(world, winner, loser):
+    """Guards against a loser that still accepts, acknowledges or starts."""
+    waiting = world.mint()
+    world.send(waiting)
+    world.deliver(world.packets[0])
+    world.replace("a", "c")
+    world.replace("b", "d")
+    for kind in ("begin", "get"):
+        for name in (winner, loser):
+            world.step_when(name, kind)
+    world.step_when(winner, "swap")
+    world.step_when(loser, "swap")
+    world.settle()
+    assert [record.generation for record in world.records] == [1, 2]
+    assert generations(world, winner) == (2, True, Phase.ACTIVE)
+    assert generations(world, loser) is None
+    world.send(world.mint(), world.records[0], to_standby=loser == "b")
+    world.settle()
+    assert world.counts == {**world.counts, "swap": 1, "swap lost a race": 1}
+    assert "start" not in world.counts
+    assert world.checker.violations == []
+
+
+@pytest.mark.parametrize(
+    ("transferred", "verdict"),
+    [
+        pytest.param([], Verdict.REFUSED, id="unknown to the sender"),
+        pytest.param([ClaimState.REFUSED], Verdict.REFUSED, id="refused by both"),
+        pytest.param([ClaimState.CLAIMED], Verdict.DUPLICATE, id="claimed before"),
+    ],
+)
+def test_refusals_made_while_receiving_are_kept(transferred, verdict):
+    """Guards against a late claim for an id that this member called "not run".
+
+    A claim in the transferred state wins: the id may have started.
+    """
+    submission_id = (1_000).to_bytes(6, "big") + bytes(10)
+    standby = ClaimRegister.as_standby(PARTITION, 2)
+    refused = standby.propose(submission_id, b"digest", 2, now_ms=1_000)
+    assert refused is Verdict.NOT_READY
+    claims = [(submission_id, b"digest", state) for state in transferred]
+    standby.install(RegisterSnapshot(0, claims))
+    assert standby.acknowledge(submission_id, b"digest", 2, 1_000) is verdict
