Grant nothing when a request is repeated after the job's answer

Cause: a grant is repeated under its sequence number, but the answer of a job drops the payloads, so that a repeated request failed with an IndexError. The agent then asked again until the deadline and kept its slot. Ruled out: a second start; the task was reported as possibly run in both cases. Change: Job.take looks for an answer before it looks for an earlier grant. Before: test_nothing_is_granted_after_the_answer[1] raises IndexError. After: the reply is "none left". Conclusion: no task is handed out after the answer, as the class promises.

--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -64,11 +64,14 @@
         """Grant up to ``want`` tasks to the incarnation ``holder``.
 
         A repeated request gets the same tasks, as its first answer may be lost.
+        Nothing is granted after the answer, which also drops the payloads.
         """
+        if self.answer is not None:
+            return []
         key = (holder, sequence)
         if key in self.grants:
             return self.grants[key]
-        if self.answer is not None or want <= 0:
+        if want <= 0:
             return []
         granted = [self.pending.popleft() for _ in range(min(want, len(self.pending)))]
         for index in granted:
