Count the results of a repeated request once

Cause: an agent repeats a request whose reply is lost, results included. When the first copy gave back a task that did not start and was granted it again, the second copy gave it back as well, while the same grant was repeated. Another agent was then granted the task that the first one was running. Ruled out: the agent's own check of repeated starts, which does not see other agents; the repeated grant, which is correct. Change: a job records the results of one holder and sequence number once. Before: test_results_of_a_repeated_request_count_once grants task 0 to a second agent. After: the second agent is granted nothing. Conclusion: a task is held by one agent at a time, whichever replies are lost.

--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -29,6 +29,7 @@
         "holders",
         "placements",
         "grants",
+        "recorded",
         "unfinished",
         "answer",
         "done",
@@ -46,6 +47,7 @@
         self.holders: dict[int, str] = {}
         self.placements = [0] * count
         self.grants: dict[tuple[str, int], list[int]] = {}
+        self.recorded: set[tuple[str, int]] = set()
         self.unfinished = count
         self.answer: Answer | None = None
         self.done = anyio.Event()
@@ -89,12 +91,23 @@
         return Grant(submission.partition, submission.generation, tasks, left)
 
     def record(
-        self, results: Iterable[TaskResult], holder: str, now: float
+        self,
+        results: Iterable[TaskResult],
+        holder: str,
+        now: float,
+        sequence: int | None = None,
     ) -> list[int]:
         """Take results of tasks granted to ``holder``.
 
+        :param sequence: The number of the request that carries the results. They
+            count once, as the holder may have been granted the same task again
+            since and be running it.
         :return: The indexes that provably did not start and are pending again.
         """
+        if sequence is not None:
+            if (holder, sequence) in self.recorded:
+                return []
+            self.recorded.add((holder, sequence))
         returned = []
         for result in results:
             index = result.index
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -281,8 +281,14 @@
             results = [TaskResult(index, TaskState.MAY_HAVE_RUN, b"", str(error))]
         self._record(job, results, member.incarnation)
 
-    def _record(self, job: Job, results: list[TaskResult], holder: str) -> None:
-        returned = job.record(results, holder, self.board.clock())
+    def _record(
+        self,
+        job: Job,
+        results: list[TaskResult],
+        holder: str,
+        sequence: int | None = None,
+    ) -> None:
+        returned = job.record(results, holder, self.board.clock(), sequence)
         if returned:
             self.board.events["tasks_placed_again"] += len(returned)
             self.group.start_soon(self._place_again, job, returned)
@@ -296,7 +302,7 @@
         job = self.board.jobs.get(message.submission_id)
         if job is None:
             return Grant()
-        self._record(job, message.results, message.incarnation)
+        self._record(job, message.results, message.incarnation, message.sequence)
         register = self.board.registers.get(job.submission.partition)
         want = message.want
         if register is None or not register.is_primary:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -56,3 +56,18 @@
         job.record([TaskResult(index, state) for index in granted], holder, 0.0)
     job.fail("the deadline passed", 1.0)
     assert job.answer.outcome is outcome
+
+
+def test_results_of_a_repeated_request_count_once():
+    """Guards against a second start when the reply to a request is lost.
+
+    The first copy gives the task back and is granted it again. The second copy must
+    not give it back too, or another agent is granted what the holder is running.
+    """
+    job = make_job(1)
+    job.take(HOLDER, 1, 1)
+    results = [TaskResult(0, TaskState.NOT_STARTED)]
+    for _ in range(2):
+        job.record(results, HOLDER, 0.0, sequence=2)
+        assert job.take(HOLDER, 2, 1) == [0]
+    assert job.take("other@1", 1, 1) == []
