--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -30,6 +30,7 @@
         "holders",
         "placements",
         "grants",
+        "recorded",
         "unfinished",
         "answer",
         "first_answer",
@@ -50,6 +51,7 @@
         self.holders: dict[int, str] = {}
         self.placements = [0] * count
         self.grants: dict[tuple[str, int], list[int]] = {}
+        self.recorded: set[tuple[str, int]] = set()
         self.unfinished = count
         self.answer: Answer | None = None
         self.first_answer: Answer | None = None
@@ -71,7 +73,10 @@
         """Grant up to ``want`` tasks to the incarnation ``holder``.
 
         A repeated request gets the same tasks, as its first answer may be lost.
+        Nothing is granted after the answer, which also drops the payloads.
         """
+        if self.answer is not None:
+            return []
         key = (holder, sequence)
         if key in self.grants:
             return self.grants[key]
@@ -93,12 +98,23 @@
         return Grant(submission.partition, submission.generation, tasks, left)
 
     def record(
-        self, results: Iterable[TaskResult], holder: str, now: float
+        self,
+        results: Iterable[TaskResult],
+        holder: str,
+        now: float,
+        sequence: int | None = None,
     ) -> list[int]:
         """Take results of tasks granted to ``holder``.
 
+        :param sequence: The number of the request that carries the results. They
+            count once, as the holder may have been granted the same task again
+            since and be running it.
         :return: The indexes that provably did not start and are pending again.
         """
+        if sequence is not None:
+            if (holder, sequence) in self.recorded:
+                return []
+            self.recorded.add((holder, sequence))
         returned = []
         for result in results:
             index = result.index
