Let an agent that waits for old state enter a reopened partition

Cause: a member that waits for the state of its generation cannot stop for a swap, and a record that names it primary was entered only after such a stop. An agent that had not heard of its replacement and was then named primary of the reopened partition kept waiting, and the partition stayed closed. Ruled out: a lost record; the agent has it in its table. Change: a register without the whole state is replaced when the partition reopens, as the low-water mark stands for all earlier claims. Before: test_agent_that_waits_for_old_state_enters_a_reopened_partition finds the agent receiving in generation 2. After: it is active in generation 4. Conclusion: an agent without the whole state still never swaps.

--- a/marigoldkeel/failover.py
+++ b/marigoldkeel/failover.py
@@ -238,11 +238,11 @@
     def _enter_or_create(
         self, register: ClaimRegister | None, record: PartitionRecord
     ) -> None:
-        if register is not None:
+        if register is not None and register.has_whole_state:
             # Within a change, the change itself enters the generation.
             if record.partition not in self.changing and register.stop():
                 self._enter_as_primary(register, record)
-        elif record.generation == 1 or record.reopened:
+        elif record.reopened or (register is None and record.generation == 1):
             register = ClaimRegister.as_primary(
                 record.partition, record.generation, record.low_water_ms
             )
--- a/tests/test_claim_protocol.py
+++ b/tests/test_claim_protocol.py
@@ -404,3 +404,27 @@
     claims = [(submission_id, b"digest", state) for state in transferred]
     standby.install(RegisterSnapshot(0, claims))
     assert standby.acknowledge(submission_id, b"digest", 2, 1_000) is verdict
+
+
+def test_agent_that_waits_for_old_state_enters_a_reopened_partition(world):
+    """Guards against a partition that stays closed after its reopening.
+
+    The new primary still waits for the state of a generation in which it was
+    replaced without having heard of it.
+    """
+    world.crash("a")
+    world.replace("b", "c")
+    world.settle(("b",))
+    world.learn("c", world.records[-1])
+    world.packets.clear()
+    world.replace("b", "d")
+    world.settle(("b", "d"))
+    assert generations(world, "c") == (2, False, Phase.RECEIVING)
+    world.crash("b")
+    world.crash("d")
+    world.reopen(("c", "e"))
+    record = world.records[-1]
+    assert (record.generation, record.primary.name) == (4, "c")
+    world.learn("c", record)
+    world.settle()
+    assert generations(world, "c") == (4, True, Phase.ACTIVE)
