--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,92 @@
+"""Daemons as processes of their own, and how a test waits for them."""
+
+import signal
+import socket
+import subprocess
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import httpcore
+import msgspec
+
+
+HOST = "127.0.0.1"
+# Ends a test whose condition never comes true; no verdict depends on its length.
+WAIT_LIMIT_S = 60.0
+POLL_S = 0.1
+
+
+def free_address() -> str:
+    """Return a loopback address whose port was free just now."""
+    with socket.create_server((HOST, 0)) as listener:
+        return f"{HOST}:{listener.getsockname()[1]}"
+
+
+def request(method: str, url: str, content: Any = None) -> Any:
+    """Return the JSON answer of a daemon, or None if it did not answer."""
+    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), 1.0)
+    body = b"" if content is None else msgspec.json.encode(content)
+    try:
+        with httpcore.ConnectionPool() as pool:
+            response = pool.request(
+                method, url, content=body, extensions={"timeout": timeouts}
+            )
+        return msgspec.json.decode(response.content)
+    except (
+        httpcore.NetworkError,
+        httpcore.TimeoutException,
+        httpcore.ProtocolError,
+        msgspec.DecodeError,
+    ):
+        return None
+
+
+def wait_until(condition: Callable[[], Any], what: str) -> Any:
+    """Wait until ``condition`` returns something true, and return it."""
+    deadline = time.monotonic() + WAIT_LIMIT_S
+    while not (value := condition()):
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"waited {WAIT_LIMIT_S} s until {what}")
+        time.sleep(POLL_S)
+    return value
+
+
+@dataclass
+class Daemon:
+    """One process and how it is started again."""
+
+    name: str
+    arguments: list[str]
+    http: str = ""
+    address: str = ""
+    domain: str = ""
+    popen: subprocess.Popen | None = None
+    log: Path | None = None
+
+    def signal(self, number: int) -> None:
+        self.popen.send_signal(number)
+
+    def freeze(self) -> None:
+        self.signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        self.signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        self.signal(signal.SIGKILL)
+        self.popen.wait(WAIT_LIMIT_S)
+
+    def stop(self) -> int:
+        """Request a planned stop and return the exit code."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(WAIT_LIMIT_S)
+
+    @property
+    def alive(self) -> bool:
+        return self.popen is not None and self.popen.poll() is None
+
+    def status(self) -> dict | None:
+        return request("GET", f"http://{self.http}/v1/status") if self.alive else None
