Check starts against the generation of the grant

Cause: an agent checked each start against the generation in the job's probe. When the standby of a partition changed while a wide job ran, the primary entered the next generation and went on with the job, but every agent refused its remaining tasks. Three refusals of one task failed the job, so that the planned stop of a standby cut requests in progress.

Ruled out: lost grants and tasks held by the stopped agent; the events showed 129 starts refused as of an old generation, and no task was lost.

Change: the generation that came with the granted tasks counts. A primary that was replaced while frozen still grants under its old generation, so its starts are refused as before.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -272,6 +272,9 @@
                 await anyio.sleep(TAKE_RETRY_S)
                 continue
             probed.left = grant.left
+            if grant.tasks:
+                # The primary may have entered a newer generation since its probe.
+                message.generation = grant.generation
             return grant
 
     async def _run_task(
--- a/tests/load.py
+++ b/tests/load.py
@@ -24,8 +24,9 @@
 
 READ_ONLY_KINDS = {"stock-check"}
 # Short, so that requests caught by a fault end soon; the suspicion time is 3 s.
-JOB_DEADLINE_S = 8.0
-CALL_DEADLINE_S = 6.0
+JOB_DEADLINE_S = 6.0
+CALL_DEADLINE_S = 5.0
+RESUBMISSION_DEADLINE_S = 4.0
 PAUSE_S = 0.02
 
 
@@ -208,7 +209,8 @@
         """Make one request, and count how it ended."""
         try:
             if kind == "cut-list":
-                await session.submit(kind, values, deadline_s=JOB_DEADLINE_S, **options)
+                deadline_s = options.pop("deadline_s", JOB_DEADLINE_S)
+                await session.submit(kind, values, deadline_s=deadline_s, **options)
             else:
                 await session.call(
                     kind, values[0], deadline_s=CALL_DEADLINE_S, **options
@@ -259,6 +261,7 @@
                 session,
                 "cut-list",
                 values,
+                deadline_s=RESUBMISSION_DEADLINE_S,
                 submission_id=submission_id,
                 unanswered=unanswered,
             )
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -3,6 +3,7 @@
 Each fault is injected once under load; each check is a test on what was recorded.
 """
 
+import signal
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -11,10 +12,12 @@
 import anyio
 import pytest
 
+from marigoldkeel.identifiers import mint_submission_id, partition_of
 from marigoldkeel.models import Outcome
+from marigoldkeel.sessions import AsyncSession
 from tests.harness import System
 from tests.load import Load, Recorder
-from tests.processes import Daemon, wait_until
+from tests.processes import WAIT_LIMIT_S, Daemon, wait_until
 
 
 # Answers that the load must get during and after a fault, so that a case never
@@ -22,6 +25,7 @@
 ANSWERS_DURING = 60
 ANSWERS_AFTER = 60
 POLL_S = 0.2
+WIDE_DEADLINE_S = 40.0
 
 
 @dataclass
@@ -276,3 +280,50 @@
             resubmitted = attempt in recorder.resubmitted
             allowed.add(Outcome.UNKNOWN if resubmitted else Outcome.NOT_RUN)
         assert answers[attempt].outcome in allowed, answers[attempt]
+
+
+def run_wide_job(system: System, partition: int, tasks: int, work_ms: int):
+    """Start a job in a partition; return its future and its submission id."""
+    while True:
+        submission_id = mint_submission_id()
+        if partition_of(submission_id.bytes, system.partitions) == partition:
+            break
+    entries = [entry.http for entry in system.entries]
+
+    async def submit() -> list:
+        async with AsyncSession(entries, "brusadelli") as session:
+            result = await session.submit(
+                "cut-list",
+                [{"work_ms": work_ms, "task": task} for task in range(tasks)],
+                deadline_s=WIDE_DEADLINE_S,
+                submission_id=submission_id,
+                unanswered=0,
+            )
+        return [result["value"]["task"] for result in result.results]
+
+    return system.portal.start_task_soon(submit), str(submission_id)
+
+
+def test_wide_job_survives_stop_of_standby(shared):
+    """Guards against tasks refused because the generation rose after the probe."""
+    system = shared.get()
+    system.wait_until_open()
+    record = system.records()[0]
+    generation = record["generation"]
+    standby = system.agent(record["standby"]["name"])
+    job, name = run_wide_job(system, 0, tasks=120, work_ms=500)
+
+    def started() -> list[int]:
+        return [s["index"] for s in system.starts() if s["submission"] == name]
+
+    wait_until(lambda: len(started()) > 8, "the job runs")
+    standby.signal(signal.SIGTERM)
+    wait_until(
+        lambda: system.records()[0]["generation"] > generation, "the standby changes"
+    )
+    assert not job.done(), "the job ended before the generation rose"
+    assert job.result() == list(range(120))
+    assert sorted(started()) == list(range(120))
+    assert standby.popen.wait(WAIT_LIMIT_S) == 0
+    system.launch(standby)
+    system.wait_until_open()
