--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -286,8 +286,9 @@
                 await anyio.sleep(TAKE_RETRY_S)
                 continue
             probed.left = grant.left
-            # A primary that survived a change of members grants under the new one.
-            message.generation = max(message.generation, grant.generation)
+            if grant.tasks:
+                # The primary may have entered a newer generation since its probe.
+                message.generation = grant.generation
             return grant
 
     async def _run_task(
