Add Prometheus metrics at each daemon

Operators had only the status report, which alarm rules can't use.

GET /metrics on the HTTP port of each entry and agent renders the blackboard and the existing counters with aioprometheus when it is scraped. Each scrape has its own registry: a shared one would go on showing series, such as a phase, that no longer exist. Counting in the controllers was ruled out, because it adds work to the hot paths.

--- a/marigoldkeel/agents.py
+++ b/marigoldkeel/agents.py
@@ -35,6 +35,7 @@
     Take,
     Transfer,
 )
+from marigoldkeel.metrics import AGENT_METRICS, add_metrics_route
 from marigoldkeel.models import Answer, Member
 from marigoldkeel.primaries import PrimaryController
 from marigoldkeel.queues import WorkQueue
@@ -162,6 +163,7 @@
         async def status(request: Request) -> Response:
             return Response.from_json(agent_report(self))
 
+        add_metrics_route(application, self, AGENT_METRICS)
         return application
 
     async def _drain(self) -> None:
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -36,6 +36,7 @@
     TaskItem,
     TaskResult,
 )
+from marigoldkeel.metrics import ENTRY_METRICS, RequestTimes, add_metrics_route
 from marigoldkeel.models import Answer, Member, Outcome, Priority, TaskState
 from marigoldkeel.primaries import REPLY_MARGIN_S, refusal
 from marigoldkeel.servers import HttpApplication, Request, Response, serve_http
@@ -79,6 +80,7 @@
         self.in_progress = 0
         self.admissions = Admissions(board)
         self.retries = RetryBudget(board.setting("retry_budget_ratio"))
+        self.request_times = RequestTimes()
 
     @classmethod
     def from_settings(cls, settings: Settings) -> "Entry":
@@ -169,6 +171,7 @@
             ready = self.board.configuration.ready and not self.board.leaving
             return Response.from_json({"ready": ready}, 200 if ready else 503)
 
+        add_metrics_route(application, self, ENTRY_METRICS, self.request_times)
         return application
 
     def report(self) -> dict:
@@ -205,10 +208,17 @@
                 invalid=True,
             )
             return to_response(answer, submission, is_job)
+        started_at = self.board.clock()
+        answer = await self._run(caller, is_job)
+        self.request_times.observe(
+            caller.priority, answer.outcome, self.board.clock() - started_at
+        )
+        return to_response(answer, caller.text_id, is_job)
+
+    async def _run(self, caller: CallerRequest, is_job: bool) -> Answer:
         admission = self.admissions.admit(caller)
         if not admission.admitted:
-            answer = self.admissions.refuse(admission, caller.unanswered)
-            return to_response(answer, caller.text_id, is_job)
+            return self.admissions.refuse(admission, caller.unanswered)
         started_at = self.board.clock()
         answer = None
         try:
@@ -218,7 +228,7 @@
                 answer = await self._submit(caller)
         finally:
             self.admissions.release(admission, caller, started_at, answer)
-        return to_response(answer, caller.text_id, is_job)
+        return answer
 
     def _check(self, request: Request, kind: str, is_job: bool) -> CallerRequest:
         """Return the request in checked form.
