--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import anyio
-import defopt
 import httpcore
 import msgspec
 from loguru import logger
@@ -321,13 +320,38 @@
             return
 
 
+DAEMONS = {"entry": entry, "agent": agent}
+
+
 def main() -> None:
     """Run the command named on the command line."""
+    try:
+        code = _run_command(sys.argv[1:])
+    except (InvalidInput, msgspec.DecodeError) as error:
+        code = _report(error, EXIT_INVALID)
+    except Refused as error:
+        code = _report(error, EXIT_NOT_RUN)
+    except OutcomeUnknown as error:
+        code = _report(error, EXIT_UNKNOWN)
+    except (JobFailed, MarigoldkeelError, OSError) as error:
+        code = _report(error, EXIT_FAILED)
+    sys.exit(code)
+
+
+def _run_command(arguments: list[str]) -> int:
+    match arguments:
+        case [name, settings_file] if name in DAEMONS and not settings_file.startswith(
+            "-"
+        ):
+            # defopt loads docutils to read docstrings, which would stay in the
+            # memory of a daemon.
+            return DAEMONS[name](settings_file)
+    import defopt
+
     from marigoldkeel import operators
 
     commands = {
-        "entry": entry,
-        "agent": agent,
+        **DAEMONS,
         "demo": demo,
         "submit": submit,
         "call": call,
@@ -347,17 +371,7 @@
             "remove": operators.exception_remove,
         },
     }
-    try:
-        code = defopt.run(commands)
-    except (InvalidInput, msgspec.DecodeError) as error:
-        code = _report(error, EXIT_INVALID)
-    except Refused as error:
-        code = _report(error, EXIT_NOT_RUN)
-    except OutcomeUnknown as error:
-        code = _report(error, EXIT_UNKNOWN)
-    except (JobFailed, MarigoldkeelError, OSError) as error:
-        code = _report(error, EXIT_FAILED)
-    sys.exit(code)
+    return defopt.run(commands, argv=arguments)
 
 
 def _report(error: Exception, code: int) -> int:
--- /dev/null
+++ b/packaging/check.py
@@ -0,0 +1,146 @@
+"""Checks the zipapp: it runs, starts no process and stays within its memory.
+
+Usage: python packaging/check.py [ZIPAPP]; prints one line of JSON. Exits with 1
+if a daemon started a process, exceeded 64 MiB or ended early. Linux only.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+
+MEMORY_LIMIT_KIB = 64 * 1024
+IDLE_S = 5
+START_TIMEOUT_S = 60
+STOP_TIMEOUT_S = 20
+SETTINGS = """
+name = "{name}"
+domain = "{domain}"
+listen = "127.0.0.1:{listen}"
+http = "127.0.0.1:{http}"
+contacts = ["127.0.0.1:{contact}"]
+[store]
+url = "http://127.0.0.1:{store}"
+"""
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+def wait_until_listening(process: subprocess.Popen, port: int) -> float:
+    """Return the seconds until the port accepted a connection."""
+    started = time.monotonic()
+    while time.monotonic() - started < START_TIMEOUT_S:
+        if process.poll() is not None:
+            break
+        try:
+            socket.create_connection(("127.0.0.1", port), 1).close()
+        except OSError:
+            time.sleep(0.01)
+        else:
+            return time.monotonic() - started
+    raise SystemExit(f"process {process.args} did not listen on port {port}")
+
+
+def children(pid: int) -> list[int]:
+    """Return the processes that a process started and that still exist."""
+    return [
+        int(child)
+        for path in Path(f"/proc/{pid}/task").glob("*/children")
+        for child in path.read_text().split()
+    ]
+
+
+def status_kib(pid: int, field: str) -> int:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith(field + ":"):
+            return int(line.split()[1])
+    raise KeyError(field)
+
+
+def start(zipapp: str, root: str, *arguments: str) -> subprocess.Popen:
+    environment = {**os.environ, "SHIV_ROOT": root}
+    return subprocess.Popen(
+        [sys.executable, zipapp, *arguments],
+        env=environment,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+
+
+def start_daemons(zipapp: str, root: str, processes: list[subprocess.Popen]) -> dict:
+    """Start a store, an entry and agents; return each one's time to start."""
+    ports = {name: free_port() for name in ("store", "entry", "agent")}
+    store = start(zipapp, root, "standin", "store", "-a", f"127.0.0.1:{ports['store']}")
+    processes.append(store)
+    times = {"first_start_s": wait_until_listening(store, ports["store"])}
+    for role, domain in (("entry", "Seregno"), ("agent", "Lissone")):
+        http = free_port()
+        settings = Path(root) / f"{role}.toml"
+        settings.write_text(
+            SETTINGS.format(
+                name=role,
+                domain=domain,
+                listen=ports[role],
+                http=http,
+                contact=ports["entry"],
+                store=ports["store"],
+            )
+        )
+        process = start(zipapp, root, role, str(settings))
+        processes.append(process)
+        times[f"{role}_start_s"] = wait_until_listening(process, http)
+    return times
+
+
+def check(zipapp: str) -> dict:
+    """Return the measures of an idle entry and an idle agent."""
+    processes: list[subprocess.Popen] = []
+    with tempfile.TemporaryDirectory() as root:
+        try:
+            report: dict = {"zipapp_bytes": Path(zipapp).stat().st_size}
+            report.update(start_daemons(zipapp, root, processes))
+            seen: set[int] = set()
+            deadline = time.monotonic() + IDLE_S
+            while time.monotonic() < deadline:
+                for process in processes:
+                    seen.update(children(process.pid))
+                time.sleep(0.02)
+            report["children"] = len(seen)
+            for role, process in zip(("entry", "agent"), processes[1:], strict=True):
+                report[f"{role}_rss_kib"] = status_kib(process.pid, "VmRSS")
+                report[f"{role}_peak_rss_kib"] = status_kib(process.pid, "VmHWM")
+                report[f"{role}_threads"] = status_kib(process.pid, "Threads")
+            extracted = [p for p in Path(root).rglob("*") if p.is_file()]
+            report["extracted_bytes"] = sum(p.stat().st_size for p in extracted)
+        finally:
+            for process in reversed(processes):
+                process.send_signal(signal.SIGTERM)
+            for process in processes:
+                try:
+                    process.wait(STOP_TIMEOUT_S)
+                except subprocess.TimeoutExpired:
+                    process.kill()
+                    process.wait()
+    report["load_average"] = os.getloadavg()[0]
+    return report
+
+
+def main() -> int:
+    zipapp = sys.argv[1] if len(sys.argv) > 1 else "dist/marigoldkeel"
+    report = check(zipapp)
+    print(json.dumps(report))
+    peak = max(report["entry_peak_rss_kib"], report["agent_peak_rss_kib"])
+    return int(bool(report["children"]) or peak > MEMORY_LIMIT_KIB)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
