Measure a swap of the record that belongs to the key

The store measurement wrote the record of partition 0 under the key of partition 1, so the table read back 8,191 records instead of 8,192.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -884,7 +884,7 @@
         async with open_store("etcd", f"http://{address}") as store:
             await fill_store(store, DESIGN_PARTITIONS, DESIGN_PARTITIONS)
             revision = {"value": (await store.get(partition_key(1))).revision}
-            data = stored_records(1)[0]
+            data = stored_records(2)[1]
 
             async def swap() -> None:
                 write = Write(partition_key(1), data, revision["value"])
