--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -3,6 +3,7 @@
 import hashlib
 import hmac
 from contextlib import AsyncExitStack
+from dataclasses import asdict
 from functools import singledispatchmethod
 
 import anyio
@@ -192,6 +193,7 @@
             **board_report(self.board),
             "http": self.http_address,
             "requests_in_progress": self.in_progress,
+            "messages": asdict(self.peers.counters),
         }
 
     async def _serve(self, request: Request, kind: str, is_job: bool) -> Response:
--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -81,7 +81,11 @@
 
 @dataclass(slots=True)
 class Counters:
-    """What a connection or pool has sent and received."""
+    """What a connection or pool has sent and received.
+
+    ``by_type`` counts sent messages; ``frames_by_type`` counts the frames that held
+    at least one message of the type.
+    """
 
     messages_sent: int = 0
     frames_sent: int = 0
@@ -89,6 +93,7 @@
     messages_received: int = 0
     bytes_received: int = 0
     by_type: dict[str, int] = field(default_factory=dict)
+    frames_by_type: dict[str, int] = field(default_factory=dict)
 
 
 class Connection:
@@ -197,11 +202,16 @@
         self.counters.bytes_sent += frame_bytes + LENGTH.size
         self.counters.messages_sent += len(batch)
         by_type = self.counters.by_type
+        frames_by_type = self.counters.frames_by_type
+        names = set()
         for envelope in batch:
             name = type(envelope.content).__name__
             by_type[name] = by_type.get(name, 0) + 1
+            names.add(name)
             if not envelope.reply and envelope.request_id in self.pending:
                 self.pending[envelope.request_id].sent = True
+        for name in names:
+            frames_by_type[name] = frames_by_type.get(name, 0) + 1
 
     def _fail_batch(self, batch: list[Envelope], error: Exception) -> None:
         logger.error("cannot encode messages for {}: {}", self.peer, error)
