Return results with the next request for tasks

Cause: each ended task cost a message with its result and, when the agent's queue was not empty, a second one to ask for the next task. An agent also asked for tasks of jobs that it knew to have none left.

Ruled out: batching in the transport.

Change: the offer of a job stays queued while it has tasks left, and a freed slot returns the results with its request. Results wait until the last task of the job that runs here has ended, since the job cannot be complete before; failures are returned at once.

The waste left is offers, and requests that find the job drained by others.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,6 +3,7 @@
 import datetime
 import operator
 import os
+import signal
 import sys
 import tempfile
 from collections import Counter
@@ -282,4 +283,6 @@
 
 
 if __name__ == "__main__":
+    # Ends like Ctrl-C, so that no process is left behind.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(defopt.run(bench))
--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -20,6 +20,9 @@
 TAKE_TIMEOUT_S = 1.0
 TAKE_RETRY_S = 0.1
 HOUSEKEEPING_S = 0.1
+# About the time in which a free slot asks for the next task of a queued job. A
+# longer hold delays the answer when other agents took the job's last tasks.
+RESULT_HOLD_S = 0.01
 # Longer than the longest deadline, so no grant of a remembered task is still valid.
 MAX_STARTED = 100_000
 
@@ -42,11 +45,17 @@
 
 @dataclass(slots=True)
 class ProbedJob:
-    """A job that a primary offered; ``left`` is its last known pending count."""
+    """A job that a primary offered; ``left`` is its last known pending count.
+
+    ``results`` holds results that are not delivered yet and ``running`` counts the
+    tasks that are granted and have not ended.
+    """
 
     message: Probe
     deadline: float
     left: int
+    running: int = 0
+    results: list[TaskResult] = field(default_factory=list)
 
 
 class Executor:
@@ -156,6 +165,8 @@
             item = self.queue.next_item(self.board.clock(), self.long_running)
             if item is None:
                 break
+            if isinstance(item.source, ProbedJob) and not item.source.left:
+                continue
             slots = self._acquire(item.kind, item.count)
             if not slots:
                 skipped.append(item)
@@ -201,60 +212,48 @@
         pushed.finish(result)
 
     async def _run_probed(self, item: WorkItem, slots: list[str]) -> None:
+        """Take tasks for free slots; the job stays queued while it has more."""
         probed = item.source
         try:
-            grant = await self._take(probed, len(slots), [])
+            grant = await self._take(probed, len(slots))
         except BaseException:
             self._release(slots)
             raise
         used, unused = slots[: len(grant.tasks)], slots[len(grant.tasks) :]
-        self._release(unused)
         if not grant.tasks:
             self.board.events["takes_without_task"] += 1
-        if grant.left and item.count > len(slots):
-            item.count -= len(slots)
-            self.queue.put_back(item)
         for slot, task in zip(used, grant.tasks, strict=True):
             self.group.start_soon(self._run_granted, item, slot, task)
+        item.count = min(probed.left, probed.message.count)
+        self.queue.put_back(item)
+        self._release(unused)
 
     async def _run_granted(self, item: WorkItem, slot: str, task: TaskItem) -> None:
-        """Run a granted task, then further ones while nothing else waits."""
         probed = item.source
         try:
-            while True:
-                result = await self._run_task(
-                    probed.message, task, slot, probed.deadline
-                )
-                want = int(probed.left > 0 and self._may_continue(slot))
-                grant = await self._take(probed, want, [result])
-                if not grant.tasks:
-                    break
-                task = grant.tasks[0]
+            result = await self._run_task(probed.message, task, slot, probed.deadline)
+            probed.running -= 1
+            probed.results.append(result)
         finally:
             self._release([slot])
-        if probed.left > 0 and not want:
-            follow_up = WorkItem(
-                item.key,
-                item.kind,
-                item.priority,
-                item.deadline,
-                1,
-                self.board.clock(),
-                probed,
-            )
-            self.queue.put_back(follow_up)
-            self.wake.set()
+        await self._deliver(probed, result.state == TaskState.SUCCEEDED)
 
-    def _may_continue(self, slot: str) -> bool:
-        info = self.targets.targets.get(slot)
-        return info is not None and not info.leaving and self.queue.depth == 0
+    async def _deliver(self, probed: ProbedJob, may_wait: bool) -> None:
+        """Return the results, unless a later message of this job will hold them.
+
+        The job cannot be complete before its tasks that run here have ended. While
+        it has pending tasks, the next request for one follows within moments.
+        """
+        if may_wait and probed.left and not probed.running:
+            await anyio.sleep(RESULT_HOLD_S)
+        if probed.results and not (may_wait and probed.running):
+            await self._take(probed, 0)
 
-    async def _take(
-        self, probed: ProbedJob, want: int, results: list[TaskResult]
-    ) -> Grant:
-        """Report results and ask for tasks, again under the same sequence."""
+    async def _take(self, probed: ProbedJob, want: int) -> Grant:
+        """Return results and ask for tasks, again under the same sequence."""
         self.sequence += 1
         message = probed.message
+        results, probed.results = probed.results, []
         take = Take(
             message.submission_id,
             self.board.member.incarnation,
@@ -272,6 +271,7 @@
                 await anyio.sleep(TAKE_RETRY_S)
                 continue
             probed.left = grant.left
+            probed.running += len(grant.tasks)
             return grant
 
     async def _run_task(
