Offer a job to one agent for four of its tasks, and to more only when needed

Cause: a job was offered to every agent, most of which found it drained; each such offer cost three messages.

Change: the offers go to the less loaded agents of a sample, one for four tasks. Tasks that nobody took within 250 ms are offered to further agents that look idle, so that a job does not wait behind the agents chosen first.

--- a/marigoldkeel/dispatch.py
+++ b/marigoldkeel/dispatch.py
@@ -12,6 +12,9 @@
 # A probe and its request cost two messages more than a push, which only jobs of
 # several tasks earn back.
 NARROW_TASKS = 2
+# Each offer costs one message, and two more when the job is drained before the
+# agent asks. Four tasks to an offer keep that within a tenth of the messages.
+TASKS_PER_OFFER = 4
 
 
 @dataclass(slots=True)
@@ -38,6 +41,15 @@
         """Return a placement of ``indexes`` on ``agents``, which is not empty."""
         raise NotImplementedError
 
+    def widen(
+        self, pending: int, agents: list[PeerState], rng: random.Random
+    ) -> Placement:
+        """Return further offers of a job whose ``pending`` tasks nobody took.
+
+        :param agents: Agents that have no offer of the job yet; may be empty.
+        """
+        return Placement()
+
 
 policies: dict[str, type[PlacementPolicy]] = {}
 
@@ -70,6 +82,18 @@
     agent.load += 1 / max(agent.slots, 1)
 
 
+def _least_loaded(
+    agents: list[PeerState], count: int, rng: random.Random
+) -> list[PeerState]:
+    """Return up to ``count`` agents, the better half of a random sample.
+
+    The sample keeps primaries that know the same heartbeats from all choosing the
+    same agents.
+    """
+    sample = rng.sample(agents, min(2 * count, len(agents)))
+    return sorted(sample, key=lambda state: state.load)[:count]
+
+
 @policy("random")
 class RandomPush(PlacementPolicy):
     """Pushes each task to an agent chosen at random."""
@@ -104,10 +128,18 @@
                 pair = rng.sample(agents, min(2, len(agents)))
                 _push(placement, min(pair, key=lambda state: state.load), index)
             return placement
-        wanted = math.ceil(len(indexes) * self.probe_ratio)
-        chosen = rng.sample(agents, min(wanted, len(agents)))
-        share = math.ceil(wanted / len(chosen))
-        for agent in chosen:
-            count = min(share, len(indexes))
-            placement.probes[agent.member.incarnation] = count
+        offers = math.ceil(len(indexes) / TASKS_PER_OFFER)
+        share = min(len(indexes), math.ceil(self.probe_ratio * TASKS_PER_OFFER))
+        for agent in _least_loaded(agents, offers, rng):
+            placement.probes[agent.member.incarnation] = share
+            agent.load += TASKS_PER_OFFER / max(agent.slots, 1)
+        return placement
+
+    def widen(self, pending, agents, rng):
+        placement = Placement()
+        idle = [agent for agent in agents if agent.load < 1]
+        offers = math.ceil(pending / TASKS_PER_OFFER)
+        for agent in _least_loaded(idle, offers, rng):
+            placement.probes[agent.member.incarnation] = pending
+            agent.load += min(pending, TASKS_PER_OFFER) / max(agent.slots, 1)
         return placement
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -7,7 +7,7 @@
 
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.claims import ClaimRegister, Verdict
-from marigoldkeel.dispatch import PlacementPolicy
+from marigoldkeel.dispatch import Placement, PlacementPolicy
 from marigoldkeel.exceptions import (
     InvalidInput,
     MarigoldkeelError,
@@ -36,6 +36,8 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 PLACEMENT_RETRY_S = 0.05
 REPLY_MARGIN_S = 0.5
+# Tasks still pending after this are offered to further agents that look idle.
+WIDEN_AFTER_S = 0.25
 RETRY_AFTER_MS = 200
 
 REASONS = {
@@ -202,12 +204,19 @@
     async def _run(self, job: Job) -> None:
         submission = job.submission
         with anyio.move_on_after(submission.deadline - self.board.clock()):
-            await self._place(job, list(job.pending))
-            await job.done.wait()
+            offered = await self._place(job, list(job.pending))
+            while job.answer is None:
+                with anyio.move_on_after(WIDEN_AFTER_S):
+                    await job.done.wait()
+                if job.pending:
+                    self._widen(job, offered)
         job.fail("the deadline passed", self.board.clock())
 
-    async def _place(self, job: Job, indexes: list[int]) -> None:
-        """Offer or push pending tasks, waiting for an agent if none is known."""
+    async def _place(self, job: Job, indexes: list[int]) -> set[str]:
+        """Offer or push pending tasks, waiting for an agent if none is known.
+
+        :return: The incarnations of the agents that have an offer of the job.
+        """
         kind = job.submission.kind
         while job.answer is None:
             agents = self._candidates(kind)
@@ -215,8 +224,23 @@
                 break
             await anyio.sleep(PLACEMENT_RETRY_S)
         else:
-            return
+            return set()
         placement = self.policy.place(indexes, agents, self.board.random)
+        self._carry_out(job, placement, agents)
+        return set(placement.probes)
+
+    def _widen(self, job: Job, offered: set[str]) -> None:
+        """Offer what nobody took to further agents."""
+        agents = [
+            agent
+            for agent in self._candidates(job.submission.kind)
+            if agent.member.incarnation not in offered
+        ]
+        placement = self.policy.widen(len(job.pending), agents, self.board.random)
+        self._carry_out(job, placement, agents)
+        offered.update(placement.probes)
+
+    def _carry_out(self, job: Job, placement: Placement, agents: list) -> None:
         addresses = {agent.member.incarnation: agent.member for agent in agents}
         for incarnation, count in placement.probes.items():
             member = addresses[incarnation]
