--- a/tests/harness.py
+++ b/tests/harness.py
@@ -129,6 +129,11 @@
         self.runners[name] = self.launch(runner)
         return agent
 
+    def remove_agent(self, agent: Daemon) -> None:
+        """Forget an agent and end its runner, as when a host is lost."""
+        self.agents.remove(agent)
+        self.runners.pop(agent.name).kill()
+
     @property
     def daemons(self) -> list[Daemon]:
         """The entries and agents."""
@@ -157,6 +162,11 @@
             for line in path.read_bytes().splitlines()
         ]
 
+    def starts_at(self, runner: Daemon) -> int:
+        """Return the number of starts that one runner has recorded."""
+        path = self.directory / f"{runner.name}.starts"
+        return len(path.read_bytes().splitlines()) if path.exists() else 0
+
     def records(self) -> dict[int, dict]:
         """Return the newest partition records that any daemon knows."""
         newest: dict[int, dict] = {}
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -25,6 +25,11 @@
 ANSWERS_DURING = 60
 ANSWERS_AFTER = 60
 POLL_S = 0.2
+# Shorter than the timeout of a store call, so that slow calls still succeed.
+STORE_DELAY_S = 0.8
+# Fewer than the partitions of one agent, so that some swaps lose their answer.
+LOST_ANSWERS = 3
+BLOCKER_MS = 6000
 WIDE_DEADLINE_S = 40.0
 
 
@@ -64,6 +69,28 @@
         )
 
 
+def run_wide_job(system: System, partition: int, tasks: int, work_ms: int):
+    """Start a job in a partition; return its future and its submission id."""
+    while True:
+        submission_id = mint_submission_id()
+        if partition_of(submission_id.bytes, system.partitions) == partition:
+            break
+    entries = [entry.http for entry in system.entries]
+
+    async def submit() -> list:
+        async with AsyncSession(entries, "brusadelli") as session:
+            result = await session.submit(
+                "cut-list",
+                [{"work_ms": work_ms, "task": task} for task in range(tasks)],
+                deadline_s=WIDE_DEADLINE_S,
+                submission_id=submission_id,
+                unanswered=0,
+            )
+        return [result["value"]["task"] for result in result.results]
+
+    return system.portal.start_task_soon(submit), str(submission_id)
+
+
 FAULTS = {}
 
 
@@ -101,6 +128,16 @@
     agent.wake()
 
 
+@fault
+def link_cut_one_way(case: Case) -> None:
+    # Claims to this agent and entries' submissions to it wait, while its own
+    # heartbeats and claims still arrive. They arrive late when the link is back.
+    forwarder = case.system.forwarders["agent-3"]
+    case.system.portal.call(forwarder.hold)
+    case.wait_for_answers()
+    case.system.portal.call(forwarder.restore)
+
+
 @fault
 def store_down(case: Case) -> None:
     case.system.store_faults(down=True)
@@ -108,6 +145,95 @@
     case.system.store_faults(down=False)
 
 
+@fault
+def store_slow(case: Case) -> None:
+    case.system.store_faults(delay_s=STORE_DELAY_S)
+    kill_and_replace(case, case.member("standby"))
+    case.system.store_faults(delay_s=0)
+
+
+@fault
+def store_answers_lost(case: Case) -> None:
+    case.system.store_faults(lose_write_answers=LOST_ANSWERS)
+    kill_and_replace(case, case.member("primary"))
+    case.system.store_faults(lose_write_answers=0)
+
+
+@fault
+def store_down_and_agent_killed(case: Case) -> None:
+    case.system.store_faults(down=True)
+    agent = case.member("primary")
+    incarnation = agent.status()["member"]["incarnation"]
+    agent.kill()
+    case.wait_for_answers()
+    assert incarnation in case.system.member_incarnations()
+    case.system.store_faults(down=False)
+    case.wait_until_replaced(incarnation)
+    case.system.launch(agent)
+
+
+@fault
+def host_replaced(case: Case) -> None:
+    system, old = case.system, case.member("primary")
+    number = system.agents.index(old)
+    incarnation = old.status()["member"]["incarnation"]
+    old.kill()
+    system.remove_agent(old)
+    system.add_agent(f"{old.name}-new", number)
+    case.wait_until_replaced(incarnation)
+
+
+@fault
+def target_leaving(case: Case) -> None:
+    # Keeps the runner from ending while it is checked that it gets nothing new.
+    blocker, name = run_wide_job(case.system, 0, tasks=16, work_ms=BLOCKER_MS)
+    runner_name = wait_until(
+        lambda: [
+            start["runner"]
+            for start in case.system.starts()
+            if start["submission"] == name
+        ],
+        "a runner has a long task",
+    )[0]
+    agent = case.system.agent(runner_name.removeprefix("runner-"))
+    runner = case.system.runners[agent.name]
+    runner.signal(signal.SIGTERM)
+    wait_until(
+        lambda: any(target["leaving"] for target in agent.status()["targets"]),
+        "the agent knows that its target is leaving",
+    )
+    case.wait_for_answers()
+    case.starts_when_leaving = case.system.starts_at(runner)
+    case.wait_for_answers()
+    case.starts_after_leaving = case.system.starts_at(runner)
+    assert runner.alive, "the runner ended before the check"
+    assert len(blocker.result()) == 16
+    assert runner.popen.wait(WAIT_LIMIT_S) == 0
+    case.system.launch(runner)
+
+
+@fault
+def target_silent(case: Case) -> None:
+    agent = case.system.agents[0]
+    runner = case.system.runners[agent.name]
+    runner.freeze()
+    wait_until(lambda: not agent.status()["slots"], "the agent counts no free slot")
+    case.wait_for_answers()
+    case.starts_when_leaving = case.system.starts_at(runner)
+    case.wait_for_answers()
+    case.starts_after_leaving = case.system.starts_at(runner)
+    runner.wake()
+
+
+@fault
+def entry_stopped(case: Case) -> None:
+    entry = case.system.entries[0]
+    case.stopped, case.stopped_at = entry, time.time()
+    case.exit_code = entry.stop()
+    case.wait_for_answers()
+    case.system.launch(entry)
+
+
 @fault
 def agent_stopped(case: Case) -> None:
     agent = case.member("primary")
@@ -180,14 +306,14 @@
 
     def __init__(self, directories):
         self.directories = directories
-        self.cases: dict[str, Case] = {}
+        self.cases: dict[str, Case | Exception] = {}
         self.system: System | None = None
 
     def get(self) -> System:
         if self.system is None:
             self.system = System(self.directories.mktemp("system"))
             self.system.__enter__()
-            self.system.start()
+            self.system.start(forwarded=3)
         return self.system
 
     def case(self, name: str) -> Case:
@@ -195,9 +321,12 @@
         if name not in self.cases:
             try:
                 self.cases[name] = run_case(self.get(), FAULTS[name])
-            except BaseException:
+            except Exception as error:
+                # The other checks of this fault fail too, without another run.
+                self.cases[name] = error
                 self.close()
-                raise
+        if isinstance(self.cases[name], Exception):
+            raise self.cases[name]
         return self.cases[name]
 
     def close(self) -> None:
@@ -259,7 +388,13 @@
     assert case.revisions_at_end == {case.changed_revision}
 
 
-@pytest.mark.parametrize("case", ["agent_stopped"], indirect=True)
+@pytest.mark.parametrize("case", ["target_leaving", "target_silent"], indirect=True)
+def test_target_gets_nothing_new(case):
+    """Guards against starts at a target that is leaving or has fallen silent."""
+    assert case.starts_after_leaving == case.starts_when_leaving
+
+
+@pytest.mark.parametrize("case", ["agent_stopped", "entry_stopped"], indirect=True)
 def test_planned_stop_cuts_nothing(case):
     """Guards against a request that was running at SIGTERM and did not complete.
 
@@ -282,28 +417,6 @@
         assert answers[attempt].outcome in allowed, answers[attempt]
 
 
-def run_wide_job(system: System, partition: int, tasks: int, work_ms: int):
-    """Start a job in a partition; return its future and its submission id."""
-    while True:
-        submission_id = mint_submission_id()
-        if partition_of(submission_id.bytes, system.partitions) == partition:
-            break
-    entries = [entry.http for entry in system.entries]
-
-    async def submit() -> list:
-        async with AsyncSession(entries, "brusadelli") as session:
-            result = await session.submit(
-                "cut-list",
-                [{"work_ms": work_ms, "task": task} for task in range(tasks)],
-                deadline_s=WIDE_DEADLINE_S,
-                submission_id=submission_id,
-                unanswered=0,
-            )
-        return [result["value"]["task"] for result in result.results]
-
-    return system.portal.start_task_soon(submit), str(submission_id)
-
-
 def test_wide_job_survives_stop_of_standby(shared):
     """Guards against tasks refused because the generation rose after the probe."""
     system = shared.get()
