Free the slots that wait for a silent primary

Cause: an agent repeats a request for tasks until the job's deadline, and holds the slots of those tasks meanwhile. When the primary of a wide job was killed, every slot that worked on the job stayed busy until the deadline, up to 300 s, although nothing ran in it.

Ruled out: tasks still running at the runners (their starts had ended) and slots lost by the target table (they came back at the deadline).

Change: after the suspicion time the slots are released. The request is repeated without them, once a second, so that results still reach a primary that was only frozen; tasks that it grants then are returned as not started.

After: all are free when the suspicion time has passed, the caller was told that the job failed, and no task started twice.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -19,6 +19,7 @@
 
 TAKE_TIMEOUT_S = 1.0
 TAKE_RETRY_S = 0.1
+SETTLE_RETRY_S = 1.0
 HOUSEKEEPING_S = 0.1
 # Longer than the longest deadline, so no grant of a remembered task is still valid.
 MAX_STARTED = 100_000
@@ -252,30 +253,61 @@
     async def _take(
         self, probed: ProbedJob, want: int, results: list[TaskResult]
     ) -> Grant:
-        """Report results and ask for tasks, again under the same sequence."""
+        """Report results and ask for tasks, again under the same sequence.
+
+        The caller holds slots meanwhile, so a primary that stays silent for the
+        suspicion time is left to `_settle`.
+        """
+        take = self._next_take(probed, want, results)
+        until = self.board.clock() + self.board.setting("suspect_after_ms") / 1000
+        while True:
+            try:
+                grant = await self.peers.request(
+                    probed.message.address, take, TAKE_TIMEOUT_S
+                )
+            except MarigoldkeelError:
+                if self.board.clock() > min(probed.deadline, until):
+                    self.group.start_soon(self._settle, probed, take)
+                    probed.left = 0
+                    return Grant()
+                await anyio.sleep(TAKE_RETRY_S)
+                continue
+            probed.left = grant.left
+            if grant.tasks:
+                # The primary may have entered a newer generation since its probe.
+                probed.message.generation = grant.generation
+            return grant
+
+    def _next_take(
+        self, probed: ProbedJob, want: int, results: list[TaskResult]
+    ) -> Take:
         self.sequence += 1
-        message = probed.message
-        take = Take(
-            message.submission_id,
+        return Take(
+            probed.message.submission_id,
             self.board.member.incarnation,
             self.sequence,
             want,
             results,
         )
+
+    async def _settle(self, probed: ProbedJob, take: Take) -> None:
+        """Deliver results until the deadline, and give back what was granted."""
         while True:
             try:
-                grant = await self.peers.request(message.address, take, TAKE_TIMEOUT_S)
+                grant = await self.peers.request(
+                    probed.message.address, take, TAKE_TIMEOUT_S
+                )
             except MarigoldkeelError as error:
                 if self.board.clock() > probed.deadline:
                     logger.warning("results not delivered: {}", error)
-                    return Grant()
-                await anyio.sleep(TAKE_RETRY_S)
+                    return
+                await anyio.sleep(SETTLE_RETRY_S)
                 continue
-            probed.left = grant.left
-            if grant.tasks:
-                # The primary may have entered a newer generation since its probe.
-                message.generation = grant.generation
-            return grant
+            if not grant.tasks:
+                return
+            reason = "the primary was silent for too long"
+            returned = [not_started(task.index, reason) for task in grant.tasks]
+            take = self._next_take(probed, 0, returned)
 
     async def _run_task(
         self, message: Probe | Run, task: TaskItem, slot: str, deadline: float
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -12,6 +12,7 @@
 import anyio
 import pytest
 
+from marigoldkeel.exceptions import JobFailed
 from marigoldkeel.identifiers import mint_submission_id, partition_of
 from marigoldkeel.models import Outcome
 from marigoldkeel.sessions import AsyncSession
@@ -69,7 +70,13 @@
         )
 
 
-def run_wide_job(system: System, partition: int, tasks: int, work_ms: int):
+def run_wide_job(
+    system: System,
+    partition: int,
+    tasks: int,
+    work_ms: int,
+    deadline_s: float = WIDE_DEADLINE_S,
+):
     """Start a job in a partition; return its future and its submission id."""
     while True:
         submission_id = mint_submission_id()
@@ -82,7 +89,7 @@
             result = await session.submit(
                 "cut-list",
                 [{"work_ms": work_ms, "task": task} for task in range(tasks)],
-                deadline_s=WIDE_DEADLINE_S,
+                deadline_s=deadline_s,
                 submission_id=submission_id,
                 unanswered=0,
             )
@@ -440,3 +447,27 @@
     assert standby.popen.wait(WAIT_LIMIT_S) == 0
     system.launch(standby)
     system.wait_until_open()
+
+
+def test_slots_are_free_after_loss_of_primary(shared):
+    """Guards against slots that wait for a lost primary until the job's deadline."""
+    system = shared.get()
+    system.wait_until_open()
+    primary = system.agent(system.records()[0]["primary"]["name"])
+    others = [agent for agent in system.agents if agent is not primary]
+    deadline_s = 4 * WAIT_LIMIT_S
+    job, name = run_wide_job(system, 0, 150, work_ms=500, deadline_s=deadline_s)
+    wait_until(
+        lambda: all(agent.status()["running_tasks"] for agent in others),
+        "every agent runs tasks of the job",
+    )
+    primary.kill()
+    wait_until(
+        lambda: not any(agent.status()["running_tasks"] for agent in others),
+        "no slot is held for the lost primary",
+    )
+    assert isinstance(job.exception(), JobFailed)
+    indexes = [s["index"] for s in system.starts() if s["submission"] == name]
+    assert len(indexes) == len(set(indexes)) < 150
+    system.launch(primary)
+    system.wait_until_open()
