--- a/marigoldkeel/agents.py
+++ b/marigoldkeel/agents.py
@@ -35,6 +35,7 @@
     Take,
     Transfer,
 )
+from marigoldkeel.metrics import AGENT_METRICS, add_metrics_route
 from marigoldkeel.models import Answer, Member
 from marigoldkeel.primaries import PrimaryController
 from marigoldkeel.queues import WorkQueue
@@ -107,13 +108,8 @@
     def _make_controllers(self, group) -> None:
         settings, board, peers = self.settings, self.board, self.peers
         setting = board.setting
-        self.queue = WorkQueue(
-            1,
-            int(setting("queue_tasks_per_slot") * 64),
-            setting("ageing_ms") / 1000,
-            setting("long_slot_share"),
-            setting("long_task_ms") / 1000,
-        )
+        # The executor sets the configured values and keeps them up to date.
+        self.queue = WorkQueue(1, int(setting("queue_tasks_per_slot")))
         policy = make_policy(settings.policy, setting("probe_ratio"))
         self.primaries = PrimaryController(board, peers, policy, group)
         self.executor = Executor(
@@ -167,6 +163,7 @@
         async def status(request: Request) -> Response:
             return Response.from_json(agent_report(self))
 
+        add_metrics_route(application, self, AGENT_METRICS)
         return application
 
     async def _drain(self) -> None:
@@ -251,4 +248,5 @@
         answer.invalid,
         answer.ran,
         answer.may_have_run,
+        answer.run_ms,
     )
--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import anyio
-import defopt
 import httpcore
 import msgspec
 from loguru import logger
@@ -234,8 +233,10 @@
 ) -> int:
     """Reopen a partition whose two members are both lost.
 
-    Only ids minted from now on are accepted in it. If one of the old members is
-    still running, a task may start twice, so check both hosts first.
+    Only ids minted a minute or more from now are accepted in it, as the lost
+    members accepted ids of callers whose clocks are up to a minute ahead. If one of
+    the old members is still running, a task may start twice, so check both hosts
+    first.
 
     :param partition: The number of the partition.
     :param store: URL of the store.
@@ -321,34 +322,13 @@
             return
 
 
+DAEMONS = {"entry": entry, "agent": agent}
+
+
 def main() -> None:
     """Run the command named on the command line."""
-    from marigoldkeel import operators
-
-    commands = {
-        "entry": entry,
-        "agent": agent,
-        "demo": demo,
-        "submit": submit,
-        "call": call,
-        "status": status,
-        "partition": {"reopen": partition_reopen},
-        "standin": {"store": standin_store, "runner": standin_runner},
-        "config": {
-            "show": operators.config_show,
-            "set": operators.config_set,
-            "apply": operators.config_apply,
-            "history": operators.config_history,
-            "diff": operators.config_diff,
-        },
-        "exception": {
-            "list": operators.exception_list,
-            "add": operators.exception_add,
-            "remove": operators.exception_remove,
-        },
-    }
     try:
-        code = defopt.run(commands)
+        code = _run_command(sys.argv[1:])
     except (InvalidInput, msgspec.DecodeError) as error:
         code = _report(error, EXIT_INVALID)
     except Refused as error:
@@ -360,6 +340,31 @@
     sys.exit(code)
 
 
+def _run_command(arguments: list[str]) -> int:
+    match arguments:
+        case [name, settings_file] if name in DAEMONS and not settings_file.startswith(
+            "-"
+        ):
+            # defopt loads docutils to read docstrings, which would stay in the
+            # memory of a daemon.
+            return DAEMONS[name](settings_file)
+    import defopt
+
+    from marigoldkeel import operators
+
+    commands = {
+        **DAEMONS,
+        "demo": demo,
+        "submit": submit,
+        "call": call,
+        "status": status,
+        "partition": {"reopen": partition_reopen},
+        "standin": {"store": standin_store, "runner": standin_runner},
+        **operators.COMMANDS,
+    }
+    return defopt.run(commands, argv=arguments)
+
+
 def _report(error: Exception, code: int) -> int:
     print(f"marigoldkeel: {error}", file=sys.stderr)
     return code
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskStatus
 from loguru import logger
 
+from marigoldkeel.admissions import QUOTA_STEP, Admissions, CallerRequest
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.exceptions import (
     InvalidInput,
@@ -23,6 +24,7 @@
     parse_submission_id,
     partition_of,
 )
+from marigoldkeel.limits import RetryBudget
 from marigoldkeel.memberships import MembershipController
 from marigoldkeel.messages import (
     Heartbeat,
@@ -34,6 +36,7 @@
     TaskItem,
     TaskResult,
 )
+from marigoldkeel.metrics import ENTRY_METRICS, RequestTimes, add_metrics_route
 from marigoldkeel.models import Answer, Member, Outcome, Priority, TaskState
 from marigoldkeel.primaries import REPLY_MARGIN_S, refusal
 from marigoldkeel.servers import HttpApplication, Request, Response, serve_http
@@ -60,24 +63,6 @@
 LEAVE_NOTICE_S = 0.5
 
 
-class CallerRequest:
-    """A checked request of a caller. ``deadline_s`` is a duration in seconds."""
-
-    __slots__ = (
-        "submission_id",
-        "text_id",
-        "team",
-        "kind",
-        "priority",
-        "deadline_s",
-        "unanswered",
-        "tasks",
-        "body",
-        "read_only",
-        "idempotent",
-    )
-
-
 class Entry:
     """One entry process.
 
@@ -93,6 +78,9 @@
         self.stopping = anyio.Event()
         self.http_address = ""
         self.in_progress = 0
+        self.admissions = Admissions(board)
+        self.retries = RetryBudget()
+        self.request_times = RequestTimes()
 
     @classmethod
     def from_settings(cls, settings: Settings) -> "Entry":
@@ -163,7 +151,7 @@
                 await anyio.sleep(DRAIN_TICK_S)
 
     def _routes(self) -> HttpApplication:
-        application = HttpApplication()
+        application = HttpApplication(describe_rejection=describe_not_run)
 
         @application.route("POST", "/v1/jobs")
         async def submit_job(request: Request) -> Response:
@@ -183,6 +171,7 @@
             ready = self.board.configuration.ready and not self.board.leaving
             return Response.from_json({"ready": ready}, 200 if ready else 503)
 
+        add_metrics_route(application, self, ENTRY_METRICS, self.request_times)
         return application
 
     def report(self) -> dict:
@@ -219,12 +208,28 @@
                 invalid=True,
             )
             return to_response(answer, submission, is_job)
-        if caller.read_only and not is_job:
-            answer = await self._run_read_only(caller)
-        else:
-            answer = await self._submit(caller)
+        started_at = self.board.clock()
+        answer = await self._run(caller, is_job)
+        self.request_times.observe(
+            caller.priority, answer.outcome, self.board.clock() - started_at
+        )
         return to_response(answer, caller.text_id, is_job)
 
+    async def _run(self, caller: CallerRequest, is_job: bool) -> Answer:
+        admission = self.admissions.admit(caller)
+        if not admission.admitted:
+            return self.admissions.refuse(admission, caller.unanswered)
+        started_at = self.board.clock()
+        answer = None
+        try:
+            if caller.read_only and not is_job:
+                answer = await self._run_read_only(caller)
+            else:
+                answer = await self._submit(caller)
+        finally:
+            self.admissions.release(admission, caller, started_at, answer)
+        return answer
+
     def _check(self, request: Request, kind: str, is_job: bool) -> CallerRequest:
         """Return the request in checked form.
 
@@ -321,22 +326,26 @@
 
         Without effects, a second run does no harm, so a lost one is repeated.
         """
-        states = [
-            state
-            for state in self.board.peers.live(self.board.clock())
-            if caller.kind in state.kinds and state.slots
-        ]
+        states = self.board.candidates(caller.kind)
         pair = self.board.random.sample(states, min(2, len(states)))
         pair.sort(key=lambda state: state.load)
-        deadline = self.board.clock() + caller.deadline_s
+        now = self.board.clock()
+        deadline = now + caller.deadline_s
+        self.retries.ratio = self.board.setting("retry_budget_ratio", kind=caller.kind)
+        self.retries.record_call(now)
         result = TaskResult(0, TaskState.NOT_STARTED, b"", "no agent serves this kind")
         for state in pair:
             remaining_s = deadline - self.board.clock()
             if remaining_s <= 0:
                 break
+            self.board.detector.start(state.member.name, self.board.clock())
             result = await self._push(caller, state, remaining_s)
+            self.board.record_result(state.member.name, caller.kind, result)
             if result.state in (TaskState.SUCCEEDED, TaskState.FAILED):
                 break
+            # Retries without a bound would double the load of an overloaded fleet.
+            if not self.retries.try_retry(self.board.clock()):
+                break
         return answer_from_result(result, caller.unanswered)
 
     async def _push(self, caller: CallerRequest, state, remaining_s) -> TaskResult:
@@ -382,6 +391,12 @@
         return Report(encode_report(self.report()))
 
 
+def describe_not_run(headers: dict[str, str]) -> dict[str, str]:
+    """Return the fields by which a caller knows the answer to its own request."""
+    submission = headers.get("marigoldkeel-submission", "")
+    return {"submission": submission, "outcome": Outcome.NOT_RUN}
+
+
 def header_number(request: Request, name: str, default: int) -> int:
     """Return a header as a number.
 
@@ -409,10 +424,11 @@
 def answer_from_result(result: TaskResult, unanswered: int) -> Answer:
     """Return the answer to a read-only call."""
     if result.state == TaskState.SUCCEEDED:
-        return Answer(Outcome.COMPLETE, b"[" + result.payload + b"]")
+        body = b"[" + result.payload + b"]"
+        return Answer(Outcome.COMPLETE, body, run_ms=result.run_ms)
     if result.state == TaskState.NOT_STARTED:
         return refusal(result.message, unanswered, "run")
-    answer = Answer(Outcome.FAILED, b"", result.message, "run")
+    answer = Answer(Outcome.FAILED, b"", result.message, "run", run_ms=result.run_ms)
     ran = result.state == TaskState.FAILED
     (answer.ran if ran else answer.may_have_run).append(0)
     return answer
@@ -431,6 +447,7 @@
         reply.invalid,
         reply.ran,
         reply.may_have_run,
+        reply.run_ms,
     )
 
 
@@ -439,6 +456,8 @@
     status = STATUS_CODES[answer.outcome]
     if answer.conflict:
         status = 409
+    elif answer.step == QUOTA_STEP:
+        status = 429
     elif answer.invalid:
         status = 400
     headers = {"content-type": "application/json"}
--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -17,7 +17,8 @@
     """Hands out each task at most once and assembles the answer.
 
     ``pending`` holds the indexes that no agent has been given. ``answer`` is set
-    exactly once, and from then on no task is handed out.
+    exactly once, and from then on no task is handed out. ``first_answer`` replaces
+    it for the attempt that made the job, if that attempt knows more.
     """
 
     __slots__ = (
@@ -29,10 +30,14 @@
         "holders",
         "placements",
         "grants",
+        "recorded",
         "unfinished",
         "answer",
+        "first_answer",
         "done",
         "started_at",
+        "run_ms",
+        "closed",
         "finished_at",
     )
 
@@ -46,10 +51,14 @@
         self.holders: dict[int, str] = {}
         self.placements = [0] * count
         self.grants: dict[tuple[str, int], list[int]] = {}
+        self.recorded: set[tuple[str, int]] = set()
         self.unfinished = count
         self.answer: Answer | None = None
+        self.first_answer: Answer | None = None
         self.done = anyio.Event()
         self.started_at = now
+        self.run_ms = 0
+        self.closed = False
         self.finished_at = 0.0
 
     @property
@@ -64,11 +73,14 @@
         """Grant up to ``want`` tasks to the incarnation ``holder``.
 
         A repeated request gets the same tasks, as its first answer may be lost.
+        Nothing is granted after the answer, which also drops the payloads.
         """
+        if self.answer is not None:
+            return []
         key = (holder, sequence)
         if key in self.grants:
             return self.grants[key]
-        if self.answer is not None or want <= 0:
+        if self.closed or want <= 0:
             return []
         granted = [self.pending.popleft() for _ in range(min(want, len(self.pending)))]
         for index in granted:
@@ -82,16 +94,27 @@
         """Return the message that gives out ``indexes``."""
         submission = self.submission
         tasks = [TaskItem(index, submission.payloads[index]) for index in indexes]
-        left = len(self.pending) if self.answer is None else 0
+        left = 0 if self.closed else len(self.pending)
         return Grant(submission.partition, submission.generation, tasks, left)
 
     def record(
-        self, results: Iterable[TaskResult], holder: str, now: float
+        self,
+        results: Iterable[TaskResult],
+        holder: str,
+        now: float,
+        sequence: int | None = None,
     ) -> list[int]:
         """Take results of tasks granted to ``holder``.
 
+        :param sequence: The number of the request that carries the results. They
+            count once, as the holder may have been granted the same task again
+            since and be running it.
         :return: The indexes that provably did not start and are pending again.
         """
+        if sequence is not None:
+            if (holder, sequence) in self.recorded:
+                return []
+            self.recorded.add((holder, sequence))
         returned = []
         for result in results:
             index = result.index
@@ -109,14 +132,15 @@
             del self.holders[index]
             self.states[index] = TaskState.PENDING
             self.placements[index] += 1
-            if self.placements[index] < MAX_PLACEMENTS:
+            if not self.closed and self.placements[index] < MAX_PLACEMENTS:
                 self.pending.append(index)
                 return True
             self.states[index] = TaskState.NOT_STARTED
-            self.fail(f"task {index} could not be placed: {result.message}", now)
+            self.close(f"task {index} could not be placed: {result.message}", now)
             return False
         self.states[index] = state if state in ENDED else TaskState.MAY_HAVE_RUN
         self.results[index] = result.payload
+        self.run_ms = max(self.run_ms, result.run_ms)
         self.unfinished -= 1
         if state is not TaskState.SUCCEEDED:
             self.fail(f"task {index}: {result.message or state.name.lower()}", now)
@@ -132,6 +156,17 @@
                 self.states[index] = TaskState.MAY_HAVE_RUN
                 self.fail(f"agent {holder} was lost with task {index}", now, holder)
 
+    def close(self, message: str, now: float) -> None:
+        """Hand out nothing more, and end the job once no task is held.
+
+        A held task may still turn out not to have started, and a job of which
+        nothing started is answered "not run" rather than "failed".
+        """
+        self.closed = True
+        self.pending.clear()
+        if TaskState.GRANTED not in self.states:
+            self.fail(message, now)
+
     def fail(self, message: str, now: float, peer: str = "") -> None:
         """End the job: failed, or not run when nothing can have started."""
         if not self.has_started:
@@ -151,7 +186,9 @@
     def finish(self, answer: Answer, now: float) -> None:
         """Set the answer, once; later calls change nothing."""
         if self.answer is None:
+            answer.run_ms = self.run_ms
             self.answer = answer
+            self.closed = True
             self.finished_at = now
             self.pending.clear()
             self.submission.payloads = []
--- a/marigoldkeel/messages.py
+++ b/marigoldkeel/messages.py
@@ -87,6 +87,7 @@
     invalid: bool = False
     ran: list[int] = field(default_factory=list)
     may_have_run: list[int] = field(default_factory=list)
+    run_ms: int = 0
 
 
 @message("claim")
@@ -126,12 +127,16 @@
 
 @dataclass(slots=True)
 class TaskResult:
-    """What happened to one task; ``state`` is a `models.TaskState` value."""
+    """What happened to one task; ``state`` is a `models.TaskState` value.
+
+    ``run_ms`` is the time the target took, without queueing.
+    """
 
     index: int = 0
     state: int = 0
     payload: bytes = b""
     message: str = ""
+    run_ms: int = 0
 
 
 @message("take")
@@ -233,7 +238,10 @@
 @message("heartbeat")
 @dataclass(slots=True)
 class Heartbeat:
-    """The sender is alive. ``load`` is queued and running work over slots."""
+    """The sender is alive. ``load`` is queued and running work over slots.
+
+    ``wants_members`` asks for members that the receiver knows.
+    """
 
     member: Member = field(default_factory=Member)
     load: float = 0.0
@@ -243,6 +251,7 @@
     leaving: bool = False
     kinds: list[str] = field(default_factory=list)
     is_agent: bool = False
+    wants_members: bool = False
 
 
 @message("heartbeatReply")
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -35,7 +35,10 @@
 ANSWER_RETENTION_S = 60.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 PLACEMENT_RETRY_S = 0.05
+# Agents report within this time which of their tasks the deadline kept from
+# starting; an entry waits twice as long.
 REPLY_MARGIN_S = 0.5
+DEADLINE_PASSED = "the deadline passed"
 RETRY_AFTER_MS = 200
 
 REASONS = {
@@ -140,17 +143,25 @@
         )
         job = Job(submission, digest, now)
         self.board.jobs[submission_id] = job
+        # The entry's connection may end at any time; the job must not end with it.
+        self.group.start_soon(self._claim_and_run, job, register, message.unanswered)
+        await job.done.wait()
+        return job.first_answer or job.answer
+
+    async def _claim_and_run(
+        self, job: Job, register: ClaimRegister, unanswered: int
+    ) -> None:
         problem = await self._obtain_claim(job, register)
         if problem:
-            # Only this attempt is known not to have run; others that wait on the
-            # job may have reached another member.
-            job.finish(Answer(Outcome.UNKNOWN, b"", problem, "claim"), now)
-            del self.board.jobs[submission_id]
-            return refusal(problem, message.unanswered, "claim")
+            # Only the attempt that made the job is known not to have run; others
+            # that wait for it may have reached another member before.
+            job.first_answer = refusal(problem, unanswered, "claim")
+            answer = Answer(Outcome.UNKNOWN, b"", problem, "claim")
+            job.finish(answer, self.board.clock())
+            del self.board.jobs[job.submission.submission_id]
+            return
         self.board.events["jobs_started"] += 1
-        self.group.start_soon(self._run, job)
-        await job.done.wait()
-        return job.answer
+        await self._run(job)
 
     async def _attach(self, message: Submit, register: ClaimRegister) -> Answer:
         job = self.board.jobs.get(message.submission_id)
@@ -174,13 +185,14 @@
     async def _obtain_claim(self, job: Job, register: ClaimRegister) -> str:
         """Ask the standby to hold the claim; return why it may not start."""
         submission = job.submission
+        generation = submission.generation
         record = self.board.partitions.records[submission.partition]
-        if record.generation != submission.generation:
+        if record.generation != generation:
             register.refuse(submission.submission_id)
             return REASONS[Verdict.WRONG_GENERATION]
         claim = Claim(
             submission.partition,
-            submission.generation,
+            generation,
             submission.submission_id,
             job.digest,
         )
@@ -195,7 +207,7 @@
         if reply.verdict != Verdict.ACCEPTED:
             register.refuse(submission.submission_id)
             return f"the standby refused: {Verdict(reply.verdict).name.lower()}"
-        if not register.confirm(submission.submission_id, submission.generation):
+        if not register.confirm(submission.submission_id, generation):
             return REASONS[Verdict.STOPPED]
         return ""
 
@@ -204,37 +216,37 @@
         with anyio.move_on_after(submission.deadline - self.board.clock()):
             await self._place(job, list(job.pending))
             await job.done.wait()
-        job.fail("the deadline passed", self.board.clock())
+        job.close(DEADLINE_PASSED, self.board.clock())
+        with anyio.move_on_after(REPLY_MARGIN_S):
+            await job.done.wait()
+        job.fail(DEADLINE_PASSED, self.board.clock())
 
     async def _place(self, job: Job, indexes: list[int]) -> None:
         """Offer or push pending tasks, waiting for an agent if none is known."""
         kind = job.submission.kind
-        while job.answer is None:
-            agents = self._candidates(kind)
+        while not job.closed:
+            agents = self.board.candidates(kind)
             if agents:
                 break
             await anyio.sleep(PLACEMENT_RETRY_S)
         else:
             return
+        self.policy.probe_ratio = self.board.setting("probe_ratio", kind=kind)
         placement = self.policy.place(indexes, agents, self.board.random)
         addresses = {agent.member.incarnation: agent.member for agent in agents}
+        for incarnation in (*placement.probes, *placement.pushes):
+            name = addresses[incarnation].name
+            self.board.detector.start(name, self.board.clock())
         for incarnation, count in placement.probes.items():
             member = addresses[incarnation]
             self.group.start_soon(self._probe, job, member.address, count)
         for incarnation, pushed in placement.pushes.items():
             for index in pushed:
-                if index in job.pending and job.answer is None:
+                if index in job.pending and not job.closed:
                     self.group.start_soon(
                         self._push, job, addresses[incarnation], index
                     )
 
-    def _candidates(self, kind: str) -> list:
-        states = self.board.peers.live(self.board.clock())
-        own = self.board.own_state()
-        if not self.board.leaving:
-            states.append(own)
-        return [state for state in states if kind in state.kinds and state.slots]
-
     async def _probe(self, job: Job, address: str, count: int) -> None:
         submission = job.submission
         remaining_s = submission.deadline - self.board.clock()
@@ -255,7 +267,7 @@
 
     async def _push(self, job: Job, member, index: int) -> None:
         submission = job.submission
-        if index not in job.pending or job.answer is not None:
+        if index not in job.pending or job.closed:
             return
         job.pending.remove(index)
         job.states[index] = TaskState.GRANTED
@@ -281,8 +293,16 @@
             results = [TaskResult(index, TaskState.MAY_HAVE_RUN, b"", str(error))]
         self._record(job, results, member.incarnation)
 
-    def _record(self, job: Job, results: list[TaskResult], holder: str) -> None:
-        returned = job.record(results, holder, self.board.clock())
+    def _record(
+        self,
+        job: Job,
+        results: list[TaskResult],
+        holder: str,
+        sequence: int | None = None,
+    ) -> None:
+        for result in results:
+            self.board.record_result(holder, job.submission.kind, result)
+        returned = job.record(results, holder, self.board.clock(), sequence)
         if returned:
             self.board.events["tasks_placed_again"] += len(returned)
             self.group.start_soon(self._place_again, job, returned)
@@ -296,7 +316,7 @@
         job = self.board.jobs.get(message.submission_id)
         if job is None:
             return Grant()
-        self._record(job, message.results, message.incarnation)
+        self._record(job, message.results, message.incarnation, message.sequence)
         register = self.board.registers.get(job.submission.partition)
         want = message.want
         if register is None or not register.is_primary:
@@ -316,9 +336,7 @@
         """Hand out nothing more of a partition that another member took over."""
         for job in list(self.board.jobs.values()):
             if job.submission.partition == partition and job.answer is None:
-                job.pending.clear()
-                if not job.has_started:
-                    job.fail("the partition was taken over", self.board.clock())
+                job.close("the partition was taken over", self.board.clock())
 
     def reap(self) -> None:
         """Fail jobs whose agents are lost and drop old answers."""
