Measure transferred claims and the entries that an entry knows

Admission divides quotas by the entries an entry knows, and a handover sends every claim; neither had a figure.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -43,6 +43,8 @@
     AnswerMessage,
     Claim,
     Claimed,
+    ClaimEntry,
+    Envelope,
     Grant,
     Heartbeat,
     HeartbeatReply,
@@ -58,6 +60,7 @@
     TaskResult,
     Transfer,
     Transferred,
+    encode_frame,
 )
 from marigoldkeel.models import (
     Member,
@@ -86,6 +89,8 @@
 DESIGN_AGENTS = 3900
 DESIGN_PARTITIONS = 8192
 DESIGN_TEAMS = 51
+# Enough for 280,000 task starts/s in jobs of 20 tasks; see docs/CAPACITY.md.
+DESIGN_ENTRIES = 26
 KINDS = 20
 PAYLOAD = (
     b'{"sku":123456,"width_mm":1200,"depth_mm":600,"finish":"oak","shop":"Lissone"}'
@@ -259,10 +264,24 @@
         "answer_150_tasks": held_bytes(build_answers(150), (50, 100, 200)),
         "started_task": held_bytes(build_started, (10_000, 30_000, 100_000)),
         "record_stored_bytes": len(stored_records(1)[0]),
+        "transferred_claim": transferred_bytes((1000, 2000, 4000)),
         "connection": await connection_bytes(),
     }
 
 
+def transferred_bytes(sizes) -> dict:
+    """Return the bytes on the wire for each claim that is handed over."""
+    values = []
+    for size in sizes:
+        claims = [
+            ClaimEntry(mint_submission_id().bytes, os.urandom(32), 2)
+            for _ in range(size)
+        ]
+        transfer = Transfer("1", 0, 1, "agent-00001@1", 0, 0, claims, True)
+        values.append(len(encode_frame([Envelope(1, False, transfer)])))
+    return fit(sizes, values)
+
+
 async def connection_bytes() -> dict:
     """Return the bytes of a peer connection, both of its ends together."""
     sizes, values = (16, 32, 64), []
@@ -317,6 +336,8 @@
     admissions = Admissions(board)
     admissions._apply_configuration()
     return {
+        "other_entries": DESIGN_ENTRIES - 1,
+        "other_entries_known": known_entries(interval_s),
         "paced_interval_s": interval_s,
         "heartbeats_per_s_at_an_entry_all_agents_name": DESIGN_AGENTS / interval_s,
         "watching_agents": watching,
@@ -325,6 +346,28 @@
     }
 
 
+def known_entries(interval_s: float, seconds: int = 20) -> float:
+    """Return how many other entries an entry knows on average.
+
+    All agents and entries send it heartbeats at an interval with a random phase.
+    """
+    rng = random.Random(2)
+    events = []
+    for number in range(DESIGN_AGENTS + DESIGN_ENTRIES - 1):
+        is_agent = number < DESIGN_AGENTS
+        at = rng.uniform(0, interval_s)
+        while at < seconds:
+            events.append((at, number, is_agent))
+            at += interval_s
+    peers = PeerTable()
+    members = [member(number) for number in range(DESIGN_AGENTS + DESIGN_ENTRIES)]
+    counts = []
+    for at, number, is_agent in sorted(events):
+        peers.observe(PeerState(members[number], is_agent=is_agent), at)
+        counts.append(sum(not state.is_agent for state in peers.states.values()))
+    return sum(counts) / len(counts)
+
+
 # Daemons as processes of their own
 
 
