Remove whole-table scans and views that shrink with a bounded peer table

Cause: at the design scale of 8,192 partitions each daemon scanned the table ten times a second; an entry took the slots and entries in its bounded peer table for the whole fleet's; starts were remembered by count (21 MB); every starting agent read the whole table from the store. Change: an index of partitions by member, members shared between records, a count of entries apart from the peer table, fleet slots estimated from the members that the partition table names, starts kept for the longest deadline, and a start that waits 0.5 s for a peer before it reads the store. Settings are looked up once a second instead of at each use.

--- a/marigoldkeel/admissions.py
+++ b/marigoldkeel/admissions.py
@@ -12,6 +12,7 @@
 
 
 QUOTA_STEP = "quota"
+REFRESH_S = 0.2
 
 
 class CallerRequest:
@@ -44,6 +45,7 @@
         self.board = board
         self.controller = AdmissionController(TeamQuotas({}), 1)
         self.applied: tuple[int, int] = (-1, 0)
+        self.refreshed_at = float("-inf")
 
     def admit(self, caller: CallerRequest) -> Admission:
         """Decide on a request, which `release` must end if it is admitted."""
@@ -58,17 +60,13 @@
 
     def _apply_configuration(self) -> None:
         now = self.board.clock()
-        peers = self.board.peers
-        agents = peers.live(now)
-        entries = 1 + sum(
-            not state.is_agent and now - state.heard_at <= peers.suspect_after_s
-            for state in peers.states.values()
-        )
+        if now - self.refreshed_at < REFRESH_S:
+            return
+        self.refreshed_at = now
+        entries = 1 + self.board.peers.live_entries(now)
         queue_tasks = self.board.setting("queue_tasks_per_slot") + 1
-        fleet_tasks = queue_tasks * sum(state.slots for state in agents)
-        limit = self.board.setting(
-            "max_inflight_tasks", domain=self.board.member.domain
-        )
+        limit = self.board.setting("max_inflight_tasks")
+        fleet_tasks = queue_tasks * self._fleet_slots(now)
         self.controller.max_in_flight = max(1, min(limit, fleet_tasks) // entries)
         applied = (self.board.configuration.revision, entries)
         if applied != self.applied:
@@ -79,6 +77,19 @@
             }
             self.controller.quotas.change_rates(rates)
 
+    def _fleet_slots(self, now: float) -> int:
+        """Return the slots of the fleet, estimated from the agents known here.
+
+        The peer table is bounded, but the partition table names every agent that
+        is a member of a partition.
+        """
+        agents = self.board.peers.live(now)
+        if not agents:
+            return 0
+        slots = sum(state.slots for state in agents)
+        fleet = max(len(agents), len(self.board.partitions.members))
+        return slots * fleet // len(agents)
+
     def refuse(self, admission: Admission, unanswered: int) -> Answer:
         """Return the answer to a request that was not admitted."""
         answer = refusal(str(admission.reason), unanswered, "admit")
--- a/marigoldkeel/blackboard.py
+++ b/marigoldkeel/blackboard.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
+from typing import Any
 
 from marigoldkeel.claims import ClaimRegister
 from marigoldkeel.configuration import Configuration
@@ -16,6 +17,10 @@
 from marigoldkeel.revisions import RevisionRegister
 
 
+# An exception expires with this delay at the most.
+CACHE_S = 1.0
+
+
 def wall_clock_ms() -> int:
     """Return the wall-clock time in milliseconds."""
     return time.time_ns() // 1_000_000
@@ -47,6 +52,8 @@
         "is_agent",
         "leaving",
         "events",
+        "settings_cache",
+        "cached_at",
     )
 
     def __init__(
@@ -74,20 +81,30 @@
         self.is_agent = is_agent
         self.leaving = False
         self.events: Counter[str] = Counter()
+        self.settings_cache: dict[tuple, Any] = {}
+        self.cached_at = (-1, 0.0)
 
     @property
     def policy(self) -> Configuration | None:
         """The operators' configuration in force, or None before the first."""
         return self.configuration.document
 
-    def setting(self, name: str, **scope: str) -> float:
+    def setting(self, name: str, **scope: str) -> Any:
         """Return a configured value after exceptions; see `effective`.
 
         Exceptions for this daemon's failure domain apply.
         """
-        configuration = self.policy or Configuration()
+        now = self.clock()
+        revision, cached_at = self.cached_at
+        if revision != self.configuration.revision or now - cached_at > CACHE_S:
+            self.settings_cache.clear()
+            self.cached_at = (self.configuration.revision, now)
         scope.setdefault("domain", self.member.domain)
-        return configuration.effective(name, **scope)
+        key = (name, scope.get("kind"), scope.get("team"), scope["domain"])
+        if key not in self.settings_cache:
+            configuration = self.policy or Configuration()
+            self.settings_cache[key] = configuration.effective(name, **scope)
+        return self.settings_cache[key]
 
     def see_generation(self, partition: int, generation: int) -> bool:
         """Note a generation; False if a newer one has been seen."""
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -249,14 +249,14 @@
         caller.submission_id = submission_id.bytes
         caller.text_id = str(submission_id)
         scope = {"kind": kind, "team": caller.team, "domain": self.settings.domain}
-        caller.priority = PRIORITIES[policy.effective("priority", **scope)]
+        caller.priority = PRIORITIES[self.board.setting("priority", **scope)]
         caller.deadline_s = self._deadline_s(request, scope)
         caller.unanswered = header_number(request, "marigoldkeel-unanswered", 0)
         caller.tasks = 1
         caller.body = request.body
         if is_job:
             caller.tasks = header_number(request, "marigoldkeel-tasks", -1)
-            limit = policy.effective("max_tasks", **scope)
+            limit = self.board.setting("max_tasks", **scope)
             if not 1 <= caller.tasks <= limit:
                 raise InvalidInput(
                     f"marigoldkeel-tasks must be 1 to {limit}", "check tasks"
--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -24,7 +24,6 @@
 # About the time in which a free slot asks for the next task of a queued job. A
 # longer hold delays the answer when other agents took the job's last tasks.
 RESULT_HOLD_S = 0.01
-# Longer than the longest deadline, so no grant of a remembered task is still valid.
 MAX_STARTED = 100_000
 
 
@@ -78,7 +77,7 @@
         self.adapter = adapter
         self.group = group
         self.wake = anyio.Event()
-        self.started: OrderedDict[tuple[bytes, int], None] = OrderedDict()
+        self.started: OrderedDict[tuple[bytes, int], float] = OrderedDict()
         self.running = 0
         self.long_running = 0
         self.sequence = 0
@@ -363,11 +362,20 @@
         if key in self.started:
             self.board.events["starts_repeated"] += 1
             return TaskResult(task.index, TaskState.MAY_HAVE_RUN, b"", "started before")
-        self.started[key] = None
-        if len(self.started) > MAX_STARTED:
-            self.started.popitem(last=False)
+        self._remember_start(key)
         return None
 
+    def _remember_start(self, key: tuple[bytes, int]) -> None:
+        """Remember a start for as long as a grant of the task may be valid."""
+        now = self.board.clock()
+        kept_s = self.board.setting("max_deadline_ms") / 1000
+        self.started[key] = now
+        while self.started:
+            oldest = next(iter(self.started.values()))
+            if now - oldest <= kept_s and len(self.started) <= MAX_STARTED:
+                break
+            self.started.popitem(last=False)
+
     def _observe(
         self,
         message: Probe | Run,
--- a/marigoldkeel/failover.py
+++ b/marigoldkeel/failover.py
@@ -129,9 +129,10 @@
         table = self.board.partitions
         if table.version == 0 or self.board.leaving:
             return
-        members = list(self.board.live_members())
-        for partition in range(table.partition_count):
-            if partition in table.records or partition in self.changing:
+        missing = table.missing
+        members = list(self.board.live_members()) if missing else []
+        for partition in missing:
+            if partition in self.changing:
                 continue
             if choose_primary(partition, members) == self.board.member:
                 self._begin(partition, self.create)
--- a/marigoldkeel/followers.py
+++ b/marigoldkeel/followers.py
@@ -31,6 +31,7 @@
 STORE_RETRY_S = 0.5
 WATCHING_AGENTS = 3
 ROLE_CHECK_S = 1.0
+PEERS_FIRST_S = 0.5
 
 
 class TableDocument(msgspec.Struct):
@@ -78,8 +79,13 @@
         raise NotImplementedError
 
     async def run_forever(self, should_watch: Callable[[], bool]) -> None:
-        """Read the document once, then watch it while ``should_watch()``."""
-        read_once = False
+        """Read the document once, then watch it while ``should_watch()``.
+
+        A daemon that a peer can bring up to date does not read the store, as the
+        starts of a large fleet would take up the store's reads for long.
+        """
+        await anyio.sleep(PEERS_FIRST_S)
+        read_once = self.version > 0
         while True:
             try:
                 if not read_once or should_watch():
--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -56,6 +56,7 @@
         self.max_peers = max_peers
         self.states: dict[str, PeerState] = {}
         self.first_known: dict[str, float] = {}
+        self.entries_heard: dict[str, float] = {}
 
     def observe(self, state: PeerState, now: float, must_keep: bool = False) -> bool:
         """Record a heartbeat.
@@ -65,6 +66,8 @@
         """
         state.heard_at = now
         name = state.member.name
+        if not state.is_agent:
+            self.entries_heard[name] = now
         if name not in self.states and len(self.states) >= self.max_peers:
             oldest = min(self.states, key=lambda key: self.states[key].heard_at)
             if now - self.states[oldest].heard_at > self.suspect_after_s:
@@ -87,6 +90,7 @@
         ]
         for name in forgotten:
             del self.states[name]
+            self.entries_heard.pop(name, None)
         for incarnation, since in list(self.first_known.items()):
             if now - since > FORGET_AFTER_S:
                 del self.first_known[incarnation]
@@ -114,6 +118,16 @@
         state = self.state_of(incarnation)
         return state is not None and state.leaving
 
+    def live_entries(self, now: float) -> int:
+        """Return the number of entries heard from, also those without a place.
+
+        Entries are few, and each counts the others to admit its share of a quota.
+        """
+        return sum(
+            now - heard_at <= self.suspect_after_s
+            for heard_at in self.entries_heard.values()
+        )
+
     def live(self, now: float) -> list[PeerState]:
         """Return the agents that are neither silent nor leaving."""
         return [
--- a/marigoldkeel/memberships.py
+++ b/marigoldkeel/memberships.py
@@ -174,9 +174,9 @@
         now = self.board.clock()
         self.names[member.address] = member.name
         self.heard_from[member.name] = now
-        accepted = await self._observe(
-            message, must_keep=member.address in self._partition_peers()
-        )
+        is_member_here = member.address in self._partition_peers()
+        between_entries = not (message.is_agent or self.board.is_agent)
+        accepted = await self._observe(message, is_member_here or between_entries)
         if accepted and message.is_agent:
             self.learn([member])
         own = self.board.own_state()
--- a/marigoldkeel/partitions.py
+++ b/marigoldkeel/partitions.py
@@ -65,6 +65,10 @@
         self.count_settled = False
         self.records: dict[int, PartitionRecord] = {}
         self.version = 0
+        # Members are shared between records, and found by incarnation without a
+        # scan: each daemon asks for its own partitions ten times a second.
+        self.members: dict[str, Member] = {}
+        self.partitions_of: dict[str, set[int]] = {}
 
     def set_count(self, partition_count: int) -> None:
         """Take the number of partitions that the store holds.
@@ -90,11 +94,44 @@
             return False
         if known is not None and known.generation == record.generation:
             if record.revision > known.revision:
-                self.records[record.partition] = record
+                self._store(record)
             return False
-        self.records[record.partition] = record
+        self._store(record)
         return True
 
+    def _store(self, record: PartitionRecord) -> None:
+        known = self.records.get(record.partition)
+        if known is not None:
+            for member in (known.primary, known.standby):
+                self._remove_role(member, record.partition)
+        for member in (record.primary, record.standby):
+            self.members.setdefault(member.incarnation, member)
+            roles = self.partitions_of.setdefault(member.incarnation, set())
+            roles.add(record.partition)
+        self.records[record.partition] = replace(
+            record,
+            primary=self.members[record.primary.incarnation],
+            standby=self.members[record.standby.incarnation],
+        )
+
+    def _remove_role(self, member: Member, partition: int) -> None:
+        roles = self.partitions_of[member.incarnation]
+        roles.discard(partition)
+        if not roles:
+            del self.partitions_of[member.incarnation]
+            del self.members[member.incarnation]
+
+    @property
+    def missing(self) -> list[int]:
+        """The partitions that have no record."""
+        if len(self.records) >= self.partition_count:
+            return []
+        return [
+            partition
+            for partition in range(self.partition_count)
+            if partition not in self.records
+        ]
+
     def apply_changes(
         self, records: Iterable[PartitionRecord], above: int, version: int
     ) -> list[PartitionRecord]:
@@ -120,11 +157,8 @@
 
     def of_member(self, incarnation: str) -> list[PartitionRecord]:
         """Return the records that name an incarnation as a member."""
-        return [
-            record
-            for record in self.records.values()
-            if incarnation in (record.primary.incarnation, record.standby.incarnation)
-        ]
+        partitions = self.partitions_of.get(incarnation, set())
+        return [self.records[partition] for partition in sorted(partitions)]
 
 
 def rendezvous_score(partition: int, member: Member) -> bytes:
