Take idle memory and idle work from the zipapp

The idle figures came from the source tree, where the test dependencies are imported too; the zipapp is what runs on hosts.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,7 +1,9 @@
 """Measures what one unit of state or work costs, as input to docs/CAPACITY.md.
 
 Usage: python -m bench.capacity [PART ...]; writes bench/results/capacity.json.
-The parts are the functions registered by `part`.
+The parts are the functions registered by `part`. With MARIGOLDKEEL_ZIPAPP set to
+the path of the zipapp, daemons are started from it; without the test
+dependencies, they need less memory.
 
 Each slope is a least-squares fit over at least three sizes. Work is measured as
 processor time of the process concerned, because other programs on the machine
@@ -457,8 +459,10 @@
 
 
 def start_process(*arguments: str) -> subprocess.Popen:
+    zipapp = os.environ.get("MARIGOLDKEEL_ZIPAPP")
+    program = [zipapp] if zipapp else ["-m", "marigoldkeel"]
     return subprocess.Popen(
-        [sys.executable, "-m", "marigoldkeel", *arguments],
+        [sys.executable, *program, *arguments],
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
     )
