Apply burst, let few agents watch, and back off from a store that is down

Quotas use the configured burst. Store reads are retried with a growing, jittered delay. A finished job drops its results, which its answer holds, and takes no late ones. A peer that lost its place in a full table is not at once suspected. The status names incarnations.

--- a/marigoldkeel/admissions.py
+++ b/marigoldkeel/admissions.py
@@ -71,11 +71,14 @@
         applied = (self.board.configuration.revision, entries)
         if applied != self.applied:
             self.applied = applied
-            rates = {
-                team: self.board.setting("tasks_per_s", team=team) / entries
-                for team in self.board.policy.teams
-            }
-            self.controller.quotas.change_rates(rates)
+            rates, bursts = (
+                {
+                    team: self.board.setting(name, team=team) / entries
+                    for team in self.board.policy.teams
+                }
+                for name in ("tasks_per_s", "burst")
+            )
+            self.controller.quotas.change_rates(rates, bursts)
 
     def _fleet_slots(self, now: float) -> int:
         """Return the slots of the fleet, estimated from the agents known here.
--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -203,18 +203,19 @@
         f"{report['role']} {member['incarnation']} in {member['domain']}, "
         f"configuration {report['config_revision']}, table {report['table_version']}"
     )
-    print(f"{'partition':>9} {'generation':>10}  {'primary':20} {'standby':20}")
+    print(f"{'partition':>9} {'generation':>10}  {'primary':28} {'standby':28}")
     for record in report["partitions"]:
         print(
             f"{record['partition']:9} {record['generation']:10}  "
-            f"{record['primary']['name']:20} {record['standby']['name']:20}"
+            f"{record['primary']['incarnation']:28} "
+            f"{record['standby']['incarnation']:28}"
         )
     print(
         f"{'peer':20} {'domain':14} {'load':>6} {'slots':>5} {'silent s':>8} revision"
     )
     for peer in report["peers"]:
         print(
-            f"{peer['name']:20} {peer['domain']:14} {peer['load']:6.2f} "
+            f"{peer['incarnation']:28} {peer['domain']:14} {peer['load']:6.2f} "
             f"{peer['slots']:5} {peer['silent_s']:8.1f} {peer['config_revision']:8}"
         )
     for name in ("queue", "running_tasks", "running_jobs", "events"):
--- a/marigoldkeel/followers.py
+++ b/marigoldkeel/followers.py
@@ -30,7 +30,8 @@
 PULL_TIMEOUT_S = 2.0
 STORE_RETRY_S = 0.5
 WATCHING_AGENTS = 3
-ROLE_CHECK_S = 1.0
+MAX_STORE_RETRY_S = 8.0
+ROLE_CHECK_S = 5.0
 PEERS_FIRST_S = 0.5
 
 
@@ -86,6 +87,7 @@
         """
         await anyio.sleep(PEERS_FIRST_S)
         read_once = self.version > 0
+        delay_s = STORE_RETRY_S
         while True:
             try:
                 if not read_once or should_watch():
@@ -95,7 +97,13 @@
                         await self._watch(revision)
             except MarigoldkeelError as error:
                 logger.info("{} not read from the store: {}", self.what, error)
-            await anyio.sleep(STORE_RETRY_S if not read_once else ROLE_CHECK_S)
+                # All daemons of a fleet retry a store that comes back.
+                delay_s = min(MAX_STORE_RETRY_S, 2 * delay_s)
+            else:
+                delay_s = STORE_RETRY_S
+            read_once = read_once or self.version > 0
+            jitter = self.board.random.uniform(0.5, 1.0)
+            await anyio.sleep(ROLE_CHECK_S if read_once else delay_s * jitter)
 
     async def _read(self) -> int:
         snapshot = await self.store.get_prefix(self.prefix)
@@ -209,10 +217,14 @@
 def is_watching_agent(board: Blackboard) -> bool:
     """Whether this agent is among the few that watch the store.
 
-    The choice follows the peers known, so it needs no agreement; two agents more
-    or fewer cost a watch or a heartbeat of delay.
+    The choice is made among the members named in the partition table, which all
+    agents know alike; two watchers more or fewer cost a watch or a heartbeat.
     """
-    scores = sorted(rendezvous_score(0, member) for member in board.live_members())
+    members = {member.name: member for member in board.partitions.members.values()}
+    if not members:
+        members = {member.name: member for member in board.live_members()}
+    members[board.member.name] = board.member
+    scores = sorted(rendezvous_score(0, member) for member in members.values())
     return rendezvous_score(0, board.member) in scores[:WATCHING_AGENTS]
 
 
--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -66,6 +66,8 @@
         """
         state.heard_at = now
         name = state.member.name
+        # Silence is counted anew if a live peer loses its place in the table.
+        self.first_known.pop(state.member.incarnation, None)
         if not state.is_agent:
             self.entries_heard[name] = now
         if name not in self.states and len(self.states) >= self.max_peers:
--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -116,6 +116,8 @@
                 return []
             self.recorded.add((holder, sequence))
         returned = []
+        if self.answer is not None:
+            return returned
         for result in results:
             index = result.index
             if index >= len(self.states) or self.holders.get(index) != holder:
@@ -192,4 +194,5 @@
             self.finished_at = now
             self.pending.clear()
             self.submission.payloads = []
+            self.results = []
             self.done.set()
--- a/marigoldkeel/limits.py
+++ b/marigoldkeel/limits.py
@@ -76,11 +76,20 @@
         self.buckets: dict[str, TokenBucket] = {}
         self.change_rates(rates_per_s)
 
-    def change_rates(self, rates_per_s: Mapping[str, float]) -> None:
-        """Replace the quotas, keeping what each team has used; O(teams)."""
+    def change_rates(
+        self,
+        rates_per_s: Mapping[str, float],
+        bursts: Mapping[str, float] | None = None,
+    ) -> None:
+        """Replace the quotas, keeping what each team has used; O(teams).
+
+        :param bursts: Tasks that may be admitted at once, where they differ from
+            ``burst_s`` seconds of the rate.
+        """
         buckets = {}
         for team, rate_per_s in rates_per_s.items():
-            burst = max(MAX_JOB_TASKS, rate_per_s * self.burst_s) if rate_per_s else 0
+            burst = (bursts or {}).get(team, rate_per_s * self.burst_s)
+            burst = max(MAX_JOB_TASKS, burst) if rate_per_s else 0
             bucket = TokenBucket(rate_per_s, burst)
             if old := self.buckets.get(team):
                 bucket.tokens = max(0, burst - (old.burst - old.tokens))
--- a/marigoldkeel/reopening.py
+++ b/marigoldkeel/reopening.py
@@ -63,7 +63,8 @@
     for agent in agents:
         if agent.incarnation in lost:
             raise InvalidInput(
-                f"member {agent.name} is alive; it replaces the other one itself",
+                f"member {agent.name} is alive; it replaces the other one itself, "
+                "unless its register is in phase receiving: then restart it first",
                 "reopen partition",
                 agent.address,
             )
