Keep a claim in progress when its id is sent again during a planned stop

Cause: an agent that is leaving refused every id it was asked for. If the standby had not yet acknowledged the claim of that id, the refusal also hit the attempt that was in progress, and the planned stop cut it.

Ruled out: an id whose claim is held, which a refusal leaves as it is, and an id that the agent does not know, which has nothing in progress.

Change: only ids without a job are refused; the others attach to the job.

Before: in tests/test_primaries.py the first attempt was refused and no job started. After: the job starts and both attempts get its answer.

--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -98,7 +98,8 @@
         if problem:
             return refusal(problem, message.unanswered, "submit")
         digest = body_digest(message.kind, message.body)
-        if self.board.leaving:
+        # A resubmission must not refuse the claim that its job is asking for.
+        if self.board.leaving and message.submission_id not in self.board.jobs:
             register.refuse(message.submission_id, digest)
         verdict = register.propose(
             message.submission_id, digest, message.generation, self.board.wall_ms()
--- /dev/null
+++ b/tests/test_primaries.py
@@ -0,0 +1,68 @@
+"""Guards against a planned stop that cuts a request whose claim is being asked for."""
+
+import anyio
+import pytest
+
+from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.claims import ClaimRegister, Verdict
+from marigoldkeel.dispatch import make_policy
+from marigoldkeel.identifiers import mint_submission_id, partition_of
+from marigoldkeel.messages import Claimed, Submit
+from marigoldkeel.models import Member, Outcome, PartitionRecord
+from marigoldkeel.primaries import PrimaryController
+
+
+HANG_LIMIT_S = 30
+
+
+class SlowStandby:
+    """Acknowledges a claim when ``released`` is set."""
+
+    def __init__(self):
+        self.asked = anyio.Event()
+        self.released = anyio.Event()
+
+    async def request(self, address, claim, timeout_s):
+        self.asked.set()
+        await self.released.wait()
+        return Claimed(Verdict.ACCEPTED, claim.generation)
+
+
+@pytest.mark.anyio
+async def test_resubmission_while_leaving_keeps_the_claim():
+    """Guards against a resubmission that refuses the attempt it belongs to."""
+    members = Member("a", "a@1", "a"), Member("b", "b@1", "b", "elsewhere")
+    board = Blackboard(members[0])
+    board.partitions.partition_count = 1
+    board.partitions.apply(PartitionRecord(0, 1, *members))
+    register = board.registers[0] = ClaimRegister.as_primary(0, 1)
+    register.open()
+    submission_id = mint_submission_id().bytes
+    assert partition_of(submission_id, 1) == 0
+    standby = SlowStandby()
+    answers = {}
+
+    async def submit(unanswered):
+        message = Submit(
+            0, 1, submission_id, "team", "quote", 1, 500, unanswered, 1, b"[1]"
+        )
+        answers[unanswered] = await primary.submit(message)
+
+    with anyio.fail_after(HANG_LIMIT_S):
+        async with anyio.create_task_group() as group:
+            primary = PrimaryController(
+                board, standby, make_policy("late_binding"), group
+            )
+            group.start_soon(submit, 0)
+            await standby.asked.wait()
+            board.leaving = True
+            group.start_soon(submit, 1)
+            await anyio.wait_all_tasks_blocked()
+            standby.released.set()
+            while len(answers) < 2:
+                await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+    assert board.events["jobs_started"] == 1
+    # No agent serves the kind, so the deadline ends the job without a start.
+    assert answers[0].outcome is Outcome.NOT_RUN
+    assert "deadline" in answers[0].message
