--- a/tests/load.py
+++ b/tests/load.py
@@ -166,14 +166,14 @@
 
     Usage::
 
-        load = Load(["127.0.0.1:8000", "127.0.0.1:8001"])
+        load = Load(["127.0.0.1:8000", "127.0.0.1:8001"], seed=1)
         async with anyio.create_task_group() as group:
             group.start_soon(load.run)
             ...
             load.stopping.set()
     """
 
-    def __init__(self, entries: list[str], seed: int = 1):
+    def __init__(self, entries: list[str], seed: int):
         self.entries = entries
         self.recorder = Recorder()
         self.numbers = count(1)
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -3,6 +3,7 @@
 Each fault is injected once under load; each check is a test on what was recorded.
 """
 
+import os
 import signal
 import time
 from collections.abc import Iterator
@@ -296,7 +297,8 @@
 
 def run_case(system: System, inject) -> Case:
     """Inject a fault under load and return what was recorded."""
-    load = Load([entry.http for entry in system.entries])
+    seed = int(os.environ.get("MARIGOLDKEEL_SEED", "1"))
+    load = Load([entry.http for entry in system.entries], seed)
     case = Case(system, load.recorder)
     running = system.portal.start_task_soon(load.run)
     try:
