--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,288 @@
+"""Measures the system under load: ``python -m bench``."""
+
+import datetime
+import operator
+import os
+import signal
+import sys
+import tempfile
+from collections import Counter
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from pathlib import Path
+
+import anyio
+import defopt
+import msgspec
+
+from bench.loads import CATEGORIES, CLIENT_DELAY_S, Request, make_load
+from bench.measures import ratios, seconds_to_recover, sent, summary, wasted
+from bench.systems import System
+from marigoldkeel.exceptions import MarigoldkeelError
+from marigoldkeel.sessions import AsyncSession
+
+
+RESULTS = Path(__file__).parent / "results"
+POLICIES = ("late_binding", "random", "least_loaded")
+LOADS = (0.5, 0.8, 0.9)
+GOAL_LOAD = 0.8
+WARM_UP_S = 3.0
+CREST_LOW, CREST_HIGH, CREST_S = 0.5, 3.0, 5.0
+FAULT_LOAD = 0.5
+# With long work; the run without it has the same requests and so a lower load.
+BLOCKING_LOAD = 0.75
+KILLED_AGENT = 3
+DRAIN_LIMIT_S = 60.0
+
+
+@dataclass(slots=True)
+class Plan:
+    """The phases of a run; durations in seconds."""
+
+    seed: int
+    phases: list[str]
+    load_s: float = 20.0
+    crest_before_s: float = 8.0
+    crest_after_s: float = 15.0
+    fault_s: float = 24.0
+
+
+class Measurement:
+    """Sends loads to one system and collects the figures."""
+
+    def __init__(self, system: System, plan: Plan):
+        self.system = system
+        self.plan = plan
+        self.sessions: dict[str, AsyncSession] = {}
+
+    async def send(self, requests: list[Request]) -> None:
+        """Send each request at its time and wait until all have ended."""
+        start = anyio.current_time() + 0.1
+        with anyio.move_on_at(start + requests[-1].at_s + DRAIN_LIMIT_S):
+            async with anyio.create_task_group() as group:
+                for request in requests:
+                    await anyio.sleep_until(start + request.at_s)
+                    group.start_soon(self._send_one, request, start)
+
+    async def _send_one(self, request: Request, start: float) -> None:
+        kind = request.kind
+        session = self.sessions[kind.team]
+        tasks = [{"work_ms": work_s * 1000} for work_s in request.works_s]
+        options = {"deadline_s": kind.deadline_s}
+        await anyio.sleep(CLIENT_DELAY_S)
+        try:
+            if kind.category == "job":
+                results = (await session.submit(kind.name, tasks, **options)).results
+            else:
+                results = [(await session.call(kind.name, *tasks, **options)).result]
+        except MarigoldkeelError as error:
+            request.error = type(error).__name__
+            return
+        await anyio.sleep(CLIENT_DELAY_S)
+        request.error = ""
+        # Counted from the scheduled arrival, so that a late load generator shows.
+        request.response_s = anyio.current_time() - start - request.at_s
+        request.runners = [result["runner"] for result in results]
+        request.set_ideal(self.system.speeds)
+
+    async def measure(self, requests: list[Request], title: str) -> dict:
+        """Send the requests; return and print ratios, messages and CPU use."""
+        before = sent(await self.system.reports())
+        cpu = self.system.cpu_s()
+        started = anyio.current_time()
+        await self.send(requests)
+        elapsed_s = anyio.current_time() - started
+        used = {
+            name: (total - cpu[name]) / elapsed_s
+            for name, total in self.system.cpu_s().items()
+        }
+        tasks = sum(len(r.works_s) for r in requests if not r.error)
+        figures = {
+            "tasks_done": tasks,
+            "elapsed_s": round(elapsed_s, 1),
+            "ratio": ratios(requests),
+            "wasted": wasted(before, sent(await self.system.reports()), tasks),
+            "cores_used": round(sum(used.values()), 2),
+            "busiest_process": max((round(s, 2), name) for name, s in used.items()),
+            "machine_load_1min": round(os.getloadavg()[0], 1),
+        }
+        print_phase(f"{self.system.policy}, {title}", figures)
+        return figures
+
+    def requests(self, load: float, duration_s: float, with_long: bool = True) -> list:
+        """Return the seeded requests of a constant load."""
+        capacity = self.system.capacity
+        return make_load(
+            self.plan.seed, duration_s, lambda at_s: load, capacity, with_long
+        )
+
+    async def crest(self) -> dict:
+        """Measure the load stepped up and back."""
+        up_s = self.plan.crest_before_s
+        back_s = up_s + CREST_S
+        end_s = back_s + self.plan.crest_after_s
+
+        def load_at(at_s: float) -> float:
+            return CREST_HIGH if up_s <= at_s < back_s else CREST_LOW
+
+        requests = make_load(self.plan.seed, end_s, load_at, self.system.capacity)
+        figures = await self.measure(requests, "crest")
+        urgent = [r for r in requests if r.kind.category == "urgent"]
+        figures["urgent_in_time"] = sum(r.in_time for r in urgent) / len(urgent)
+        figures["recovery_s"] = seconds_to_recover(requests, up_s, back_s, end_s)
+        refused = Counter(r.kind.category for r in requests if r.error == "Refused")
+        figures["refused"] = {name: refused[name] for name in CATEGORIES}
+        return figures
+
+    async def blocking(self) -> dict:
+        """Measure requests without long tasks, with and without such tasks about."""
+        figures, p99 = {}, {}
+        for title, with_long in (
+            ("without long work", False),
+            ("with long work", True),
+        ):
+            requests = self.requests(BLOCKING_LOAD, self.plan.load_s, with_long)
+            figures[title] = await self.measure(requests, title)
+            short = [r for r in requests if not r.has_long and not r.error]
+            p99[with_long] = {
+                name: summary([r.response_s for r in short if r.kind.category == name])
+                for name in CATEGORIES
+            }
+        figures["p99_ratio"] = {
+            name: round(p99[True][name]["p99"] / p99[False][name]["p99"], 3)
+            for name in CATEGORIES
+        }
+        return figures
+
+    async def faults(self) -> dict:
+        """Measure with the store down and then one agent killed."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._inject, self.plan.fault_s / 4)
+            requests = self.requests(FAULT_LOAD, self.plan.fault_s)
+            figures = await self.measure(requests, "store down, agent killed")
+        starts = Counter(self.system.starts())
+        figures["starts"] = sum(starts.values())
+        figures["started_twice"] = sum(count > 1 for count in starts.values())
+        return figures
+
+    async def _inject(self, interval_s: float) -> None:
+        await anyio.sleep(interval_s)
+        await self.system.set_store_down(True)
+        await anyio.sleep(interval_s)
+        self.system.processes[f"agent-{KILLED_AGENT}"].kill()
+        await anyio.sleep(interval_s)
+        await self.system.set_store_down(False)
+
+
+async def run_policy(policy: str, loads: list[float], plan: Plan) -> dict:
+    """Start a system with ``policy`` and return the figures of its phases."""
+    figures: dict = {"loads": {}}
+    async with AsyncExitStack() as stack:
+        directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        system = await stack.enter_async_context(System.open(policy, directory))
+        measurement = Measurement(system, plan)
+        for team in ("brusadelli", "gulfline"):
+            session = AsyncSession(system.entry_http, team)
+            measurement.sessions[team] = await stack.enter_async_context(session)
+        await measurement.send(measurement.requests(FAULT_LOAD, WARM_UP_S))
+        for load in loads:
+            requests = measurement.requests(load, plan.load_s)
+            figures["loads"][load] = await measurement.measure(requests, f"load {load}")
+        if policy == "late_binding":
+            for phase in plan.phases:
+                figures[phase] = await getattr(measurement, phase)()
+    return figures
+
+
+def print_phase(title: str, figures: dict) -> None:
+    """Print one line for the phase and one for each class."""
+    wasted = figures["wasted"]
+    print(
+        f"\n{title}: {figures['tasks_done']} tasks, wasted messages "
+        f"{wasted['messages']['wasted_share']:.1%}, frames "
+        f"{wasted['frames']['wasted_share']:.1%}, {figures['cores_used']} cores, "
+        f"busiest {figures['busiest_process']}, machine load "
+        f"{figures['machine_load_1min']}"
+    )
+    for category, row in figures["ratio"].items():
+        print(
+            f"  {category:7} {row['requests']:6} mean {row['mean']:6.2f} "
+            f"p50 {row['p50']:6.2f} p99 {row['p99']:7.2f} in time {row['in_time']:6} "
+            f"errors {row['errors']}",
+            flush=True,
+        )
+
+
+def check_goals(figures: dict) -> list[dict]:
+    """Return the goals with their figures for `late_binding`."""
+    rows = []
+    if at_goal := figures["loads"].get(GOAL_LOAD):
+        ratio, share = at_goal["ratio"], at_goal["wasted"]
+        if ratio["urgent"]["answered"]:
+            rows += [("mean response / ideal", ratio["all"]["mean"], "<=", 1.5)]
+            rows += [("urgent p99 / ideal", ratio["urgent"]["p99"], "<=", 2.0)]
+        for unit in share:
+            rows += [(f"wasted {unit}", share[unit]["wasted_share"], "<=", 0.1)]
+    if crest := figures.get("crest"):
+        rows += [("urgent in time at crest", crest["urgent_in_time"], ">=", 0.999)]
+        rows += [("seconds until goodput is back", crest["recovery_s"], "<=", 2.0)]
+    for category, ratio in figures.get("blocking", {}).get("p99_ratio", {}).items():
+        rows += [(f"{category} p99 with / without long work", ratio, "<=", 1.3)]
+    if faults := figures.get("faults"):
+        rows += [("tasks started twice", faults["started_twice"], "<=", 0)]
+    compare = {"<=": operator.le, ">=": operator.ge}
+    return [
+        {
+            "figure": name,
+            "value": value,
+            "goal": f"{relation} {bound}",
+            "met": value is not None and compare[relation](value, bound),
+        }
+        for name, value, relation, bound in rows
+    ]
+
+
+def bench(
+    *,
+    quick: bool = False,
+    seed: int = 1,
+    policies: list[str] = POLICIES,
+    loads: list[float] = LOADS,
+    phases: list[str] = ("blocking", "crest", "faults"),
+    load_s: float = 20.0,
+) -> int:
+    """Measure the policies and print each goal as met or missed.
+
+    :param quick: About a minute in all, at load 0.8 only.
+    :param seed: Seed of the arrivals and tasks, the same for every policy.
+    :param policies: Policies to compare.
+    :param loads: Loads, as shares of the capacity of all slots.
+    :param phases: Further phases for late_binding; the faults come last, as they
+        leave the system with an agent less.
+    :param load_s: Seconds of arrivals at each load.
+    """
+    plan = Plan(seed, list(phases), load_s)
+    if quick:
+        loads, plan = [GOAL_LOAD], Plan(seed, list(phases), 3.0, 4.0, 4.0, 6.0)
+    figures = {
+        policy: anyio.run(run_policy, policy, list(loads), plan) for policy in policies
+    }
+    goals = check_goals(figures.get("late_binding", {"loads": {}}))
+    print()
+    for row in goals:
+        verdict = "met" if row["met"] else "MISSED"
+        print(f"{verdict:6} {row['figure']}: {row['value']} (goal {row['goal']})")
+    now = datetime.datetime.now(datetime.UTC)
+    document = {"time": now, "plan": plan, "cores": os.cpu_count(), "goals": goals}
+    document["policies"] = figures
+    RESULTS.mkdir(exist_ok=True)
+    path = RESULTS / f"{now:%Y%m%dT%H%M%SZ}.json"
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
+    print(f"figures in {path}")
+    return 0
+
+
+if __name__ == "__main__":
+    # Ends like Ctrl-C, so that no process is left behind.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    sys.exit(defopt.run(bench))
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -3,6 +3,7 @@
 import hashlib
 import hmac
 from contextlib import AsyncExitStack
+from dataclasses import asdict
 from functools import singledispatchmethod
 
 import anyio
@@ -181,6 +182,7 @@
             **board_report(self.board),
             "http": self.http_address,
             "requests_in_progress": self.in_progress,
+            "messages": asdict(self.peers.counters),
         }
 
     async def _serve(self, request: Request, kind: str, is_job: bool) -> Response:
@@ -247,14 +249,14 @@
         caller.submission_id = submission_id.bytes
         caller.text_id = str(submission_id)
         scope = {"kind": kind, "team": caller.team, "domain": self.settings.domain}
-        caller.priority = PRIORITIES[policy.effective("priority", **scope)]
+        caller.priority = PRIORITIES[self.board.setting("priority", **scope)]
         caller.deadline_s = self._deadline_s(request, scope)
         caller.unanswered = header_number(request, "marigoldkeel-unanswered", 0)
         caller.tasks = 1
         caller.body = request.body
         if is_job:
             caller.tasks = header_number(request, "marigoldkeel-tasks", -1)
-            limit = policy.effective("max_tasks", **scope)
+            limit = self.board.setting("max_tasks", **scope)
             if not 1 <= caller.tasks <= limit:
                 raise InvalidInput(
                     f"marigoldkeel-tasks must be 1 to {limit}", "check tasks"
