Pass on the number of partitions only when it is settled

Cause: a daemon that read the store before the number of partitions was written there had a table version but only its built-in number, 16. A peer that pulled the table from it settled on 16. When the store then held another number, that peer refused it for good and the partitions it was to create never opened. Two numbers in use also give one id two partitions.

Ruled out: ports already in use and slow starts; the log of the agent says "partition count changed from 16 to 8" and its peers had settled on 8.

Change: an answer carries the number only if it is settled.

Before: a start of the whole path with 8 partitions did not open within 60 s, and the new test failed. After: the test passes.

--- a/marigoldkeel/followers.py
+++ b/marigoldkeel/followers.py
@@ -35,7 +35,7 @@
 
 
 class TableDocument(msgspec.Struct):
-    """The partition table as it is passed between peers."""
+    """The partition table as it is passed between peers; ``count`` 0: not known."""
 
     count: int
     records: list[PartitionRecord]
@@ -161,12 +161,14 @@
 
     def answer(self, above: int) -> Pulled:
         table = self.board.partitions
-        document = TableDocument(table.partition_count, table.changes_above(above))
+        # An unsettled count is a setting of this daemon, not what the store holds.
+        count = table.partition_count if table.count_settled else 0
+        document = TableDocument(count, table.changes_above(above))
         return Pulled(above, table.version, msgspec.json.encode(document))
 
     def accept(self, pulled: Pulled) -> None:
         document = msgspec.json.decode(pulled.document, type=TableDocument)
-        if pulled.version:
+        if document.count:
             self.board.partitions.set_count(document.count)
         self._apply(document.records, pulled.above, pulled.version)
 
--- /dev/null
+++ b/tests/test_followers.py
@@ -0,0 +1,34 @@
+"""Guards against two numbers of partitions in use, by which an id could start twice."""
+
+from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.followers import TableFollower
+from marigoldkeel.models import Member
+
+
+def make_follower(name: str, partition_count: int) -> TableFollower:
+    board = Blackboard(Member(name, f"{name}@1"))
+    board.partitions.partition_count = partition_count
+    return TableFollower(board, None, None, lambda record: None)
+
+
+def test_a_count_that_is_not_settled_is_not_passed_on():
+    """Guards against an entry's built-in number being taken for the store's.
+
+    The entry has read the store before the number was written there.
+    """
+    entry, agent = make_follower("entry", 16), make_follower("agent", 8)
+    entry.load([], above=0, version=5)
+    agent.accept(entry.answer(above=0))
+    assert agent.version == 5
+    assert not agent.board.partitions.count_settled
+    assert agent.board.partitions.partition_count == 8
+
+
+def test_a_settled_count_is_passed_on():
+    """Guards against a daemon that never learns the number while the store is down."""
+    entry, agent = make_follower("entry", 8), make_follower("agent", 16)
+    entry.board.partitions.set_count(8)
+    entry.load([], above=0, version=5)
+    agent.accept(entry.answer(above=0))
+    assert agent.board.partitions.count_settled
+    assert agent.board.partitions.partition_count == 8
