Replace a partition's member that can be heard but not asked

Cause: with the inbound link of an agent cut, its own heartbeats still arrived, so nobody suspected it, and submissions to it and claims for it waited for their time limits. Seen in the whole-path tests: in 12 s no generation changed and callers got 19 answers, where others got 60 within 2 s. Change: the two members of a partition both send heartbeats, and one that has answered none for the suspicion time is replaced. The link_cut_one_way case now also waits for the replacement.

--- a/marigoldkeel/failover.py
+++ b/marigoldkeel/failover.py
@@ -123,7 +123,10 @@
         now = self.board.clock()
         if register.is_primary and self.board.peers.is_leaving(other.incarnation):
             return True
-        return self.board.peers.is_suspected(other.incarnation, now)
+        peers = self.board.peers
+        return peers.is_suspected(other.incarnation, now) or peers.is_unreachable(
+            other.incarnation, now
+        )
 
     def _create_missing(self) -> None:
         table = self.board.partitions
--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -57,6 +57,7 @@
         self.states: dict[str, PeerState] = {}
         self.first_known: dict[str, float] = {}
         self.entries_heard: dict[str, float] = {}
+        self.answered_at: dict[str, float] = {}
 
     def observe(self, state: PeerState, now: float, must_keep: bool = False) -> bool:
         """Record a heartbeat.
@@ -93,9 +94,10 @@
         for name in forgotten:
             del self.states[name]
             self.entries_heard.pop(name, None)
-        for incarnation, since in list(self.first_known.items()):
-            if now - since > FORGET_AFTER_S:
-                del self.first_known[incarnation]
+        for table in (self.first_known, self.answered_at):
+            for incarnation, since in list(table.items()):
+                if now - since > FORGET_AFTER_S:
+                    del table[incarnation]
         return forgotten
 
     def state_of(self, incarnation: str) -> PeerState | None:
@@ -115,6 +117,19 @@
             return True
         return now - state.heard_at > self.suspect_after_s
 
+    def note_answer(self, incarnation: str, now: float) -> None:
+        """Note that a peer has answered a request that was sent to its address."""
+        self.answered_at[incarnation] = now
+
+    def is_unreachable(self, incarnation: str, now: float) -> bool:
+        """Whether a peer has answered nothing for too long.
+
+        A peer whose inbound link is cut still sends heartbeats, so hearing it does
+        not show that it can be asked.
+        """
+        since = self.answered_at.setdefault(incarnation, now)
+        return now - since > self.suspect_after_s
+
     def is_leaving(self, incarnation: str) -> bool:
         """Whether a peer has said that it is about to stop."""
         state = self.state_of(incarnation)
--- a/marigoldkeel/memberships.py
+++ b/marigoldkeel/memberships.py
@@ -59,6 +59,7 @@
             for name in self.board.peers.forget_old(now):
                 self.board.detector.remove(name, now)
             contacts = self.contacts()
+            partition_peers = self._partition_peers()
             self._prune(contacts, now)
             is_news = self._has_news()
             for address in contacts:
@@ -67,7 +68,8 @@
                 is_due = wait_s <= (NEWS_WAIT_S if is_news else 0.0)
                 if address in self.sending or not is_due:
                     continue
-                if is_news or not self._is_covered(address, now):
+                must_send = is_news or address in partition_peers
+                if must_send or not self._is_covered(address, now):
                     self.sending.add(address)
                     self.group.start_soon(self._send, address)
             await anyio.sleep(TICK_S)
@@ -121,7 +123,8 @@
         """Whether the peer's own heartbeats make one from here needless.
 
         Of two peers, the one with the lower name sends and the other replies; it
-        sends too when nothing has come for more than an interval.
+        sends too when nothing has come for more than an interval. The two members
+        of a partition both send, as each has to know that it can ask the other.
         """
         name = self.names.get(address)
         if name is None or self.board.member.name < name or self.board.leaving:
@@ -150,6 +153,8 @@
             reply = await self.peers.request(address, message, HEARTBEAT_TIMEOUT_S)
             interval_s = reply.interval_ms / 1000
             self.names[address] = reply.member.name
+            now = self.board.clock()
+            self.board.peers.note_answer(reply.member.incarnation, now)
             self.learn(reply.members)
             await self._observe(reply, must_keep=True)
         except MarigoldkeelError as error:
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -157,7 +157,9 @@
     # Claims to this agent and entries' submissions to it wait, while its own
     # heartbeats and claims still arrive. They arrive late when the link is back.
     forwarder = case.system.forwarders["agent-3"]
+    incarnation = case.system.agent("agent-3").status()["member"]["incarnation"]
     case.system.portal.call(forwarder.hold)
+    case.wait_until_replaced(incarnation)
     case.wait_for_answers()
     case.system.portal.call(forwarder.restore)
 
--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -98,3 +98,19 @@
     controller.board.configuration.offer(1, None)
     assert controller._has_news()
     assert not controller._has_news()
+
+
+@pytest.mark.parametrize(
+    ("answered_at", "now", "unreachable"),
+    [(None, 3.1, True), (0.5, 3.4, False), (0.5, 3.6, True)],
+)
+def test_a_peer_that_is_heard_but_does_not_answer_is_unreachable(
+    answered_at, now, unreachable
+):
+    table = PeerTable(suspect_after_s=3.0)
+    assert not table.is_unreachable("a@1", 0.0)
+    if answered_at is not None:
+        table.note_answer("a@1", answered_at)
+    table.observe(PeerState(Member("a", "a@1")), now)
+    assert not table.is_suspected("a@1", now)
+    assert table.is_unreachable("a@1", now) is unreachable
