Leave one slot in eight to urgent calls while batch work has waited only briefly

Cause: the agents that serve a job have all slots busy, and an urgent call that arrives there waits for one of their tasks to end.

Ruled out: the order in the queue. Urgent calls were always next; the time passed between a call's arrival and the next free slot.

Change: batch work leaves an eighth of the slots free until it has waited 500 ms, so that at a lasting backlog all slots are used.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -23,6 +23,10 @@
 # About the time in which a free slot asks for the next task of a queued job. A
 # longer hold delays the answer when other agents took the job's last tasks.
 RESULT_HOLD_S = 0.01
+# An urgent call that finds all slots busy waits for a task of up to a second.
+# Batch work leaves this share of the slots free, until it has waited too long.
+SPARE_SLOT_SHARE = 0.125
+SPARE_SLOT_WAIT_S = 0.5
 # Longer than the longest deadline, so no grant of a remembered task is still valid.
 MAX_STARTED = 100_000
 
@@ -167,10 +171,12 @@
                 break
             if isinstance(item.source, ProbedJob) and not item.source.left:
                 continue
-            slots = self._acquire(item.kind, item.count)
+            spare = self._spare_slots(item)
+            slots = self._acquire(item.kind, item.count, spare)
             if not slots:
                 skipped.append(item)
-                if not self._any_free_slot():
+                # Work before batch in the queue has had its turn.
+                if spare or not self._any_free_slot():
                     break
                 continue
             if isinstance(item.source, PushedTask):
@@ -180,13 +186,25 @@
         for item in skipped:
             self.queue.put_back(item)
 
+    def _spare_slots(self, item: WorkItem) -> int:
+        """Return how many slots this item must leave free for urgent calls."""
+        waited_s = self.board.clock() - item.enqueued_at
+        if item.priority != Priority.BATCH or waited_s > SPARE_SLOT_WAIT_S:
+            return 0
+        return int(self.board.slots * SPARE_SLOT_SHARE)
+
     def _any_free_slot(self) -> bool:
+        return self._free_slots() > 0
+
+    def _free_slots(self) -> int:
         now = self.board.clock()
-        return any(self.targets.free_slots(name, now) for name in self.targets.targets)
+        return sum(self.targets.free_slots(name, now) for name in self.targets.targets)
 
-    def _acquire(self, kind: str, count: int) -> list[str]:
+    def _acquire(self, kind: str, count: int, spare: int = 0) -> list[str]:
         now = self.board.clock()
         names = []
+        if spare:
+            count = min(count, self._free_slots() - spare)
         while len(names) < count:
             name = self.targets.acquire(kind, now)
             if name is None:
