Grant up to two tasks ahead of free slots while a job has many pending

Cause: slots become free one at a time, so nearly every task cost a request and a grant of its own, on top of the offers.

Change: a request asks for up to two tasks more than there are free slots, fewer as the pending tasks run out, and the agent starts them without a further message. Tasks granted ahead are reported as not started when the offer is dropped from the queue, displaced or cancelled.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -23,6 +23,10 @@
 # About the time in which a free slot asks for the next task of a queued job. A
 # longer hold delays the answer when other agents took the job's last tasks.
 RESULT_HOLD_S = 0.01
+# Tasks granted ahead save a request each; they are bound to this agent early, so
+# only while the job has enough left for all.
+MAX_TASKS_AHEAD = 2
+PENDING_PER_TASK_AHEAD = 6
 # An urgent call that finds all slots busy waits for a task of up to a second.
 # Batch work leaves this share of the slots free, until it has waited too long.
 SPARE_SLOT_SHARE = 0.125
@@ -51,16 +55,30 @@
 class ProbedJob:
     """A job that a primary offered; ``left`` is its last known pending count.
 
-    ``results`` holds results that are not delivered yet and ``running`` counts the
-    tasks that are granted and have not ended.
+    ``ready`` holds granted tasks that wait for a slot here, ``results`` results that
+    are not delivered yet, and ``running`` counts granted tasks that have not ended.
     """
 
     message: Probe
     deadline: float
     left: int
     running: int = 0
+    ready: list[TaskItem] = field(default_factory=list)
     results: list[TaskResult] = field(default_factory=list)
 
+    @property
+    def available(self) -> int:
+        """The number of tasks that can still be had, as far as known."""
+        return len(self.ready) + self.left
+
+    @property
+    def ahead(self) -> int:
+        """How many tasks to ask for beyond the free slots.
+
+        It falls with the pending tasks, so that the last ones go to free slots only.
+        """
+        return min(MAX_TASKS_AHEAD, self.left // PENDING_PER_TASK_AHEAD)
+
 
 class Executor:
     """Takes work in queue order and runs each task at most once."""
@@ -128,15 +146,22 @@
         ):
             for item in items:
                 self.board.events["tasks_dropped"] += 1
-                if isinstance(item.source, PushedTask):
-                    item.source.finish(not_started(item.source.task.index, reason))
+                self._return_unstarted(item.source, reason)
+
+    def _return_unstarted(self, source: PushedTask | ProbedJob, reason: str) -> None:
+        """Report the tasks of a dropped item that this agent holds."""
+        if isinstance(source, PushedTask):
+            source.finish(not_started(source.task.index, reason))
+        elif source.ready:
+            source.running -= len(source.ready)
+            source.results += [not_started(task.index, reason) for task in source.ready]
+            source.ready = []
+            self.group.start_soon(self._deliver, source, False)
 
     def cancel(self, submission_id: bytes) -> None:
         """Drop the queued tasks of a submission."""
         for item in self.queue.cancel(submission_id):
-            if isinstance(item.source, PushedTask):
-                index = item.source.task.index
-                item.source.finish(not_started(index, "cancelled"))
+            self._return_unstarted(item.source, "cancelled")
 
     async def run_forever(self) -> None:
         """Start work whenever a slot is free."""
@@ -169,7 +194,7 @@
             item = self.queue.next_item(self.board.clock(), self.long_running)
             if item is None:
                 break
-            if isinstance(item.source, ProbedJob) and not item.source.left:
+            if isinstance(item.source, ProbedJob) and not item.source.available:
                 continue
             spare = self._spare_slots(item)
             slots = self._acquire(item.kind, item.count, spare)
@@ -230,21 +255,29 @@
         pushed.finish(result)
 
     async def _run_probed(self, item: WorkItem, slots: list[str]) -> None:
-        """Take tasks for free slots; the job stays queued while it has more."""
+        """Run tasks in free slots; the job stays queued while it has more."""
         probed = item.source
-        try:
-            grant = await self._take(probed, len(slots))
-        except BaseException:
-            self._release(slots)
-            raise
-        used, unused = slots[: len(grant.tasks)], slots[len(grant.tasks) :]
-        if not grant.tasks:
-            self.board.events["takes_without_task"] += 1
-        for slot, task in zip(used, grant.tasks, strict=True):
-            self.group.start_soon(self._run_granted, item, slot, task)
-        item.count = min(probed.left, probed.message.count)
-        self.queue.put_back(item)
-        self._release(unused)
+        self._start_ready(item, slots)
+        if slots and probed.left:
+            try:
+                grant = await self._take(probed, len(slots) + probed.ahead)
+            except BaseException:
+                self._release(slots)
+                raise
+            if not grant.tasks:
+                self.board.events["takes_without_task"] += 1
+            probed.ready += grant.tasks
+            self._start_ready(item, slots)
+        item.count = min(probed.available, probed.message.count)
+        if not self.queue.put_back(item):
+            self._return_unstarted(probed, "cancelled")
+        self._release(slots)
+
+    def _start_ready(self, item: WorkItem, slots: list[str]) -> None:
+        """Start granted tasks and take away the slots that they use."""
+        while slots and item.source.ready:
+            task = item.source.ready.pop(0)
+            self.group.start_soon(self._run_granted, item, slots.pop(), task)
 
     async def _run_granted(self, item: WorkItem, slot: str, task: TaskItem) -> None:
         probed = item.source
