Test wasted messages, spare slots and held results without time bounds

Bounds only counts and same-run ratios: wasted messages and frames of wide jobs at most 10% of the necessary ones, a free slot for an urgent call beside a batch backlog, each granted task reported once.

--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,187 @@
+"""A tiny seeded load in one process; bounds only counts and same-run ratios."""
+
+from collections import Counter
+
+import anyio
+import pytest
+
+from bench.loads import make_load
+from bench.measures import seconds_to_recover, sent, wasted
+from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.configuration import Configuration
+from marigoldkeel.demo import LocalSystem
+from marigoldkeel.executors import Executor
+from marigoldkeel.messages import Grant, Probe, Run, TaskItem, TaskResult
+from marigoldkeel.models import Member, Priority, TaskState
+from marigoldkeel.queues import WorkQueue
+from marigoldkeel.status import agent_report
+from marigoldkeel.targets import TargetInfo, TargetTable
+
+
+WASTE_GOAL = 0.1
+WIDE_TASKS = 24
+TASK_S = 0.02
+
+
+@pytest.mark.parametrize("policy", ["late_binding", "least_loaded"])
+def test_wide_jobs_waste_few_messages(policy):
+    """Guards against offers and requests that grow with agents instead of tasks."""
+    jobs = 8
+
+    async def run() -> tuple[dict, int]:
+        async with LocalSystem.open(agents=6, entries=1, policy=policy) as system:
+            before = sent([agent_report(agent) for agent in system.agents])
+            async with system.session("brusadelli") as session:
+                async with anyio.create_task_group() as group:
+                    payloads = [{"work_ms": TASK_S * 1000}] * WIDE_TASKS
+                    for _ in range(jobs):
+                        group.start_soon(session.submit, "cut-list", payloads)
+            starts = Counter(
+                (start.submission, start.index)
+                for runner in system.runners
+                for start in runner.starts
+            )
+            assert len(starts) == jobs * WIDE_TASKS
+            assert set(starts.values()) == {1}
+            after = sent([agent_report(agent) for agent in system.agents])
+            return wasted(before, after, jobs * WIDE_TASKS)
+
+    figures = anyio.run(run)
+    assert figures["messages"]["wasted_share"] <= WASTE_GOAL
+    assert figures["frames"]["wasted_share"] <= WASTE_GOAL
+
+
+class FakePrimary:
+    """Grants the tasks of one job and notes its results; a stand-in for peers."""
+
+    def __init__(self, pending: int):
+        self.pending = pending
+        self.granted = 0
+        self.results: list[TaskResult] = []
+
+    async def request(self, address, take, timeout_s) -> Grant:
+        self.results += take.results
+        count = min(take.want, self.pending - self.granted)
+        tasks = [TaskItem(self.granted + n, b"0") for n in range(count)]
+        self.granted += count
+        return Grant(tasks=tasks, left=self.pending - self.granted)
+
+
+class FakeTarget:
+    """Runs each task when the test lets it end, and notes the order of starts."""
+
+    def __init__(self):
+        self.kinds: list[str] = []
+        self.allowed = anyio.Semaphore(0)
+
+    async def run(self, target, call) -> TaskResult:
+        self.kinds.append(call.kind)
+        await self.allowed.acquire()
+        return TaskResult(call.index, TaskState.SUCCEEDED, b"0")
+
+
+async def drive(executor: Executor) -> None:
+    """Let the executor act until nothing more happens."""
+    for _ in range(20):
+        executor._start_work()
+        await anyio.lowlevel.checkpoint()
+
+
+def make_executor(primary, target, group) -> Executor:
+    """Return an executor of eight slots with a clock that stands still."""
+    board = Blackboard(Member("a", "a@1", "127.0.0.1:1", "Meda"), clock=lambda: 0.0)
+    board.slots = 8
+    targets = TargetTable()
+    kinds = ["cut-list", "stock-check"]
+    targets.announce(TargetInfo("r", "127.0.0.1:2", kinds, 8, 64), 0.0)
+    return Executor(board, primary, WorkQueue(8, 1000), targets, target, group)
+
+
+def offer(count: int) -> Probe:
+    return Probe(0, 0, b"j" * 16, "cut-list", Priority.BATCH, 60_000, count)
+
+
+def test_urgent_call_finds_a_slot_before_batch_work():
+    """Guards against batch work that takes every slot of an agent."""
+
+    async def run() -> None:
+        target = FakeTarget()
+        async with anyio.create_task_group() as group:
+            executor = make_executor(FakePrimary(100), target, group)
+            await executor.probe(offer(100))
+            await drive(executor)
+            assert target.kinds == ["cut-list"] * 7
+            call = Run(0, 0, b"u" * 16, "stock-check", Priority.URGENT, 2000)
+            call.tasks = [TaskItem(0, b"0")]
+            group.start_soon(executor.run, call)
+            await anyio.lowlevel.checkpoint()
+            await drive(executor)
+            assert target.kinds[7:] == ["stock-check"]
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize("pending", [1, 3, 8, 40])
+def test_every_granted_task_is_reported_once(pending):
+    """Guards against results that stay held when a job has ended."""
+
+    async def run() -> None:
+        target, primary = FakeTarget(), FakePrimary(pending)
+        async with anyio.create_task_group() as group:
+            executor = make_executor(primary, target, group)
+            await executor.probe(offer(pending))
+            for _ in range(pending):
+                await drive(executor)
+                target.allowed.release()
+            # Only ends a test that would wait for ever.
+            with anyio.fail_after(30):
+                while len(primary.results) < pending:
+                    await drive(executor)
+            group.cancel_scope.cancel()
+        indexes = sorted(result.index for result in primary.results)
+        assert indexes == list(range(pending))
+        assert len(target.kinds) == pending
+
+    anyio.run(run)
+
+
+def test_tasks_granted_ahead_are_returned_when_cancelled():
+    """Guards against granted tasks that are forgotten with their offer."""
+
+    async def run() -> None:
+        target, primary = FakeTarget(), FakePrimary(100)
+        async with anyio.create_task_group() as group:
+            executor = make_executor(primary, target, group)
+            await executor.probe(offer(100))
+            await drive(executor)
+            assert primary.granted > len(target.kinds)
+            ahead = primary.granted - len(target.kinds)
+            executor.cancel(b"j" * 16)
+            await drive(executor)
+            assert [r.state for r in primary.results] == [TaskState.NOT_STARTED] * ahead
+            assert len(target.kinds) + ahead == primary.granted
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_loads_are_the_same_for_every_policy():
+    """Guards against comparisons of policies under different requests."""
+    first, second = (make_load(7, 5.0, lambda at_s: 0.8, 95.0) for _ in range(2))
+    assert first == second
+    plain = make_load(7, 5.0, lambda at_s: 0.8, 95.0, with_long=False)
+    assert [r.at_s for r in plain] == [r.at_s for r in first]
+    for without, request in zip(plain, first, strict=True):
+        assert request.has_long or without.works_s == request.works_s
+    assert {kind.name for kind in {r.kind for r in first}} <= set(
+        Configuration.example().kinds
+    )
+
+
+def test_recovery_is_not_reported_without_goodput():
+    """Guards against a crest that counts as recovered with nothing answered."""
+    requests = make_load(7, 20.0, lambda at_s: 0.5, 95.0)
+    for request in requests:
+        request.error = "" if request.at_s < 10 else "Refused"
+    assert seconds_to_recover(requests, 8.0, 12.0, 20.0) is None
