Leave the spare slot to urgent calls for two seconds, also before normal calls

Cause: quotes and swaps use about 0.4 of a slot at each agent and took the slot that jobs left free, and at a backlog of more than 500 ms nothing was left free.

Jobs and normal calls pay for it.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -28,9 +28,9 @@
 MAX_TASKS_AHEAD = 2
 PENDING_PER_TASK_AHEAD = 6
 # An urgent call that finds all slots busy waits for a task of up to a second.
-# Batch work leaves this share of the slots free, until it has waited too long.
+# Other work leaves this share of the slots free, until it has waited too long.
 SPARE_SLOT_SHARE = 0.125
-SPARE_SLOT_WAIT_S = 0.5
+SPARE_SLOT_WAIT_S = 2.0
 # Longer than the longest deadline, so no grant of a remembered task is still valid.
 MAX_STARTED = 100_000
 
@@ -200,7 +200,7 @@
             slots = self._acquire(item.kind, item.count, spare)
             if not slots:
                 skipped.append(item)
-                # Work before batch in the queue has had its turn.
+                # Urgent calls, which come before it, have had their turn.
                 if spare or not self._any_free_slot():
                     break
                 continue
@@ -214,7 +214,7 @@
     def _spare_slots(self, item: WorkItem) -> int:
         """Return how many slots this item must leave free for urgent calls."""
         waited_s = self.board.clock() - item.enqueued_at
-        if item.priority != Priority.BATCH or waited_s > SPARE_SLOT_WAIT_S:
+        if item.priority == Priority.URGENT or waited_s > SPARE_SLOT_WAIT_S:
             return 0
         return int(self.board.slots * SPARE_SLOT_SHARE)
 
