Cancel jobs from the entry to the agents

Cause: agents could drop the queued tasks of a job, but nothing sent `cancel`, and a caller had no way to ask for it.

Ruled out: answering "not run" while the claim is being obtained, because an earlier attempt may run under a newer generation until the standby has replied; the job is closed at once and answered with that reply. Answering "not run" where nothing was recorded, because a late submission may still start; it is "unknown". Taking a cancellation for a refusal in the client, because the client then submits the same work under a fresh id.

Change: `DELETE /v1/jobs/ID` goes to the primary, or to the standby if nothing was sent. The job hands out nothing more; each agent with an offer or push gets one `cancel` and refuses grants that arrive after it. What has not ended within the caller's wait is listed as "may have run". An id without a job is refused in the claim register. `Job` counts held tasks instead of searching for them, and the reason given first is the one that the answer states. Adds `Session.cancel`, `AsyncSession.cancel` and `marigoldkeel cancel`.

Figures: a wave of 1,000 cancellations of jobs of 1 to 5 tasks, all in the queues of 3 agents, started none and sent one message for each offer.

The refusal of an unknown id is held by the member that was asked, as other refusals are, not by both members.

--- a/marigoldkeel/agents.py
+++ b/marigoldkeel/agents.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.cancellations import CancellationController
 from marigoldkeel.dispatch import make_policy
 from marigoldkeel.exceptions import ProtocolError
 from marigoldkeel.executors import Executor
@@ -23,6 +24,7 @@
 from marigoldkeel.messages import (
     AnswerMessage,
     Cancel,
+    CancelJob,
     Claim,
     Heartbeat,
     Inspect,
@@ -112,6 +114,7 @@
         self.queue = WorkQueue(1, int(setting("queue_tasks_per_slot")))
         policy = make_policy(settings.policy, setting("probe_ratio"))
         self.primaries = PrimaryController(board, peers, policy, group)
+        self.cancellations = CancellationController(board, peers, group)
         self.executor = Executor(
             board, peers, self.queue, self.targets, self.adapter, group
         )
@@ -214,6 +217,10 @@
     async def _(self, message: Cancel):
         self.executor.cancel(message.submission_id)
 
+    @_receive.register
+    async def _(self, message: CancelJob):
+        return to_message(await self.cancellations.cancel(message))
+
     @_receive.register
     async def _(self, message: Transfer):
         return await self.failover.receive_transfer(message)
--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -162,6 +162,28 @@
     )
 
 
+def cancel(
+    submission_id: str,
+    *,
+    entries: list[str],
+    team: str,
+    token: str = "",
+    unanswered: int = 1,
+) -> int:
+    """Cancel a job or call and print its outcome as JSON.
+
+    :param submission_id: The id of the submission.
+    :param entries: Addresses of entries.
+    :param team: The team that submitted it.
+    :param token: The team's token, if it has one.
+    :param unanswered: Attempts with this id that have no answer yet.
+    """
+    from marigoldkeel.sessions import Session
+
+    with Session(entries, team, token=token) as session:
+        return _request(lambda: session.cancel(submission_id, unanswered=unanswered))
+
+
 def _read(path: str) -> bytes:
     if path == "-":
         return sys.stdin.buffer.read()
@@ -357,6 +379,7 @@
         "demo": demo,
         "submit": submit,
         "call": call,
+        "cancel": cancel,
         "status": status,
         "partition": {"reopen": partition_reopen},
         "standin": {"store": standin_store, "runner": standin_runner},
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -13,6 +13,7 @@
 
 from marigoldkeel.admissions import QUOTA_STEP, Admissions, CallerRequest
 from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.cancellations import DEFAULT_WAIT_MS, unsettled
 from marigoldkeel.exceptions import (
     InvalidInput,
     MarigoldkeelError,
@@ -28,6 +29,7 @@
 from marigoldkeel.limits import RetryBudget
 from marigoldkeel.memberships import MembershipController
 from marigoldkeel.messages import (
+    CancelJob,
     Heartbeat,
     Inspect,
     Pull,
@@ -38,7 +40,14 @@
     TaskResult,
 )
 from marigoldkeel.metrics import ENTRY_METRICS, RequestTimes, add_metrics_route
-from marigoldkeel.models import Answer, Member, Outcome, Priority, TaskState
+from marigoldkeel.models import (
+    Answer,
+    Member,
+    Outcome,
+    PartitionRecord,
+    Priority,
+    TaskState,
+)
 from marigoldkeel.primaries import REPLY_MARGIN_S, refusal
 from marigoldkeel.servers import HttpApplication, Request, Response, serve_http
 from marigoldkeel.settings import Settings
@@ -163,6 +172,14 @@
         async def submit_call(request: Request) -> Response:
             return await self._serve(request, request.arguments["kind"], is_job=False)
 
+        @application.route("DELETE", "/v1/jobs/{submission}")
+        async def cancel_job(request: Request) -> Response:
+            self.in_progress += 1
+            try:
+                return await self._cancel(request)
+            finally:
+                self.in_progress -= 1
+
         @application.route("GET", "/v1/status")
         async def status(request: Request) -> Response:
             return Response.from_json(self.report())
@@ -217,6 +234,44 @@
         )
         return to_response(answer, caller.text_id, is_job)
 
+    async def _cancel(self, request: Request) -> Response:
+        """Pass a cancellation to the members of the submission's partition."""
+        text_id = request.arguments["submission"]
+        if not self.board.configuration.ready:
+            answer = unsettled("no configuration is known yet", "cancel")
+            return to_response(answer, text_id, is_job=True)
+        try:
+            submission_id = parse_submission_id(text_id)
+            team = self._authenticate(request)
+            unanswered = header_number(request, "marigoldkeel-unanswered", 0)
+            wait_ms = header_number(
+                request, "marigoldkeel-deadline-ms", DEFAULT_WAIT_MS
+            )
+            limit_ms = int(self.board.setting("max_deadline_ms"))
+            wait_ms = min(wait_ms, limit_ms)
+        except InvalidInput as error:
+            answer = unsettled(error.message, error.step, request.peer)
+            answer.invalid = True
+            return to_response(answer, text_id, is_job=True)
+        record = self._find_record(submission_id.bytes)
+        if record is None:
+            answer = unsettled("the partition is not known yet", "route")
+            return to_response(answer, text_id, is_job=True)
+        message = CancelJob(
+            record.partition,
+            record.generation,
+            submission_id.bytes,
+            team,
+            unanswered,
+            wait_ms,
+        )
+        claim_ms = self.board.setting("claim_timeout_ms")
+        timeout_s = (claim_ms + wait_ms) / 1000 + 2 * REPLY_MARGIN_S
+        answer = await self._ask_members(record, message, timeout_s)
+        if isinstance(answer, str):
+            answer = unsettled(answer, "cancel")
+        return to_response(answer, text_id, is_job=True)
+
     async def _run(self, caller: CallerRequest, is_job: bool) -> Answer:
         admission = self.admissions.admit(caller)
         if not admission.admitted:
@@ -291,14 +346,12 @@
         return deadline_ms / 1000
 
     async def _submit(self, caller: CallerRequest) -> Answer:
-        """Pass a submission to its primary, or its standby if nothing was sent."""
-        table = self.board.partitions
-        partition = partition_of(caller.submission_id, table.partition_count)
-        record = table.records.get(partition)
-        if record is None or not table.count_settled:
+        """Pass a submission to the members of its partition."""
+        record = self._find_record(caller.submission_id)
+        if record is None:
             return refusal("the partition is not known yet", caller.unanswered, "route")
         message = Submit(
-            partition,
+            record.partition,
             record.generation,
             caller.submission_id,
             caller.team,
@@ -309,19 +362,37 @@
             caller.tasks,
             caller.body,
         )
+        timeout_s = caller.deadline_s + 2 * REPLY_MARGIN_S
+        answer = await self._ask_members(record, message, timeout_s)
+        if isinstance(answer, str):
+            return refusal(answer, caller.unanswered, "submit")
+        return answer
+
+    def _find_record(self, submission_id: bytes) -> PartitionRecord | None:
+        table = self.board.partitions
+        if not table.count_settled:
+            return None
+        return table.records.get(partition_of(submission_id, table.partition_count))
+
+    async def _ask_members(
+        self, record: PartitionRecord, message: Submit | CancelJob, timeout_s: float
+    ) -> Answer | str:
+        """Ask the primary, or the standby if nothing was sent to the primary.
+
+        :return: The answer, or why nothing was sent to either member.
+        """
         problem = ""
         for member in (record.primary, record.standby):
             try:
-                reply = await self.peers.request(
-                    member.address, message, caller.deadline_s + 2 * REPLY_MARGIN_S
-                )
+                reply = await self.peers.request(member.address, message, timeout_s)
             except PeerUnavailable as error:
                 problem = f"no member of the partition can be reached: {error}"
             except MarigoldkeelError as error:
-                return Answer(Outcome.UNKNOWN, b"", error.message, "submit", error.peer)
+                step = "submit" if isinstance(message, Submit) else "cancel"
+                return Answer(Outcome.UNKNOWN, b"", error.message, step, error.peer)
             else:
                 return from_message(reply)
-        return refusal(problem, caller.unanswered, "submit")
+        return problem
 
     async def _run_read_only(self, caller: CallerRequest) -> Answer:
         """Run a read-only call on the less loaded of two agents.
--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -98,7 +98,7 @@
         pushed = [PushedTask(message, task, deadline) for task in message.tasks]
         for item in pushed:
             if not self._push(message, deadline, 1, item):
-                item.finish(not_started(item.task.index, "the agent's queue is full"))
+                item.finish(not_started(item.task.index, "the queue took no task"))
         for item in pushed:
             await item.done.wait()
         return Ran([item.result for item in pushed])
@@ -327,6 +327,8 @@
         if not self.board.see_generation(message.partition, message.generation):
             self.board.events["starts_of_old_generation"] += 1
             return not_started(task.index, "the partition has a newer generation")
+        if message.submission_id in self.queue.cancelled:
+            return not_started(task.index, "cancelled")
         key = (message.submission_id, task.index)
         if key in self.started:
             self.board.events["starts_repeated"] += 1
--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -18,7 +18,9 @@
 
     ``pending`` holds the indexes that no agent has been given. ``answer`` is set
     exactly once, and from then on no task is handed out. ``first_answer`` replaces
-    it for the attempt that made the job, if that attempt knows more.
+    it for the attempt that made the job, if that attempt knows more. ``offers``
+    maps the incarnations of agents that were offered or pushed tasks to their
+    addresses, and ``held`` counts the tasks that are granted and have not ended.
     """
 
     __slots__ = (
@@ -29,6 +31,8 @@
         "pending",
         "holders",
         "placements",
+        "offers",
+        "held",
         "grants",
         "recorded",
         "unfinished",
@@ -37,7 +41,10 @@
         "done",
         "started_at",
         "run_ms",
+        "claimed",
         "closed",
+        "reason",
+        "step",
         "finished_at",
     )
 
@@ -50,6 +57,8 @@
         self.pending: deque[int] = deque(range(count))
         self.holders: dict[int, str] = {}
         self.placements = [0] * count
+        self.offers: dict[str, str] = {}
+        self.held = 0
         self.grants: dict[tuple[str, int], list[int]] = {}
         self.recorded: set[tuple[str, int]] = set()
         self.unfinished = count
@@ -58,7 +67,10 @@
         self.done = anyio.Event()
         self.started_at = now
         self.run_ms = 0
+        self.claimed = False
         self.closed = False
+        self.reason = ""
+        self.step = "run"
         self.finished_at = 0.0
 
     @property
@@ -84,12 +96,17 @@
             return []
         granted = [self.pending.popleft() for _ in range(min(want, len(self.pending)))]
         for index in granted:
-            self.states[index] = TaskState.GRANTED
-            self.holders[index] = holder
+            self.hold(index, holder)
         if granted:
             self.grants[key] = granted
         return granted
 
+    def hold(self, index: int, holder: str) -> None:
+        """Note that ``holder`` is given a task that is no longer pending."""
+        self.states[index] = TaskState.GRANTED
+        self.holders[index] = holder
+        self.held += 1
+
     def grant(self, indexes: list[int]) -> Grant:
         """Return the message that gives out ``indexes``."""
         submission = self.submission
@@ -128,6 +145,7 @@
 
     def _end_task(self, index: int, result: TaskResult, now: float) -> bool:
         state = TaskState(result.state)
+        self.held -= 1
         if state is TaskState.NOT_STARTED:
             del self.holders[index]
             self.states[index] = TaskState.PENDING
@@ -147,6 +165,8 @@
         elif self.unfinished == 0:
             body = b"[" + b",".join(self.results) + b"]"
             self.finish(Answer(Outcome.COMPLETE, body), now)
+        elif self.closed and not self.held:
+            self.fail(self.reason, now)
         return False
 
     def lose_holder(self, holder: str, now: float) -> None:
@@ -154,25 +174,42 @@
         for index, name in self.holders.items():
             if name == holder and self.states[index] is TaskState.GRANTED:
                 self.states[index] = TaskState.MAY_HAVE_RUN
+                self.held -= 1
                 self.fail(f"agent {holder} was lost with task {index}", now, holder)
 
-    def close(self, message: str, now: float) -> None:
+    def close(self, message: str, now: float, step: str = "run") -> None:
         """Hand out nothing more, and end the job once no task is held.
 
         A held task may still turn out not to have started, and a job of which
-        nothing started is answered "not run" rather than "failed".
+        nothing started is answered "not run" rather than "failed". The reason
+        given first is the one that the answer states.
         """
+        if not self.closed:
+            self.reason, self.step = message, step
         self.closed = True
         self.pending.clear()
-        if TaskState.GRANTED not in self.states:
-            self.fail(message, now)
+        if not self.held:
+            self.fail(self.reason, now)
+
+    def cancel(self, message: str, step: str, now: float) -> None:
+        """Close the job on the caller's request.
+
+        A job whose claim is still being obtained ends only with the reply to it:
+        without the claim, an earlier attempt may run under a newer generation.
+        """
+        if self.claimed:
+            self.close(message, now, step)
+        elif not self.closed:
+            self.reason, self.step = message, step
+            self.closed = True
+            self.pending.clear()
 
     def fail(self, message: str, now: float, peer: str = "") -> None:
         """End the job: failed, or not run when nothing can have started."""
         if not self.has_started:
-            answer = Answer(Outcome.NOT_RUN, b"", message, "run", peer, 1000)
+            answer = Answer(Outcome.NOT_RUN, b"", message, self.step, peer, 1000)
         else:
-            answer = Answer(Outcome.FAILED, b"", message, "run", peer)
+            answer = Answer(Outcome.FAILED, b"", message, self.step, peer)
             self._list_tasks(answer)
         self.finish(answer, now)
 
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -31,6 +31,7 @@
     inspect @21 :Inspect;
     report @22 :Report;
     move @23 :Move;
+    cancelJob @24 :CancelJob;
   }
 }
 
@@ -203,6 +204,15 @@
   submissionId @0 :Data;
 }
 
+struct CancelJob {
+  partition @0 :UInt32;
+  generation @1 :UInt64;
+  submissionId @2 :Data;
+  team @3 :Text;
+  unanswered @4 :UInt32;
+  waitMs @5 :UInt32;
+}
+
 struct Done {
 }
 
--- a/marigoldkeel/messages.py
+++ b/marigoldkeel/messages.py
@@ -293,11 +293,27 @@
 @message("cancel")
 @dataclass(slots=True)
 class Cancel:
-    """Drops the tasks of a job that have not started."""
+    """Tells an agent to drop the tasks of a job that have not started."""
 
     submission_id: bytes = b""
 
 
+@message("cancelJob")
+@dataclass(slots=True)
+class CancelJob:
+    """Asks a primary to cancel a submission; the reply is an `AnswerMessage`.
+
+    Tasks that have not ended after ``wait_ms`` are reported as "may have run".
+    """
+
+    partition: int = 0
+    generation: int = 0
+    submission_id: bytes = b""
+    team: str = ""
+    unanswered: int = 0
+    wait_ms: int = 0
+
+
 @message("done")
 @dataclass(slots=True)
 class Done:
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -162,6 +162,10 @@
             job.finish(answer, self.board.clock())
             del self.board.jobs[job.submission.submission_id]
             return
+        job.claimed = True
+        if job.closed:
+            job.close(job.reason, self.board.clock())
+            return
         self.board.events["jobs_started"] += 1
         await self._run(job)
 
@@ -261,6 +265,7 @@
         for incarnation in (*placement.probes, *placement.pushes):
             name = addresses[incarnation].name
             self.board.detector.start(name, self.board.clock())
+            job.offers[incarnation] = addresses[incarnation].address
         for incarnation, count in placement.probes.items():
             member = addresses[incarnation]
             self.group.start_soon(self._probe, job, member.address, count)
@@ -272,6 +277,8 @@
                     )
 
     async def _probe(self, job: Job, address: str, count: int) -> None:
+        if job.closed:
+            return
         submission = job.submission
         remaining_s = submission.deadline - self.board.clock()
         probe = Probe(
@@ -294,8 +301,7 @@
         if index not in job.pending or job.closed:
             return
         job.pending.remove(index)
-        job.states[index] = TaskState.GRANTED
-        job.holders[index] = member.incarnation
+        job.hold(index, member.incarnation)
         remaining_s = max(0.0, submission.deadline - self.board.clock())
         run = Run(
             submission.partition,
--- a/marigoldkeel/sessions.py
+++ b/marigoldkeel/sessions.py
@@ -59,6 +59,9 @@
 }
 INVALID_STATUSES = (400, 401, 403, 413)
 CONFLICT_STATUS = 409
+CANCEL_STEP = "cancel"
+DEFAULT_CANCEL_WAIT_S = 1.0
+DEFAULT_CANCEL_DEADLINE_S = 10.0
 
 
 class AnswerBody(msgspec.Struct):
@@ -276,6 +279,10 @@
 
     def _not_run(self, reply: EntryAnswer, now: float) -> Attempt | Finished:
         where = (reply.message, reply.step, reply.peer)
+        if reply.step == CANCEL_STEP:
+            # The primary held the claim, so no other attempt started the work
+            # either, and a fresh id would run what was cancelled.
+            return Finished(error=Refused(*where))
         if self.unanswered:
             if reply.invalid:
                 return self._unknown(*where)
@@ -352,6 +359,22 @@
     elapsed_s: float
 
 
+@dataclass(slots=True)
+class CancelResult:
+    """The outcome of a submission after its cancellation.
+
+    ``not_run`` means that nothing ran or will run, ``failed`` that the tasks in
+    ``ran`` and ``may_have_run`` were started before, and ``complete`` that the
+    cancellation came too late.
+    """
+
+    outcome: Outcome
+    submission_id: str
+    results: list[Any] = field(default_factory=list)
+    ran: list[int] = field(default_factory=list)
+    may_have_run: list[int] = field(default_factory=list)
+
+
 def _check_header(name: str, value: str) -> None:
     # Rejected here, because the HTTP library fails on it after it has begun to
     # send, which looks like an attempt without an answer.
@@ -457,6 +480,82 @@
         return Submitting(plan, path, headers, body, started)
 
 
+class Cancelling:
+    """One cancellation in progress; each entry may be asked, as it is idempotent."""
+
+    def __init__(
+        self,
+        submitter: Submitter,
+        submission_id: uuid.UUID | str,
+        unanswered: int,
+        wait_s: float,
+        deadline_s: float,
+    ):
+        if isinstance(submission_id, str):
+            submission_id = parse_submission_id(submission_id)
+        self.submission_id = submission_id
+        self.clock = submitter.clock
+        self.deadline = self.clock() + deadline_s
+        self.failures = 0
+        self.entries = random.sample(submitter.entries, len(submitter.entries))
+        self.headers = [
+            ("Marigoldkeel-Team", submitter.team),
+            ("Marigoldkeel-Unanswered", str(unanswered)),
+            ("Marigoldkeel-Deadline-Ms", str(max(1, round(wait_s * 1000)))),
+        ]
+        if submitter.token:
+            self.headers.append(("Authorization", f"Bearer {submitter.token}"))
+
+    def arguments(self) -> dict:
+        """Return the arguments of the connection pool's ``request``."""
+        entry = self.entries[self.failures % len(self.entries)]
+        remaining_s = max(MIN_REMAINING_S, self.deadline - self.clock())
+        timeouts = dict.fromkeys(("read", "write", "pool"), remaining_s)
+        timeouts["connect"] = min(remaining_s, CONNECT_TIMEOUT_S)
+        return {
+            "method": "DELETE",
+            "url": f"http://{entry}/v1/jobs/{self.submission_id}",
+            "headers": [("Host", entry), *self.headers],
+            "extensions": {"timeout": timeouts},
+        }
+
+    def read(self, response: httpcore.Response) -> CancelResult | NoAnswer:
+        """Return the outcome in a response, or why it has none.
+
+        :raises InvalidInput: The entry does not accept the cancellation.
+        :raises OutcomeUnknown: Attempts of the submission may have run elsewhere.
+        """
+        try:
+            content = msgspec.json.decode(response.content, type=AnswerBody)
+        except msgspec.DecodeError as error:
+            return NoAnswer(f"response {response.status} is not an answer: {error}")
+        if content.submission != str(self.submission_id) or content.outcome is None:
+            return NoAnswer(f"response {response.status} is not for this submission")
+        where = (content.error, content.step, content.peer)
+        if response.status in INVALID_STATUSES:
+            raise InvalidInput(*where)
+        if content.outcome is Outcome.UNKNOWN:
+            raise OutcomeUnknown(*where, content.submission)
+        return CancelResult(
+            content.outcome,
+            content.submission,
+            content.results or [],
+            content.ran,
+            content.may_have_run,
+        )
+
+    def retry_delay_s(self, reason: str) -> float:
+        """Return the delay before the next entry is asked.
+
+        :raises OutcomeUnknown: The deadline leaves no time for it.
+        """
+        delay_s = BACKOFF_BASE_S * 2 ** min(self.failures, 5)
+        self.failures += 1
+        if self.clock() + delay_s > self.deadline:
+            raise OutcomeUnknown(reason, CANCEL_STEP, "", str(self.submission_id))
+        return delay_s
+
+
 class Submitting:
     """One submission in progress: its plan and its unchanging request parts."""
 
@@ -608,6 +707,34 @@
         results, details = self._run(submitting)
         return CallResult(results[0], **details)
 
+    def cancel(
+        self,
+        submission_id: uuid.UUID | str,
+        *,
+        unanswered: int = 1,
+        wait_s: float = DEFAULT_CANCEL_WAIT_S,
+        deadline_s: float = DEFAULT_CANCEL_DEADLINE_S,
+    ) -> CancelResult:
+        """Cancel a submission of this team and return its outcome.
+
+        :param unanswered: Attempts with that id that have no answer yet; 0 states
+            that the id has never been sent, or that every attempt was answered.
+        :param wait_s: Seconds to wait for tasks that run; those that have not ended
+            by then are listed in ``may_have_run``.
+        :param deadline_s: Seconds to try for.
+        :raises OutcomeUnknown: No definite answer; the work may have run.
+        :raises InvalidInput: The id is malformed or belongs to another team.
+        """
+        cancelling = Cancelling(self, submission_id, unanswered, wait_s, deadline_s)
+        while True:
+            try:
+                reply = cancelling.read(self.pool.request(**cancelling.arguments()))
+            except HTTP_ERRORS as error:
+                reply = NoAnswer(str(error) or type(error).__name__)
+            if isinstance(reply, CancelResult):
+                return reply
+            time.sleep(cancelling.retry_delay_s(reply.reason))
+
     def _run(self, submitting: Submitting) -> tuple[list[Any], dict]:
         step = submitting.plan.start(self.clock())
         while isinstance(step, Attempt):
@@ -709,6 +836,26 @@
         results, details = await self._run(submitting)
         return CallResult(results[0], **details)
 
+    async def cancel(
+        self,
+        submission_id: uuid.UUID | str,
+        *,
+        unanswered: int = 1,
+        wait_s: float = DEFAULT_CANCEL_WAIT_S,
+        deadline_s: float = DEFAULT_CANCEL_DEADLINE_S,
+    ) -> CancelResult:
+        """Cancel a submission of this team; see `Session.cancel`."""
+        cancelling = Cancelling(self, submission_id, unanswered, wait_s, deadline_s)
+        while True:
+            try:
+                response = await self.pool.request(**cancelling.arguments())
+                reply = cancelling.read(response)
+            except HTTP_ERRORS as error:
+                reply = NoAnswer(str(error) or type(error).__name__)
+            if isinstance(reply, CancelResult):
+                return reply
+            await anyio.sleep(cancelling.retry_delay_s(reply.reason))
+
     async def _run(self, submitting: Submitting) -> tuple[list[Any], dict]:
         step = submitting.plan.start(self.clock())
         while isinstance(step, Attempt):
--- /dev/null
+++ b/tests/test_cancellation.py
@@ -0,0 +1,221 @@
+"""Guards against starts after a cancellation and untrue answers to cancelled work."""
+
+from contextlib import AsyncExitStack
+
+import anyio
+import pytest
+
+from marigoldkeel.configuration import Configuration, TeamPolicy
+from marigoldkeel.demo import LocalSystem
+from marigoldkeel.exceptions import (
+    InvalidInput,
+    JobFailed,
+    MarigoldkeelError,
+    OutcomeUnknown,
+    Refused,
+)
+from marigoldkeel.identifiers import mint_submission_id, partition_of
+from marigoldkeel.messages import Claimed
+from marigoldkeel.models import Outcome
+
+
+pytestmark = pytest.mark.anyio
+TASKS = 40
+LONG = {"work_ms": 60_000}
+
+
+async def until(condition):
+    while not condition():
+        await anyio.sleep(0.005)
+
+
+def starts(system, submission_id):
+    return sorted(
+        start.index
+        for runner in system.runners
+        for start in runner.starts
+        if start.submission == str(submission_id)
+    )
+
+
+def job_of(system, submission_id):
+    jobs = (agent.board.jobs.get(submission_id.bytes) for agent in system.agents)
+    return next((job for job in jobs if job is not None), None)
+
+
+def take_slots(system):
+    """Keep all work in the queues."""
+    for agent in system.agents:
+        for info in agent.targets.targets.values():
+            agent.targets.busy[info.name] = info.slots
+
+
+def free_slots(system):
+    for agent in system.agents:
+        agent.targets.busy.clear()
+        agent.executor.wake.set()
+
+
+async def submit(session, submission_id, tasks, outcomes):
+    try:
+        result = await session.submit(
+            "cut-list", tasks, submission_id=submission_id, unanswered=0
+        )
+        outcomes.append(result.results)
+    except MarigoldkeelError as error:
+        outcomes.append(error)
+
+
+def hold_claims(system):
+    """Delay the standbys' replies to claims until the returned event is set."""
+    release = anyio.Event()
+    for agent in system.agents:
+        original = agent.failover.receive_claim
+
+        async def receive(message, original=original) -> Claimed:
+            await release.wait()
+            return await original(message)
+
+        agent.failover.receive_claim = receive
+    return release
+
+
+@pytest.mark.parametrize("policy", ["late_binding", "random"])
+@pytest.mark.parametrize("stage", ["claim", "queued", "running", "finished"])
+async def test_caller_and_canceller_learn_what_had_started(stage, policy):
+    outcomes, submission_id = [], mint_submission_id()
+    async with LocalSystem.open(agents=3, entries=2, policy=policy) as system:
+        async with system.session("brusadelli") as session:
+            async with anyio.create_task_group() as group:
+                if stage == "queued":
+                    take_slots(system)
+                if stage == "claim":
+                    release = hold_claims(system)
+                work = {"work_ms": 1} if stage == "finished" else LONG
+                group.start_soon(
+                    submit, session, submission_id, [work] * TASKS, outcomes
+                )
+                await until(lambda: job_of(system, submission_id) is not None)
+                job = job_of(system, submission_id)
+                if stage == "claim":
+                    group.start_soon(let_go_when_closed, job, release)
+                elif stage == "queued":
+                    await until(lambda: sum(a.queue.depth for a in system.agents))
+                elif stage == "running":
+                    await until(lambda: len(starts(system, submission_id)) == 24)
+                else:
+                    await until(lambda: outcomes)
+                cancelled = await session.cancel(submission_id)
+                await until(lambda: outcomes)
+            started = starts(system, submission_id)
+            if stage == "queued":
+                free_slots(system)
+            await anyio.sleep(0.3)
+            assert starts(system, submission_id) == started
+            assert sum(agent.queue.depth for agent in system.agents) == 0
+            again = await session.cancel(submission_id)
+            assert (again.outcome, again.ran) == (cancelled.outcome, cancelled.ran)
+    if stage == "finished":
+        assert cancelled.results == outcomes[0]
+        assert cancelled.outcome is Outcome.COMPLETE
+    elif stage == "running":
+        error = outcomes[0]
+        assert isinstance(error, JobFailed)
+        assert cancelled.outcome is Outcome.FAILED
+        assert sorted(error.ran + error.may_have_run) == started
+        assert sorted(cancelled.may_have_run) == started
+    else:
+        assert (isinstance(outcomes[0], Refused), started) == (True, [])
+        assert cancelled.outcome is Outcome.NOT_RUN
+
+
+async def let_go_when_closed(job, release):
+    await until(lambda: job.closed)
+    release.set()
+
+
+@pytest.mark.parametrize("unanswered", [0, 1])
+async def test_cancelled_unknown_id_never_starts_when_submitted_late(unanswered):
+    outcomes, submission_id = [], mint_submission_id()
+    async with LocalSystem.open(agents=3, entries=2, partitions=4) as system:
+        async with system.session("brusadelli") as session:
+            if unanswered:
+                with pytest.raises(OutcomeUnknown):
+                    await session.cancel(submission_id)
+            else:
+                cancelled = await session.cancel(submission_id, unanswered=0)
+                assert cancelled.outcome is Outcome.NOT_RUN
+            await submit(session, submission_id, [1] * 5, outcomes)
+        assert isinstance(outcomes[0], Refused)
+        assert starts(system, submission_id) == []
+
+
+async def test_only_the_team_that_submitted_can_cancel():
+    outcomes, submission_id = [], mint_submission_id()
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        async with (
+            system.session("brusadelli") as session,
+            system.session("gulfline") as other,
+            anyio.create_task_group() as group,
+        ):
+            tasks = [{"work_ms": 300}] * 5
+            group.start_soon(submit, session, submission_id, tasks, outcomes)
+            await until(lambda: starts(system, submission_id))
+            with pytest.raises(InvalidInput, match="another team"):
+                await other.cancel(submission_id)
+        assert len(outcomes[0]) == 5
+
+
+async def test_unreachable_members_leave_the_outcome_unknown():
+    """Nothing was recorded, so a late submission may still start."""
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        submission_id = mint_submission_id()
+        table = system.entries[0].board.partitions
+        del table.records[partition_of(submission_id.bytes, 4)]
+        async with system.session("brusadelli") as session:
+            with pytest.raises(OutcomeUnknown):
+                await session.cancel(submission_id, unanswered=0)
+
+
+async def test_wave_of_cancellations_starts_none_of_the_cancelled_tasks():
+    outcomes, cancelled = [], []
+
+    async def cancel(session, submission_id):
+        # Waits for every task to be returned, also on a slow machine.
+        cancelled.append(await session.cancel(submission_id, wait_s=60, deadline_s=60))
+
+    configuration = Configuration.example()
+    configuration.defaults.queue_tasks_per_slot = 10_000
+    configuration.teams["brusadelli"] = TeamPolicy(tasks_per_s=100_000, burst=100_000)
+    async with LocalSystem.open(
+        agents=3, entries=2, partitions=4, configuration=configuration
+    ) as system:
+        take_slots(system)
+        async with AsyncExitStack() as stack, anyio.create_task_group() as group:
+            # A session's connection pool is slow with hundreds of open requests.
+            sessions = [
+                await stack.enter_async_context(system.session("brusadelli"))
+                for _ in range(40)
+            ]
+            wave = [(session, mint_submission_id()) for session in sessions * 25]
+            for session, submission_id in wave:
+                tasks = [1] * (1 + submission_id.int % 5)
+                group.start_soon(submit, session, submission_id, tasks, outcomes)
+            await until(lambda: jobs_started(system) + len(outcomes) >= len(wave))
+            for session, submission_id in wave:
+                group.start_soon(cancel, session, submission_id)
+        jobs = [job for agent in system.agents for job in agent.board.jobs.values()]
+        sent = [
+            agent.peers.counters.by_type.get("Cancel", 0) for agent in system.agents
+        ]
+        assert sum(sent) == sum(len(job.offers) for job in jobs)
+        free_slots(system)
+        await anyio.sleep(0.5)
+        assert sum(agent.queue.depth for agent in system.agents) == 0
+        assert sum(len(runner.starts) for runner in system.runners) == 0
+    assert [result.outcome for result in cancelled] == [Outcome.NOT_RUN] * len(wave)
+    assert [type(outcome) for outcome in outcomes] == [Refused] * len(wave)
+
+
+def jobs_started(system):
+    return sum(agent.board.events["jobs_started"] for agent in system.agents)
