Run tasks on workers under leases

Cause: workers grant leases and can stop, throttle and checkpoint a task, but the only adapter spoke the runners' protocol.

Ruled out: asking for the state of a lease after a lost answer to its start. It would settle more tasks, but the start may still be on its way to the worker. The lease is stopped and the task reported as "may have run".

Change: `WorkerTarget` starts, renews, polls, stops, throttles, checkpoints and resumes a task and reads usage. An announcement names its `protocol`, and `RegisteredAdapters` chooses the adapter by it; an unknown protocol is refused. `resume` is an addition to the worker's routes, without which a checkpointed task could not end.

--- a/marigoldkeel/agents.py
+++ b/marigoldkeel/agents.py
@@ -45,8 +45,9 @@
 from marigoldkeel.settings import Settings
 from marigoldkeel.status import agent_report, encode_report
 from marigoldkeel.stores import open_store
-from marigoldkeel.targets import HttpTarget, TargetTable, announcements
+from marigoldkeel.targets import RegisteredAdapters, TargetTable, announcements
 from marigoldkeel.transports import PeerPool, parse_address, serve_peers
+from marigoldkeel.workers import WorkerTarget  # noqa: F401 - registers its protocol
 
 
 DRAIN_TICK_S = 0.05
@@ -92,7 +93,7 @@
                 self.settings.store.timeout_s,
             )
             stack.push_async_callback(self.store.aclose)
-            self.adapter = HttpTarget()
+            self.adapter = RegisteredAdapters()
             stack.push_async_callback(self.adapter.aclose)
             self.peers = await stack.enter_async_context(PeerPool.open())
             async with anyio.create_task_group() as group:
--- a/marigoldkeel/runners.py
+++ b/marigoldkeel/runners.py
@@ -73,6 +73,8 @@
     :param history_path: File to which each start is appended as a JSON line.
     """
 
+    protocol = "http"
+
     def __init__(
         self,
         name: str,
@@ -194,6 +196,7 @@
         """
         try:
             async with anyio.create_task_group() as group:
+                self.group = group
                 address = await group.start(serve_http, self.application, host, port)
                 async with httpcore.AsyncConnectionPool() as pool:
                     if agent_http_address:
@@ -235,6 +238,7 @@
                 "slots": self.slots,
                 "connections": self.connections,
                 "leaving": self.leaving,
+                "protocol": self.protocol,
             }
             try:
                 with anyio.fail_after(ANNOUNCEMENT_TIMEOUT_S):
--- a/marigoldkeel/targets.py
+++ b/marigoldkeel/targets.py
@@ -35,7 +35,10 @@
 
 @dataclass(slots=True)
 class TargetInfo:
-    """A target as it last announced itself; ``renewed_at`` is in seconds."""
+    """A target as it last announced itself; ``renewed_at`` is in seconds.
+
+    ``protocol`` is the name of a registered `TargetAdapter`.
+    """
 
     name: str
     address: str
@@ -43,6 +46,7 @@
     slots: int = 1
     connections: int = 1
     leaving: bool = False
+    protocol: str = "http"
     renewed_at: float = 0.0
 
 
@@ -144,7 +148,7 @@
 
 
 def target(name: str) -> Callable[[type], type]:
-    """Register a `TargetAdapter` class under the name used in settings."""
+    """Register a `TargetAdapter` class under the name used in announcements."""
 
     def register(cls: type) -> type:
         adapter_types[name] = cls
@@ -163,10 +167,64 @@
         """
         raise NotImplementedError
 
+    async def stop(self, target: TargetInfo, task: TaskCall) -> bool:
+        """Stop a running task; False if that is not supported or failed."""
+        return False
+
+    async def throttle(self, target: TargetInfo, task: TaskCall) -> bool:
+        """Slow down a running task; False if that is not supported or failed."""
+        return False
+
+    async def checkpoint(self, target: TargetInfo, task: TaskCall) -> bool:
+        """Suspend a running task so that it takes no slot of its target.
+
+        `run` goes on waiting for its result.
+
+        :return: False if that is not supported or failed; the task runs on.
+        """
+        return False
+
+    async def resume(self, target: TargetInfo, task: TaskCall) -> bool:
+        """Continue a task after `checkpoint`; False if that failed."""
+        return False
+
     async def aclose(self) -> None:
         """Close all connections."""
 
 
+class RegisteredAdapters(TargetAdapter):
+    """Passes each task to the adapter of the protocol its target announced."""
+
+    def __init__(self):
+        self.adapters: dict[str, TargetAdapter] = {}
+
+    def of(self, target: TargetInfo) -> TargetAdapter:
+        """Return the adapter for a target."""
+        protocol = target.protocol
+        if protocol not in self.adapters:
+            self.adapters[protocol] = adapter_types[protocol]()
+        return self.adapters[protocol]
+
+    async def run(self, target: TargetInfo, task: TaskCall) -> TaskResult:
+        return await self.of(target).run(target, task)
+
+    async def stop(self, target: TargetInfo, task: TaskCall) -> bool:
+        return await self.of(target).stop(target, task)
+
+    async def throttle(self, target: TargetInfo, task: TaskCall) -> bool:
+        return await self.of(target).throttle(target, task)
+
+    async def checkpoint(self, target: TargetInfo, task: TaskCall) -> bool:
+        return await self.of(target).checkpoint(target, task)
+
+    async def resume(self, target: TargetInfo, task: TaskCall) -> bool:
+        return await self.of(target).resume(target, task)
+
+    async def aclose(self) -> None:
+        for adapter in self.adapters.values():
+            await adapter.aclose()
+
+
 @target("http")
 class HttpTarget(TargetAdapter):
     """Runs tasks with ``POST http://ADDRESS/v1/tasks/KIND``.
@@ -299,6 +357,7 @@
     slots: Count
     connections: Count
     leaving: bool = False
+    protocol: Name = "http"
 
 
 def announcements(
@@ -324,6 +383,13 @@
             raise InvalidInput(
                 f"{error.message} - at `$.address`", "announce", request.peer
             ) from error
+        if body.protocol not in adapter_types:
+            known = ", ".join(sorted(adapter_types))
+            raise InvalidInput(
+                f"unknown protocol, known: {known} - at `$.protocol`",
+                "announce",
+                request.peer,
+            )
         table.announce(TargetInfo(**msgspec.structs.asdict(body)), clock())
         return Response.from_json({"renew_after_s": RENEWAL_INTERVAL_S})
 
