Move stragglers out of the way of waiting work

Cause: `StragglerDetector` was not used, so a task far past the run time of its kind kept its slot and did not count as long. A kind without results counted as short however long its tasks ran. Long work was counted only once its task ran, so one pass over the queue could start more of it than the cap allows, and so could one offer of several tasks.

Ruled out: releasing a checkpointed task's slot for good, because its job would fail at the deadline; it goes on when nothing waits, or after the ageing time as soon as a slot is free and the cap allows.

Change: `StragglerController` counts held slots by kind, treats a kind as long once a task runs past the long threshold without any result, and checkpoints a straggler, or else throttles it, while other work waits. A straggler with a slot counts as long.

Figures (fake clock and adapter, 8 slots): with 4 stragglers, an offer of 10 long tasks and short work waiting, long work held at most 4 slots and short work at least 4.

A kind without results may still take all slots until its first task passes the long threshold.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -13,6 +13,7 @@
 from marigoldkeel.messages import Grant, Probe, Ran, Run, Take, TaskItem, TaskResult
 from marigoldkeel.models import Priority, TaskState
 from marigoldkeel.queues import WorkItem, WorkQueue
+from marigoldkeel.stragglers import StragglerController
 from marigoldkeel.targets import TargetAdapter, TargetTable, TaskCall
 from marigoldkeel.transports import PeerPool
 
@@ -79,7 +80,10 @@
         self.wake = anyio.Event()
         self.started: OrderedDict[tuple[bytes, int], None] = OrderedDict()
         self.running = 0
-        self.long_running = 0
+        self.stragglers = StragglerController(
+            board, queue, targets, adapter, group, lambda: self.wake.set()
+        )
+        self.reviewed_at = float("-inf")
         self.sequence = 0
         self.applied_revision = -1
 
@@ -141,10 +145,20 @@
             with anyio.move_on_after(HOUSEKEEPING_S):
                 await self.wake.wait()
             self.wake = anyio.Event()
-            self._apply_configuration()
-            self._answer_dropped()
-            self._start_work()
-            self._update_load()
+            self.step()
+
+    def step(self) -> None:
+        """Start what can start now."""
+        self._apply_configuration()
+        self._answer_dropped()
+        now = self.board.clock()
+        if now - self.reviewed_at >= HOUSEKEEPING_S:
+            self.reviewed_at = now
+            self.stragglers.review()
+        elif self.stragglers.suspended:
+            self.stragglers.resume()
+        self._start_work()
+        self._update_load()
 
     def _apply_configuration(self) -> None:
         revision = self.board.configuration.revision
@@ -176,12 +190,17 @@
         """Give queued work to free slots, skipping kinds that have none."""
         skipped = []
         while True:
-            item = self.queue.next_item(self.board.clock(), self.long_running)
+            now, long_running = self.board.clock(), self.stragglers.long_running
+            item = self.queue.next_item(now, long_running)
             if item is None:
                 break
             if isinstance(item.source, ProbedJob) and not item.source.left:
                 continue
-            slots = self._acquire(item.kind, item.count)
+            count = item.count
+            if self.queue.is_long(item.kind):
+                room = self.queue.long_room(item.priority, now, long_running)
+                count = min(count, room)
+            slots = self._acquire(item.kind, count)
             if not slots:
                 skipped.append(item)
                 if not self._any_free_slot():
@@ -207,11 +226,15 @@
                 break
             names.append(name)
         self.running += len(names)
+        self.stragglers.held[kind] += len(names)
         return names
 
-    def _release(self, names: list[str]) -> None:
+    def _release(self, kind: str, names: list[str]) -> None:
         for name in names:
             self.targets.release(name)
+        self.stragglers.held[kind] -= len(names)
+        if not self.stragglers.held[kind]:
+            del self.stragglers.held[kind]
         self.running -= len(names)
         self.wake.set()
 
@@ -222,7 +245,7 @@
                 pushed.message, pushed.task, slot, pushed.deadline
             )
         finally:
-            self._release([slot])
+            self._release(item.kind, [slot])
         pushed.finish(result)
 
     async def _run_probed(self, item: WorkItem, slots: list[str]) -> None:
@@ -231,7 +254,7 @@
         try:
             grant = await self._take(probed, len(slots))
         except BaseException:
-            self._release(slots)
+            self._release(item.kind, slots)
             raise
         used, unused = slots[: len(grant.tasks)], slots[len(grant.tasks) :]
         if not grant.tasks:
@@ -240,7 +263,7 @@
             self.group.start_soon(self._run_granted, item, slot, task)
         item.count = min(probed.left, probed.message.count)
         self.queue.put_back(item)
-        self._release(unused)
+        self._release(item.kind, unused)
 
     async def _run_granted(self, item: WorkItem, slot: str, task: TaskItem) -> None:
         probed = item.source
@@ -249,7 +272,7 @@
             probed.running -= 1
             probed.results.append(result)
         finally:
-            self._release([slot])
+            self._release(item.kind, [slot])
         await self._deliver(probed, result.state == TaskState.SUCCEEDED)
 
     async def _deliver(self, probed: ProbedJob, may_wait: bool) -> None:
@@ -308,13 +331,13 @@
             task.payload,
             deadline - now,
         )
-        is_long = self.queue.is_long(message.kind)
-        self.long_running += is_long
+        running = self.stragglers.start(info, call, Priority(message.priority))
         try:
             result = await self.adapter.run(info, call)
         finally:
-            self.long_running -= is_long
-        self._observe(message, task, result, self.board.clock() - now)
+            run_time_s = running.run_time_s(self.board.clock())
+            self.stragglers.end(running)
+        self._observe(message, task, result, run_time_s)
         return result
 
     def _refuse_start(
--- a/marigoldkeel/queues.py
+++ b/marigoldkeel/queues.py
@@ -302,10 +302,19 @@
         limit_s = self.long_s * (0.8 if self.is_long(kind) else 1.0)
         self._set_long(kind, self.run_times.quantile(kind, 0.5) >= limit_s)
 
+    def observe_running(self, kind: str, run_time_s: float) -> None:
+        """Take a kind without results for long once a task has run that long."""
+        if run_time_s >= self.long_s and self.run_times.quantile(kind, 0.5) is None:
+            self._set_long(kind, True)
+
     def is_long(self, kind: str) -> bool:
         """Return whether the kind was observed to be long; new kinds are short."""
         return kind in self.long_kinds
 
+    def long_room(self, priority: Priority, now: float, long_running: int) -> int:
+        """Return how many further slots long work of a class may take."""
+        return max(0, self._long_cap(priority, now) - long_running)
+
     def _set_long(self, kind: str, long: bool) -> None:
         if long == self.is_long(kind):
             return
--- /dev/null
+++ b/marigoldkeel/stragglers.py
@@ -0,0 +1,150 @@
+"""Watches the agent's running tasks, so that long ones do not hold up short work."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from anyio.abc import TaskGroup
+
+from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.models import Priority
+from marigoldkeel.queues import StragglerDetector, WorkQueue
+from marigoldkeel.targets import TargetAdapter, TargetInfo, TargetTable, TaskCall
+
+
+@dataclass(slots=True, eq=False)
+class RunningTask:
+    """A task at a target. Times are in seconds.
+
+    ``handled`` is set once the task was found to be a straggler. ``slow`` counts it
+    as long work although its kind is short, and ``suspended_at`` is set while it is
+    checkpointed and takes no slot.
+    """
+
+    info: TargetInfo
+    call: TaskCall
+    priority: Priority
+    started_at: float
+    handled: bool = False
+    slow: bool = False
+    ended: bool = False
+    suspended_at: float | None = None
+    suspended_s: float = 0.0
+
+    def run_time_s(self, now: float) -> float:
+        """Return how long the task has run, without the time it was suspended."""
+        until = now if self.suspended_at is None else self.suspended_at
+        return until - self.started_at - self.suspended_s
+
+
+class StragglerController:
+    """Counts long work and moves stragglers out of the way of waiting work.
+
+    A straggler is checkpointed or else throttled while other work waits. It goes
+    on when nothing waits, or after the queue's ageing time as soon as a slot of its
+    target is free and the cap on long work allows. One that still has a slot counts
+    as long work.
+
+    :param wake: Called when a slot becomes free.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        queue: WorkQueue,
+        targets: TargetTable,
+        adapter: TargetAdapter,
+        group: TaskGroup,
+        wake: Callable[[], None],
+    ):
+        self.board = board
+        self.queue = queue
+        self.targets = targets
+        self.adapter = adapter
+        self.group = group
+        self.wake = wake
+        self.detector = StragglerDetector(queue.run_times)
+        self.tasks: dict[RunningTask, None] = {}
+        self.suspended: dict[RunningTask, None] = {}
+        self.held: Counter[str] = Counter()
+
+    @property
+    def long_running(self) -> int:
+        """Slots that are held by long kinds and by stragglers of short ones."""
+        is_long = self.queue.is_long
+        by_kind = sum(count for kind, count in self.held.items() if is_long(kind))
+        return by_kind + sum(
+            task.slow and task.suspended_at is None and not is_long(task.call.kind)
+            for task in self.tasks
+        )
+
+    def start(
+        self, info: TargetInfo, call: TaskCall, priority: Priority
+    ) -> RunningTask:
+        """Watch a task, whose slot the caller has counted in ``held``."""
+        task = RunningTask(info, call, priority, self.board.clock())
+        self.tasks[task] = None
+        return task
+
+    def end(self, task: RunningTask) -> None:
+        """Stop watching a task; the caller then releases its slot."""
+        task.ended = True
+        del self.tasks[task]
+        if task.suspended_at is not None:
+            self._take_slot(task)
+
+    def review(self) -> None:
+        """Find kinds that turn out long and stragglers, and resume tasks."""
+        now = self.board.clock()
+        for task in self.tasks:
+            run_time_s = task.run_time_s(now)
+            kind = task.call.kind
+            self.queue.observe_running(kind, run_time_s)
+            if task.handled or not self.queue.depth:
+                continue
+            if run_time_s > self.detector.threshold_s(kind):
+                task.handled = True
+                self.board.events["stragglers"] += 1
+                self.group.start_soon(self._move_aside, task)
+        self.resume()
+
+    async def _move_aside(self, task: RunningTask) -> None:
+        # Counts it at once, as the target may take its time to answer.
+        task.slow = True
+        if await self.adapter.checkpoint(task.info, task.call):
+            if not task.ended:
+                self._give_slot(task)
+        elif not task.ended:
+            await self.adapter.throttle(task.info, task.call)
+
+    def resume(self) -> None:
+        """Continue checkpointed tasks, the oldest first."""
+        now = self.board.clock()
+        for task in list(self.suspended):
+            waited_s = now - task.suspended_at
+            if self.queue.depth and (
+                waited_s < self.queue.ageing_s
+                or not self.queue.long_room(task.priority, now, self.long_running)
+            ):
+                continue
+            if self.targets.free_slots(task.info.name, now):
+                self._take_slot(task)
+                self.group.start_soon(self._continue, task)
+
+    async def _continue(self, task: RunningTask) -> None:
+        if not await self.adapter.resume(task.info, task.call) and not task.ended:
+            self._give_slot(task)
+
+    def _give_slot(self, task: RunningTask) -> None:
+        task.suspended_at = self.board.clock()
+        self.suspended[task] = None
+        self.held[task.call.kind] -= 1
+        self.targets.release(task.info.name)
+        self.wake()
+
+    def _take_slot(self, task: RunningTask) -> None:
+        task.suspended_s += self.board.clock() - task.suspended_at
+        task.suspended_at = None
+        del self.suspended[task]
+        self.held[task.call.kind] += 1
+        self.targets.occupy(task.info.name)
--- a/marigoldkeel/targets.py
+++ b/marigoldkeel/targets.py
@@ -116,11 +116,15 @@
         if not usable:
             return None
         name = min(usable)[1]
-        self.busy[name] = self.busy.get(name, 0) + 1
+        self.occupy(name)
         return name
 
+    def occupy(self, name: str) -> None:
+        """Take a slot of a target, whether one is free or not."""
+        self.busy[name] = self.busy.get(name, 0) + 1
+
     def release(self, name: str) -> None:
-        """Give back a slot taken by `acquire`.
+        """Give back a slot taken by `acquire` or `occupy`.
 
         :raises ValueError: If no slot of the target is taken.
         """
