Test the cancel command and the synchronous cancellation

Cause: the tests of cancellation used only the asynchronous session, so `marigoldkeel cancel` and `Session.cancel` had never been run.

Ruled out: testing them apart, because the command calls `Session.cancel`.

Change: one test runs the command against a local system and reads what it prints.

--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -3,8 +3,11 @@
 from contextlib import AsyncExitStack
 
 import anyio
+import anyio.to_thread
+import msgspec
 import pytest
 
+from marigoldkeel.commands import cancel as cancel_command
 from marigoldkeel.configuration import Configuration, TeamPolicy
 from marigoldkeel.demo import LocalSystem
 from marigoldkeel.exceptions import (
@@ -166,6 +169,24 @@
         assert len(outcomes[0]) == 5
 
 
+async def test_command_prints_the_outcome(capsys):
+    """The command uses the synchronous session, which nothing else here does."""
+    outcomes, submission_id = [], mint_submission_id()
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        async with system.session("brusadelli") as session:
+            await submit(session, submission_id, [1] * 3, outcomes)
+
+        def command():
+            entries = [system.entries[0].http_address]
+            return cancel_command(
+                str(submission_id), entries=entries, team="brusadelli"
+            )
+
+        assert await anyio.to_thread.run_sync(command) == 0
+    printed = msgspec.json.decode(capsys.readouterr().out)
+    assert (printed["outcome"], printed["results"]) == ("complete", outcomes[0])
+
+
 async def test_unreachable_members_leave_the_outcome_unknown():
     """Nothing was recorded, so a late submission may still start."""
     async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
