--- a/marigoldkeel/agents.py
+++ b/marigoldkeel/agents.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.cancellations import CancellationController
 from marigoldkeel.dispatch import make_policy
 from marigoldkeel.exceptions import ProtocolError
 from marigoldkeel.executors import Executor
@@ -23,6 +24,7 @@
 from marigoldkeel.messages import (
     AnswerMessage,
     Cancel,
+    CancelJob,
     Claim,
     Heartbeat,
     Inspect,
@@ -43,8 +45,9 @@
 from marigoldkeel.settings import Settings
 from marigoldkeel.status import agent_report, encode_report
 from marigoldkeel.stores import open_store
-from marigoldkeel.targets import HttpTarget, TargetTable, announcements
+from marigoldkeel.targets import RegisteredAdapters, TargetTable, announcements
 from marigoldkeel.transports import PeerPool, parse_address, serve_peers
+from marigoldkeel.workers import WorkerTarget  # noqa: F401 - registers its protocol
 
 
 DRAIN_TICK_S = 0.05
@@ -90,7 +93,7 @@
                 self.settings.store.timeout_s,
             )
             stack.push_async_callback(self.store.aclose)
-            self.adapter = HttpTarget()
+            self.adapter = RegisteredAdapters()
             stack.push_async_callback(self.adapter.aclose)
             self.peers = await stack.enter_async_context(PeerPool.open())
             async with anyio.create_task_group() as group:
@@ -112,6 +115,7 @@
         self.queue = WorkQueue(1, int(setting("queue_tasks_per_slot")))
         policy = make_policy(settings.policy, setting("probe_ratio"))
         self.primaries = PrimaryController(board, peers, policy, group)
+        self.cancellations = CancellationController(board, peers, group)
         self.executor = Executor(
             board, peers, self.queue, self.targets, self.adapter, group
         )
@@ -214,6 +218,10 @@
     async def _(self, message: Cancel):
         self.executor.cancel(message.submission_id)
 
+    @_receive.register
+    async def _(self, message: CancelJob):
+        return to_message(await self.cancellations.cancel(message))
+
     @_receive.register
     async def _(self, message: Transfer):
         return await self.failover.receive_transfer(message)
--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -13,6 +13,7 @@
 from marigoldkeel.messages import Grant, Probe, Ran, Run, Take, TaskItem, TaskResult
 from marigoldkeel.models import Priority, TaskState
 from marigoldkeel.queues import WorkItem, WorkQueue
+from marigoldkeel.stragglers import StragglerController
 from marigoldkeel.targets import TargetAdapter, TargetTable, TaskCall
 from marigoldkeel.transports import PeerPool
 
@@ -101,8 +102,12 @@
         self.wake = anyio.Event()
         self.started: OrderedDict[tuple[bytes, int], float] = OrderedDict()
         self.running = 0
-        self.long_running = 0
+        self.stragglers = StragglerController(
+            board, queue, targets, adapter, group, lambda: self.wake.set()
+        )
+        self.reviewed_at = float("-inf")
         self.sequence = 0
+        self.spare_slot_share = SPARE_SLOT_SHARE
         self.applied_revision = -1
 
     async def probe(self, message: Probe) -> None:
@@ -120,7 +125,7 @@
         pushed = [PushedTask(message, task, deadline) for task in message.tasks]
         for item in pushed:
             if not self._push(message, deadline, 1, item):
-                item.finish(not_started(item.task.index, "the agent's queue is full"))
+                item.finish(not_started(item.task.index, "the queue took no task"))
         for item in pushed:
             await item.done.wait()
         return Ran([item.result for item in pushed])
@@ -170,10 +175,20 @@
             with anyio.move_on_after(HOUSEKEEPING_S):
                 await self.wake.wait()
             self.wake = anyio.Event()
-            self._apply_configuration()
-            self._answer_dropped()
-            self._start_work()
-            self._update_load()
+            self.step()
+
+    def step(self) -> None:
+        """Start what can start now."""
+        self._apply_configuration()
+        self._answer_dropped()
+        now = self.board.clock()
+        if now - self.reviewed_at >= HOUSEKEEPING_S:
+            self.reviewed_at = now
+            self.stragglers.review()
+        elif self.stragglers.suspended:
+            self.stragglers.resume()
+        self._start_work()
+        self._update_load()
 
     def _apply_configuration(self) -> None:
         revision = self.board.configuration.revision
@@ -205,13 +220,18 @@
         """Give queued work to free slots, skipping kinds that have none."""
         skipped = []
         while True:
-            item = self.queue.next_item(self.board.clock(), self.long_running)
+            now, long_running = self.board.clock(), self.stragglers.long_running
+            item = self.queue.next_item(now, long_running)
             if item is None:
                 break
             if isinstance(item.source, ProbedJob) and not item.source.available:
                 continue
             spare = self._spare_slots(item)
-            slots = self._acquire(item.kind, item.count, spare)
+            count = item.count
+            if self.queue.is_long(item.kind):
+                room = self.queue.long_room(item.priority, now, long_running)
+                count = min(count, room)
+            slots = self._acquire(item.kind, count, spare)
             if not slots:
                 skipped.append(item)
                 # Urgent calls, which come before it, have had their turn.
@@ -230,7 +250,7 @@
         waited_s = self.board.clock() - item.enqueued_at
         if item.priority == Priority.URGENT or waited_s > SPARE_SLOT_WAIT_S:
             return 0
-        return int(self.board.slots * SPARE_SLOT_SHARE)
+        return int(self.board.slots * self.spare_slot_share)
 
     def _any_free_slot(self) -> bool:
         return self._free_slots() > 0
@@ -250,11 +270,15 @@
                 break
             names.append(name)
         self.running += len(names)
+        self.stragglers.held[kind] += len(names)
         return names
 
-    def _release(self, names: list[str]) -> None:
+    def _release(self, kind: str, names: list[str]) -> None:
         for name in names:
             self.targets.release(name)
+        self.stragglers.held[kind] -= len(names)
+        if not self.stragglers.held[kind]:
+            del self.stragglers.held[kind]
         self.running -= len(names)
         self.wake.set()
 
@@ -265,7 +289,7 @@
                 pushed.message, pushed.task, slot, pushed.deadline
             )
         finally:
-            self._release([slot])
+            self._release(item.kind, [slot])
         pushed.finish(result)
 
     async def _run_probed(self, item: WorkItem, slots: list[str]) -> None:
@@ -276,7 +300,7 @@
             try:
                 grant = await self._take(probed, len(slots) + probed.ahead)
             except BaseException:
-                self._release(slots)
+                self._release(item.kind, slots)
                 raise
             if not grant.tasks:
                 self.board.events["takes_without_task"] += 1
@@ -285,7 +309,7 @@
         item.count = min(probed.available, probed.message.count)
         if not self.queue.put_back(item):
             self._return_unstarted(probed, "cancelled")
-        self._release(slots)
+        self._release(item.kind, slots)
 
     def _start_ready(self, item: WorkItem, slots: list[str]) -> None:
         """Start granted tasks and take away the slots that they use."""
@@ -300,7 +324,7 @@
             probed.running -= 1
             probed.results.append(result)
         finally:
-            self._release([slot])
+            self._release(item.kind, [slot])
         await self._deliver(probed, result.state == TaskState.SUCCEEDED)
 
     async def _deliver(self, probed: ProbedJob, may_wait: bool) -> None:
@@ -390,13 +414,13 @@
             task.payload,
             deadline - now,
         )
-        is_long = self.queue.is_long(message.kind)
-        self.long_running += is_long
+        running = self.stragglers.start(info, call, Priority(message.priority))
         try:
             result = await self.adapter.run(info, call)
         finally:
-            self.long_running -= is_long
-        self._observe(message, task, result, self.board.clock() - now)
+            run_time_s = running.run_time_s(self.board.clock())
+            self.stragglers.end(running)
+        self._observe(message, task, result, run_time_s)
         return result
 
     def _refuse_start(
@@ -409,6 +433,8 @@
         if not self.board.see_generation(message.partition, message.generation):
             self.board.events["starts_of_old_generation"] += 1
             return not_started(task.index, "the partition has a newer generation")
+        if message.submission_id in self.queue.cancelled:
+            return not_started(task.index, "cancelled")
         key = (message.submission_id, task.index)
         if key in self.started:
             self.board.events["starts_repeated"] += 1
