Wait for a number of starts that every placement reaches

Cause: the test of a cancelled running job waited for 24 starts on 3 agents of 8 slots. The random policy may push fewer than 8 of the 40 tasks to an agent, and then the test never ended: one run of the suite stopped after 26 tests at the stage "running" with that policy.

Ruled out: a fault in the cancellation, which that run had not reached.

Change: the test waits for 8 starts, which one agent with its share always reaches. What it compares is unchanged.

The whole suite was not run again.

--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -105,7 +105,7 @@
                 elif stage == "queued":
                     await until(lambda: sum(a.queue.depth for a in system.agents))
                 elif stage == "running":
-                    await until(lambda: len(starts(system, submission_id)) == 24)
+                    await until(lambda: len(starts(system, submission_id)) >= 8)
                 else:
                     await until(lambda: outcomes)
                 cancelled = await session.cancel(submission_id)
