Let bench.capacity run against the bounded heartbeats and split it by job

Cause: bench/capacity.py imported next_interval_s, which was removed, so none of its parts started.

Ruled out: computing the paced interval in the script, as no rule of the code paces senders any more.

Change: the command, the slopes, the design scale, the daemons under test and four groups of measurements are modules of their own. Stored records name as many agents per partition as the design scale, because records share members now; results are recorded with the number of the request that brought them, and remembered starts hold their time. Stand-in members have loopback addresses, since a daemon sends heartbeats to members that it learns.

--- /dev/null
+++ b/bench/daemons.py
@@ -0,0 +1,247 @@
+"""Runs a daemon under test as a process of its own, with this process as its peer."""
+
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import httpcore
+
+from bench.scale import design_configuration, member, stored_records
+from bench.slopes import fit
+from marigoldkeel.audit import ConfigurationStore
+from marigoldkeel.identifiers import mint_submission_id
+from marigoldkeel.messages import Heartbeat, HeartbeatReply
+from marigoldkeel.models import Member, PartitionRecord
+from marigoldkeel.partitions import PARTITION_COUNT_KEY, encode_record, partition_key
+from marigoldkeel.stores import Write, open_store
+from marigoldkeel.transports import PeerPool, serve_peers
+
+
+LOOPBACK = "127.0.0.1:0"
+CONCURRENCY = 8
+REQUEST_TIMEOUT_S = 30.0
+METRICS = {
+    "cpu_s": "process_cpu_seconds_total",
+    "bytes_sent": "marigoldkeel_bytes_sent_total",
+    "bytes_received": "marigoldkeel_bytes_received_total",
+    "messages_sent": "marigoldkeel_messages_sent_total",
+}
+
+
+@dataclass
+class Peer:
+    """This process as seen by the daemon under test."""
+
+    member: Member
+    pool: PeerPool
+    handlers: dict[type, Callable] = field(default_factory=dict)
+    heard: dict[str, Member] = field(default_factory=dict)
+    config_revision: int = 0
+    slots: int = 0
+    kinds: list[str] = field(default_factory=list)
+    table_version: int = 0
+
+    async def handle(self, message, peer: str):
+        if isinstance(message, Heartbeat):
+            self.heard[message.member.name] = message.member
+            return self.reply()
+        handler = self.handlers.get(type(message))
+        return handler(message) if handler else None
+
+    def reply(self) -> HeartbeatReply:
+        return HeartbeatReply(
+            self.member,
+            0.0,
+            self.slots,
+            self.config_revision,
+            self.table_version,
+            False,
+            self.kinds,
+            True,
+            1000,
+        )
+
+    def heartbeat(self, wants_members: bool = False) -> Heartbeat:
+        return Heartbeat(
+            self.member,
+            0.0,
+            self.slots,
+            self.config_revision,
+            self.table_version,
+            False,
+            self.kinds,
+            True,
+            wants_members,
+        )
+
+
+class Daemon:
+    """A daemon under test."""
+
+    def __init__(self, process: subprocess.Popen, http: str):
+        self.process = process
+        self.http = http
+        self.address = ""
+
+    async def metrics(self) -> dict[str, float]:
+        """Return its processor time, bytes and messages."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request("GET", f"http://{self.http}/metrics")
+        samples: dict[str, float] = {}
+        for line in response.content.decode().splitlines():
+            if not line.startswith("#"):
+                name, _, value = line.rpartition(" ")
+                name = name.partition("{")[0]
+                samples[name] = samples.get(name, 0) + float(value)
+        return samples
+
+
+@dataclass
+class Setting:
+    """A store, this process as a peer, and the daemon under test."""
+
+    store_url: str
+    store: object
+    peer: Peer
+    daemon: Daemon
+    group: object
+
+
+def free_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def start_process(*arguments: str) -> subprocess.Popen:
+    zipapp = os.environ.get("MARIGOLDKEEL_ZIPAPP")
+    program = [zipapp] if zipapp else ["-m", "marigoldkeel"]
+    return subprocess.Popen(
+        [sys.executable, *program, *arguments],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+
+
+async def wait_for_http(url: str) -> None:
+    with anyio.fail_after(REQUEST_TIMEOUT_S):
+        while True:
+            try:
+                async with httpcore.AsyncConnectionPool() as pool:
+                    await pool.request("GET", url)
+                return
+            except httpcore.ConnectError:
+                await anyio.sleep(0.05)
+
+
+@asynccontextmanager
+async def daemon_under_test(role: str, partitions: int = 16, preload: int = 0):
+    """Start a store and a daemon; this process is its only peer.
+
+    :param preload: Number of records of other agents to store beforehand.
+    """
+    processes = []
+    with tempfile.TemporaryDirectory() as directory:
+        try:
+            async with anyio.create_task_group() as group:
+                store_address, http = free_address(), free_address()
+                processes.append(start_process("standin", "store", "-a", store_address))
+                store_url = f"http://{store_address}"
+                await wait_for_http(f"{store_url}/counts")
+                async with PeerPool.open() as pool, open_store("etcd", store_url) as s:
+                    await fill_store(s, partitions, preload)
+                    peer = Peer(member(0, "127.0.0.1:1"), pool)
+                    bound = await group.start(
+                        serve_peers, LOOPBACK, peer.handle, pool.counters
+                    )
+                    peer.member = member(0, bound)
+                    settings = Path(directory) / "settings.toml"
+                    settings.write_text(
+                        f'name = "under-test"\ndomain = "domain-1"\n'
+                        f'listen = "{free_address()}"\nhttp = "{http}"\n'
+                        f'contacts = ["{bound}"]\npartitions = {partitions}\n'
+                        f'[store]\nurl = "{store_url}"\n'
+                    )
+                    processes.append(start_process(role, str(settings)))
+                    daemon = Daemon(processes[-1], http)
+                    await wait_for_http(f"http://{http}/metrics")
+                    setting = Setting(store_url, s, peer, daemon, group)
+                    with anyio.fail_after(REQUEST_TIMEOUT_S):
+                        while "under-test" not in peer.heard:
+                            await anyio.sleep(0.05)
+                    daemon.address = peer.heard["under-test"].address
+                    yield setting
+                group.cancel_scope.cancel()
+        finally:
+            for process in reversed(processes):
+                process.kill()
+                process.wait()
+
+
+async def fill_store(store, partitions: int, preload: int) -> None:
+    configurations = ConfigurationStore(store)
+    await configurations.change(
+        lambda current: design_configuration(),
+        "bench",
+        "first configuration",
+        str(mint_submission_id()),
+    )
+    count = Write(PARTITION_COUNT_KEY, str(partitions).encode(), 0)
+    await store.compare_and_swap([count])
+    records = stored_records(preload)
+    for start in range(0, preload, 100):
+        await store.compare_and_swap(
+            [
+                Write(partition_key(number), records[number], 0)
+                for number in range(start, min(start + 100, preload))
+            ]
+        )
+
+
+async def store_record(setting: Setting, record: PartitionRecord) -> None:
+    await setting.store.compare_and_swap(
+        [Write(partition_key(record.partition), encode_record(record), 0)]
+    )
+
+
+async def announce(setting: Setting) -> None:
+    """Tell the daemon of this process once a second, as agents do."""
+    while True:
+        await setting.peer.pool.request(
+            setting.daemon.address, setting.peer.heartbeat(), REQUEST_TIMEOUT_S
+        )
+        await anyio.sleep(1)
+
+
+async def repeat(count: int, action: Callable[[], Awaitable]) -> None:
+    """Run an action ``count`` times, a few at once."""
+    left = iter(range(count))
+
+    async def work() -> None:
+        for _ in left:
+            await action()
+
+    async with anyio.create_task_group() as group:
+        for _ in range(CONCURRENCY):
+            group.start_soon(work)
+
+
+async def cost_of(setting: Setting, sizes, action: Callable[[], Awaitable]) -> dict:
+    """Return slopes of processor time and bytes for each run of an action."""
+    points: dict[str, list[float]] = {name: [] for name in (*METRICS, "own_cpu_s")}
+    await repeat(sizes[0] // 2, action)
+    for size in sizes:
+        before, own = await setting.daemon.metrics(), time.process_time()
+        await repeat(size, action)
+        points["own_cpu_s"].append(time.process_time() - own)
+        after = await setting.daemon.metrics()
+        for name, metric in METRICS.items():
+            points[name].append(after.get(metric, 0) - before.get(metric, 0))
+    return {name: fit(sizes, values) for name, values in points.items()}
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,62 @@
+"""Least-squares slopes, and the registry of the parts of `bench.capacity`."""
+
+import gc
+import tracemalloc
+from collections.abc import Awaitable, Callable
+
+
+parts: dict[str, Callable[[], Awaitable[dict]]] = {}
+
+
+def part(function):
+    """Register one part of the measurement."""
+    parts[function.__name__] = function
+    return function
+
+
+def fit(sizes, values) -> dict:
+    """Return the slope and intercept of a least-squares line, with its points."""
+    count = len(sizes)
+    mean_x, mean_y = sum(sizes) / count, sum(values) / count
+    spread = sum((x - mean_x) ** 2 for x in sizes)
+    slope = (
+        sum((x - mean_x) * (y - mean_y) for x, y in zip(sizes, values, strict=True))
+        / spread
+    )
+    return {
+        "slope": slope,
+        "intercept": mean_y - slope * mean_x,
+        "sizes": list(sizes),
+        "values": list(values),
+    }
+
+
+def held_bytes(build: Callable[[int], object], sizes) -> dict:
+    """Return the bytes that objects built for each size hold."""
+    values = []
+    for size in sizes:
+        gc.collect()
+        tracemalloc.start()
+        kept = build(size)
+        gc.collect()
+        values.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+        del kept
+    return fit(sizes, values)
+
+
+def summary(document: dict) -> str:
+    """Return each slope and number on a line of its own."""
+    lines: list[str] = []
+
+    def walk(path: str, value) -> None:
+        if isinstance(value, dict) and "slope" in value:
+            lines.append(f"{path} = {value['slope']:.6g} (+ {value['intercept']:.4g})")
+        elif isinstance(value, dict):
+            for key, child in value.items():
+                walk(f"{path}.{key}" if path else key, child)
+        else:
+            lines.append(f"{path} = {value}")
+
+    walk("", document)
+    return "\n".join(lines)
--- /dev/null
+++ b/bench/state_costs.py
@@ -0,0 +1,164 @@
+"""Measures the bytes that each unit of state holds."""
+
+import gc
+import os
+import tracemalloc
+from collections import OrderedDict
+from collections.abc import Callable
+
+import anyio
+
+from bench.scale import PAYLOAD, member, stored_records
+from bench.slopes import fit, held_bytes, part
+from marigoldkeel.claims import ClaimRegister
+from marigoldkeel.executors import ProbedJob
+from marigoldkeel.heartbeats import PeerState, PeerTable
+from marigoldkeel.identifiers import mint_submission_id
+from marigoldkeel.jobs import Job
+from marigoldkeel.messages import (
+    ClaimEntry,
+    Envelope,
+    Inspect,
+    Probe,
+    TaskResult,
+    Transfer,
+    encode_frame,
+)
+from marigoldkeel.models import Priority, Submission, TaskState
+from marigoldkeel.partitions import PartitionTable, decode_record
+from marigoldkeel.queues import WorkItem, WorkQueue
+from marigoldkeel.transports import Counters, PeerPool, serve_peers
+
+
+LOOPBACK = "127.0.0.1:0"
+
+
+def build_claims(count: int) -> ClaimRegister:
+    register = ClaimRegister.as_primary(0, 1)
+    register.open()
+    for _ in range(count):
+        submission_id = mint_submission_id().bytes
+        now_ms = int.from_bytes(submission_id[:6], "big")
+        register.propose(submission_id, os.urandom(32), 1, now_ms)
+        register.confirm(submission_id, 1)
+    return register
+
+
+def build_table(count: int) -> PartitionTable:
+    table = PartitionTable(count)
+    for number, data in enumerate(stored_records(count)):
+        table.apply(decode_record(data, number + 1000))
+    return table
+
+
+def build_peers(count: int) -> PeerTable:
+    peers = PeerTable(max_peers=count)
+    for number in range(count):
+        kinds = [f"kind-{number}-{kind}" for kind in range(6)]
+        peers.observe(PeerState(member(number), 0.5, 8, 1, 1, False, kinds), 1.0)
+    return peers
+
+
+def build_queue(count: int) -> WorkQueue:
+    queue = WorkQueue(8, 10_000_000)
+    for _ in range(count):
+        submission_id = mint_submission_id().bytes
+        probe = Probe(1, 1, submission_id, "kind-1", 1, 1000, 1, "10.0.0.1:7000")
+        source = ProbedJob(probe, 10.0, 1)
+        queue.push(
+            WorkItem(submission_id, "kind-1", Priority.NORMAL, 10.0, 1, source=source),
+            0.0,
+        )
+    return queue
+
+
+def build_answers(tasks: int) -> Callable[[int], object]:
+    def build(count: int) -> list[Job]:
+        jobs = []
+        for _ in range(count):
+            submission = Submission(
+                mint_submission_id().bytes,
+                1,
+                1,
+                "team-1",
+                "kind-1",
+                Priority.NORMAL,
+                10.0,
+                [bytes(bytearray(PAYLOAD)) for _ in range(tasks)],
+            )
+            job = Job(submission, os.urandom(32), 0.0)
+            for sequence in range(tasks):
+                (index,) = job.take("agent-00001@1", sequence, 1)
+                result = TaskResult(
+                    index, TaskState.SUCCEEDED, bytes(bytearray(PAYLOAD))
+                )
+                # A result comes with the next request for a task.
+                job.record([result], "agent-00001@1", 1.0, sequence + 1)
+            jobs.append(job)
+        return jobs
+
+    return build
+
+
+def build_started(count: int) -> OrderedDict:
+    return OrderedDict(
+        ((mint_submission_id().bytes, index % 150), float(index))
+        for index in range(count)
+    )
+
+
+@part
+async def state() -> dict:
+    """Bytes of state, by tracemalloc."""
+    return {
+        "claim": held_bytes(build_claims, (1000, 4000, 16_000)),
+        "partition_record": held_bytes(build_table, (512, 2048, 8192)),
+        "peer": held_bytes(build_peers, (16, 32, 64)),
+        "queued_item": held_bytes(build_queue, (1000, 4000, 16_000)),
+        "answer_1_task": held_bytes(build_answers(1), (100, 400, 1600)),
+        "answer_20_tasks": held_bytes(build_answers(20), (100, 400, 1600)),
+        "answer_150_tasks": held_bytes(build_answers(150), (50, 100, 200)),
+        "started_task": held_bytes(build_started, (10_000, 30_000, 100_000)),
+        "record_stored_bytes": len(stored_records(1)[0]),
+        "transferred_claim": transferred_bytes((1000, 2000, 4000)),
+        "connection": await connection_bytes(),
+    }
+
+
+def transferred_bytes(sizes) -> dict:
+    """Return the bytes on the wire for each claim that is handed over."""
+    values = []
+    for size in sizes:
+        claims = [
+            ClaimEntry(mint_submission_id().bytes, os.urandom(32), 2)
+            for _ in range(size)
+        ]
+        transfer = Transfer("1", 0, 1, "agent-00001@1", 0, 0, claims, True)
+        values.append(len(encode_frame([Envelope(1, False, transfer)])))
+    return fit(sizes, values)
+
+
+async def connection_bytes() -> dict:
+    """Return the bytes of a peer connection, both of its ends together."""
+    sizes, values = (16, 32, 64), []
+    for size in sizes:
+        async with anyio.create_task_group() as group:
+            address = await group.start(serve_peers, LOOPBACK, echo, Counters())
+            async with anyio.create_task_group() as pools:
+                pool = PeerPool(pools)
+                await (await pool.connect(address)).request(Inspect(), 1)
+                gc.collect()
+                tracemalloc.start()
+                many = [PeerPool(pools) for _ in range(size)]
+                for pool in many:
+                    await pool.request(address, Inspect(), 1)
+                gc.collect()
+                values.append(tracemalloc.get_traced_memory()[0])
+                tracemalloc.stop()
+                pools.cancel_scope.cancel()
+            group.cancel_scope.cancel()
+    return fit(sizes, values)
+
+
+async def echo(content, peer: str):
+    return content
