Give entries and agents one base, and answers one class

The start, the messages for membership and the planned stop stood twice, and an answer was copied field by field into a message with the same fields.

--- a/bench/work_costs.py
+++ b/bench/work_costs.py
@@ -20,7 +20,6 @@
 from marigoldkeel.claims import Verdict
 from marigoldkeel.identifiers import mint_submission_id, partition_of
 from marigoldkeel.messages import (
-    AnswerMessage,
     Claim,
     Claimed,
     Grant,
@@ -34,7 +33,7 @@
     Transfer,
     Transferred,
 )
-from marigoldkeel.models import PartitionRecord, TaskState
+from marigoldkeel.models import Answer, Outcome, PartitionRecord, TaskState
 from marigoldkeel.partitions import encode_record
 from marigoldkeel.servers import HttpApplication, Response, serve_http
 from marigoldkeel.targets import SUBMISSION_HEADER, TASK_HEADER
@@ -53,8 +52,8 @@
     async with daemon_under_test("entry") as setting:
         peer = setting.peer
         peer.slots, peer.kinds = 10_000, ["kind-1"]
-        peer.handlers[Submit] = lambda message: AnswerMessage(
-            "complete", results_body(message.tasks), run_ms=1
+        peer.handlers[Submit] = lambda message: Answer(
+            Outcome.COMPLETE, results_body(message.tasks), run_ms=1
         )
         for partition in range(16):
             record = PartitionRecord(partition, 1, peer.member, member(1))
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -2,38 +2,29 @@
 
 import hashlib
 import hmac
-from contextlib import AsyncExitStack
 from dataclasses import asdict
-from functools import singledispatchmethod
 
 import anyio
 import msgspec
-from anyio.abc import TaskStatus
-from loguru import logger
+from anyio.abc import TaskGroup
 
 from marigoldkeel.admissions import QUOTA_STEP, Admissions, CallerRequest
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.cancellations import DEFAULT_WAIT_MS, unsettled
+from marigoldkeel.daemons import DRAIN_TICK_S, Daemon
 from marigoldkeel.exceptions import (
     InvalidInput,
     MarigoldkeelError,
     PeerUnavailable,
-    ProtocolError,
 )
-from marigoldkeel.followers import ConfigurationFollower, TableFollower, answer_pull
+from marigoldkeel.followers import ConfigurationFollower, TableFollower
 from marigoldkeel.identifiers import (
-    mint_incarnation,
     parse_submission_id,
     partition_of,
 )
 from marigoldkeel.limits import RetryBudget
-from marigoldkeel.memberships import MembershipController
 from marigoldkeel.messages import (
     CancelJob,
-    Heartbeat,
-    Inspect,
-    Pull,
-    Report,
     Run,
     Submit,
     TaskItem,
@@ -42,18 +33,15 @@
 from marigoldkeel.metrics import ENTRY_METRICS, RequestTimes, add_metrics_route
 from marigoldkeel.models import (
     Answer,
-    Member,
     Outcome,
     PartitionRecord,
     Priority,
     TaskState,
 )
 from marigoldkeel.primaries import REPLY_MARGIN_S, refusal
-from marigoldkeel.servers import HttpApplication, Request, Response, serve_http
+from marigoldkeel.servers import HttpApplication, Request, Response
 from marigoldkeel.settings import Settings
-from marigoldkeel.status import board_report, encode_report
-from marigoldkeel.stores import open_store
-from marigoldkeel.transports import PeerPool, parse_address, serve_peers
+from marigoldkeel.status import board_report
 
 
 PRIORITIES = {
@@ -68,12 +56,9 @@
     Outcome.UNKNOWN: 504,
 }
 NOT_READY_RETRY_MS = 500
-DRAIN_TICK_S = 0.05
-# Time for the balancer to notice that this entry is leaving.
-LEAVE_NOTICE_S = 0.5
 
 
-class Entry:
+class Entry(Daemon):
     """One entry process.
 
     Usage::
@@ -82,85 +67,29 @@
         await entry.run()
     """
 
+    role = "entry"
+    # Time for the balancer to notice that this entry is leaving.
+    leave_notice_s = 0.5
+
     def __init__(self, settings: Settings, board: Blackboard):
-        self.settings = settings
-        self.board = board
-        self.stopping = anyio.Event()
-        self.http_address = ""
+        super().__init__(settings, board)
         self.in_progress = 0
         self.admissions = Admissions(board)
         self.retries = RetryBudget()
         self.request_times = RequestTimes()
 
-    @classmethod
-    def from_settings(cls, settings: Settings) -> "Entry":
-        """Return an entry that has yet to run."""
-        member = Member(
-            settings.name,
-            mint_incarnation(settings.name),
-            settings.advertise or settings.listen,
-            settings.domain,
-        )
-        return cls(settings, Blackboard(member, is_agent=False))
-
-    async def run(self, *, task_status: TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
-        """Serve until `stop` is called and the requests in progress have ended."""
-        async with AsyncExitStack() as stack:
-            self.store = open_store(
-                self.settings.store.kind,
-                self.settings.store.url,
-                self.settings.store.timeout_s,
-            )
-            stack.push_async_callback(self.store.aclose)
-            self.peers = await stack.enter_async_context(PeerPool.open())
-            async with anyio.create_task_group() as group:
-                await self._start(group)
-                task_status.started(self)
-                await self.stopping.wait()
-                await self._drain()
-                group.cancel_scope.cancel()
-
-    def stop(self) -> None:
-        """Begin a planned stop; `run` returns when it is complete."""
-        self.stopping.set()
-
-    async def _start(self, group) -> None:
-        board, peers = self.board, self.peers
+    def make_controllers(self, group: TaskGroup) -> None:
         self.followers = [
-            TableFollower(board, self.store, peers, lambda record: None),
-            ConfigurationFollower(board, self.store, peers),
+            TableFollower(self.board, self.store, self.peers, lambda record: None),
+            ConfigurationFollower(self.board, self.store, self.peers),
         ]
-        self.membership = MembershipController(
-            board, peers, self.settings.contacts, self.followers, group
-        )
-        bound = await group.start(
-            serve_peers, self.settings.listen, self._handle, peers.counters
-        )
-        if not self.settings.advertise:
-            member = board.member
-            board.member = Member(member.name, member.incarnation, bound, member.domain)
-        host, port = parse_address(self.settings.http)
-        self.http_address = await group.start(serve_http, self._routes(), host, port)
-        for follower in self.followers:
-            group.start_soon(follower.run_forever, lambda: True)
-        group.start_soon(self.membership.run_forever)
-        logger.info(
-            "entry {} in {} listens on {}, http {}",
-            board.member.incarnation,
-            board.member.domain,
-            bound,
-            self.http_address,
-        )
 
-    async def _drain(self) -> None:
-        logger.info("entry {} is leaving", self.board.member.incarnation)
-        self.board.leaving = True
-        with anyio.move_on_after(self.board.setting("drain_timeout_ms") / 1000):
-            await anyio.sleep(LEAVE_NOTICE_S)
-            while self.in_progress:
-                await anyio.sleep(DRAIN_TICK_S)
+    async def finish_work(self) -> None:
+        """Answer the requests in progress."""
+        while self.in_progress:
+            await anyio.sleep(DRAIN_TICK_S)
 
-    def _routes(self) -> HttpApplication:
+    def routes(self) -> HttpApplication:
         application = HttpApplication(describe_rejection=describe_not_run)
 
         @application.route("POST", "/v1/jobs")
@@ -391,7 +320,7 @@
                 step = "submit" if isinstance(message, Submit) else "cancel"
                 return Answer(Outcome.UNKNOWN, b"", error.message, step, error.peer)
             else:
-                return from_message(reply)
+                return reply
         return problem
 
     async def _run_read_only(self, caller: CallerRequest) -> Answer:
@@ -442,27 +371,6 @@
         except MarigoldkeelError as error:
             return TaskResult(0, TaskState.MAY_HAVE_RUN, b"", str(error))
 
-    async def _handle(self, message, peer: str):
-        return await self._receive(message)
-
-    @singledispatchmethod
-    async def _receive(self, message):
-        raise ProtocolError(
-            f"an entry takes no {type(message).__name__}", step="receive"
-        )
-
-    @_receive.register
-    async def _(self, message: Heartbeat):
-        return await self.membership.receive(message)
-
-    @_receive.register
-    async def _(self, message: Pull):
-        return await answer_pull(message, self.followers)
-
-    @_receive.register
-    async def _(self, message: Inspect):
-        return Report(encode_report(self.report()))
-
 
 def describe_not_run(headers: dict[str, str]) -> dict[str, str]:
     """Return the fields by which a caller knows the answer to its own request."""
@@ -507,23 +415,6 @@
     return answer
 
 
-def from_message(reply) -> Answer:
-    """Return the answer that a primary sent."""
-    return Answer(
-        Outcome(reply.outcome),
-        reply.body,
-        reply.message,
-        reply.step,
-        reply.peer,
-        reply.retry_after_ms,
-        reply.conflict,
-        reply.invalid,
-        reply.ran,
-        reply.may_have_run,
-        reply.run_ms,
-    )
-
-
 def to_response(answer: Answer, submission: str, is_job: bool) -> Response:
     """Return the HTTP form of an answer."""
     status = STATUS_CODES[answer.outcome]
--- a/marigoldkeel/messages.py
+++ b/marigoldkeel/messages.py
@@ -14,7 +14,7 @@
 import capnp
 
 from marigoldkeel.exceptions import ProtocolError
-from marigoldkeel.models import Member
+from marigoldkeel.models import Answer, Member
 
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
@@ -72,22 +72,7 @@
     body: bytes = b""
 
 
-@message("answer")
-@dataclass(slots=True)
-class AnswerMessage:
-    """The answer to `Submit`; the fields are those of `models.Answer`."""
-
-    outcome: str = ""
-    body: bytes = b""
-    message: str = ""
-    step: str = ""
-    peer: str = ""
-    retry_after_ms: int = 0
-    conflict: bool = False
-    invalid: bool = False
-    ran: list[int] = field(default_factory=list)
-    may_have_run: list[int] = field(default_factory=list)
-    run_ms: int = 0
+message("answer")(Answer)
 
 
 @message("claim")
@@ -301,7 +286,7 @@
 @message("cancelJob")
 @dataclass(slots=True)
 class CancelJob:
-    """Asks a primary to cancel a submission; the reply is an `AnswerMessage`.
+    """Asks a primary to cancel a submission; the reply is an `Answer`.
 
     Tasks that have not ended after ``wait_ms`` are reported as "may have run".
     """
@@ -356,44 +341,49 @@
 
 @functools.cache
 def _layout(cls: type) -> list[tuple[str, str, type | None, bool]]:
-    """Return (attribute, schema field, nested class, is a list) of each field."""
+    """Return (attribute, schema field, class to make, is a list) of each field.
+
+    The class to make is that of a nested message or an enumeration, otherwise None.
+    """
     hints = get_type_hints(cls)
     layout = []
     for item in fields(cls):
         hint = hints[item.name]
         is_list = get_origin(hint) is list
         inner = get_args(hint)[0] if is_list else hint
-        nested = inner if hasattr(inner, "__dataclass_fields__") else None
+        is_made = hasattr(inner, "__dataclass_fields__") or issubclass(inner, Enum)
+        nested = inner if is_made else None
         layout.append((item.name, _camel_case(item.name), nested, is_list))
     return layout
 
 
 def _write(builder: Any, value: Any) -> None:
-    for attribute, name, nested, is_list in _layout(type(value)):
+    for attribute, name, made, is_list in _layout(type(value)):
         content = getattr(value, attribute)
-        if nested is None:
-            setattr(
-                builder, name, content.value if isinstance(content, Enum) else content
-            )
-        elif is_list:
-            if content:
-                items = builder.init(name, len(content))
-                for position, item in enumerate(content):
-                    _write(items[position], item)
-        else:
+        if isinstance(content, Enum):
+            setattr(builder, name, content.value)
+        elif made is None:
+            setattr(builder, name, content)
+        elif not is_list:
             _write(builder.init(name), content)
+        elif content:
+            items = builder.init(name, len(content))
+            for position, item in enumerate(content):
+                _write(items[position], item)
 
 
 def _read(reader: Any, cls: type) -> Any:
     values = {}
-    for attribute, name, nested, is_list in _layout(cls):
+    for attribute, name, made, is_list in _layout(cls):
         content = getattr(reader, name)
-        if nested is None:
+        if made is None:
             values[attribute] = list(content) if is_list else content
+        elif issubclass(made, Enum):
+            values[attribute] = made(content)
         elif is_list:
-            values[attribute] = [_read(item, nested) for item in content]
+            values[attribute] = [_read(item, made) for item in content]
         else:
-            values[attribute] = _read(content, nested)
+            values[attribute] = _read(content, made)
     return cls(**values)
 
 
