--- /dev/null
+++ b/marigoldkeel/memory.py
@@ -0,0 +1,207 @@
+"""The store in memory: for tests, for embedding, and behind the stand-in."""
+
+from bisect import bisect_left, bisect_right, insort
+from collections import Counter
+from collections.abc import AsyncIterator
+
+import anyio
+
+from marigoldkeel.exceptions import InvalidInput, StoreUnavailable
+from marigoldkeel.stores import (
+    CALL_TIMEOUT_S,
+    KeyValueStore,
+    Snapshot,
+    StoredValue,
+    Write,
+    check_writes,
+    key_bytes,
+    prefix_end,
+    store,
+)
+
+
+MAX_HISTORY = 20_000
+
+
+class MemoryState:
+    """A versioned key-value state with fault switches that a test sets.
+
+    :ivar down: Refuse every call and end every watch.
+    :ivar delay_s: Seconds to wait before a call is carried out.
+    :ivar lose_write_answers: Number of next transactions to carry out but fail.
+    :ivar freeze_watches: Deliver no changes.
+    """
+
+    peer = ""
+    down: bool = False
+    delay_s: float = 0.0
+    lose_write_answers: int = 0
+    freeze_watches: bool = False
+
+    def __init__(self, max_history: int = MAX_HISTORY):
+        self.changed = anyio.Event()
+        self.counts: dict[str, int] = Counter()
+        self.max_history = max_history
+        self.revision = 1
+        self.compact_revision = 0
+        self.keys: list[bytes] = []
+        self.versions: dict[bytes, list[StoredValue]] = {}
+        self.history: list[StoredValue] = []
+
+    def __setattr__(self, name: str, value: object) -> None:
+        super().__setattr__(name, value)
+        if name in ("down", "freeze_watches"):
+            self.wake_watches()
+
+    def wake_watches(self) -> None:
+        """Let every watch look at the state again."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def admit(self, kind: str) -> None:
+        """Count a call and apply the faults that precede it."""
+        self.counts[kind] += 1
+        if not self.down and self.delay_s:
+            await anyio.sleep(self.delay_s)
+        if self.down:
+            raise StoreUnavailable("store is down", f"store {kind}", self.peer)
+
+    def read(
+        self, start: bytes, end: bytes, limit: int = 0, revision: int = 0
+    ) -> tuple[list[StoredValue], bool]:
+        """Return up to ``limit`` values (0: all) and whether there are more.
+
+        :raises InvalidInput: If the revision is compacted or in the future.
+        """
+        if revision and not self.compact_revision <= revision <= self.revision:
+            raise InvalidInput(f"revision {revision} is not available", "store range")
+        values = []
+        for key in self.keys[
+            bisect_left(self.keys, start) : bisect_left(self.keys, end)
+        ]:
+            versions = self.versions[key]
+            index = len(versions)
+            if revision:
+                index = bisect_right(versions, revision, key=lambda v: v.revision)
+            if index:
+                if limit and len(values) == limit:
+                    return values, True
+                values.append(versions[index - 1])
+        return values, False
+
+    def swap(self, expected: dict[bytes, int], puts: dict[bytes, bytes]) -> int | None:
+        """Apply all puts if every key has its expected revision.
+
+        :raises StoreUnavailable: After the fact, if the answer is to be lost.
+        """
+        revisions = {
+            key: self.versions[key][-1].revision if key in self.versions else 0
+            for key in expected
+        }
+        succeeded = revisions == expected
+        if succeeded and puts:
+            self.revision += 1
+            for key, data in puts.items():
+                if key not in self.versions:
+                    insort(self.keys, key)
+                value = StoredValue(key.decode(), data, self.revision)
+                self.versions.setdefault(key, []).append(value)
+                self.history.append(value)
+            self.compact()
+            self.wake_watches()
+        if self.lose_write_answers:
+            self.lose_write_answers -= 1
+            raise StoreUnavailable("answer was lost", "store txn", self.peer)
+        return self.revision if succeeded else None
+
+    def compact(self) -> None:
+        """Drop the older half of a history that has become too long."""
+        if len(self.history) <= self.max_history:
+            return
+        revision = self.history[len(self.history) // 2].revision
+        kept = bisect_right(self.history, revision, key=lambda v: v.revision)
+        for value in self.history[:kept]:
+            versions = self.versions[value.key.encode()]
+            while len(versions) > 1 and versions[1].revision <= revision:
+                del versions[0]
+        del self.history[:kept]
+        self.compact_revision = revision
+
+    async def follow(
+        self, start: bytes, end: bytes, after_revision: int
+    ) -> AsyncIterator[list[StoredValue]]:
+        """Yield the changes of a range in batches until the store is down.
+
+        :raises InvalidInput: If the revision is compacted.
+        """
+        while not self.down:
+            changed = self.changed
+            if not self.freeze_watches:
+                if after_revision < self.compact_revision:
+                    raise InvalidInput(
+                        f"revision {after_revision} is compacted", "store watch"
+                    )
+                first = bisect_right(
+                    self.history, after_revision, key=lambda v: v.revision
+                )
+                after_revision = max(after_revision, self.revision)
+                batch = [
+                    value
+                    for value in self.history[first:]
+                    if start <= value.key.encode() < end
+                ]
+                if batch:
+                    yield batch
+                    continue
+            await changed.wait()
+
+
+@store("memory")
+class MemoryStore(MemoryState, KeyValueStore):
+    """A store within this process, for tests and embedding."""
+
+    peer = "memory"
+
+    def __init__(self, url: str = "", timeout_s: float = CALL_TIMEOUT_S):
+        super().__init__()
+        self.timeout_s = timeout_s
+
+    async def admit(self, kind: str) -> None:
+        try:
+            with anyio.fail_after(self.timeout_s):
+                await super().admit(kind)
+        except TimeoutError as error:
+            raise StoreUnavailable(
+                f"no answer within {self.timeout_s} s", f"store {kind}", self.peer
+            ) from error
+
+    async def get(self, key: str) -> StoredValue | None:
+        start = key_bytes(key, "store range")
+        await self.admit("range")
+        values, _ = self.read(start, start + b"\0")
+        return values[0] if values else None
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        start = key_bytes(prefix, "store range")
+        await self.admit("range")
+        return Snapshot(self.read(start, prefix_end(start))[0], self.revision)
+
+    async def compare_and_swap(self, writes: list[Write]) -> int | None:
+        check_writes(writes)
+        await self.admit("txn")
+        return self.swap(
+            {write.key.encode(): write.expected_revision for write in writes},
+            {write.key.encode(): write.data for write in writes},
+        )
+
+    async def watch_prefix(
+        self, prefix: str, after_revision: int
+    ) -> AsyncIterator[StoredValue]:
+        start = key_bytes(prefix, "store watch")
+        await self.admit("watch")
+        try:
+            async for batch in self.follow(start, prefix_end(start), after_revision):
+                for value in batch:
+                    yield value
+        except InvalidInput as error:
+            raise StoreUnavailable(error.message, error.step, self.peer) from error
--- a/marigoldkeel/standins.py
+++ b/marigoldkeel/standins.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from marigoldkeel.exceptions import InvalidInput
+from marigoldkeel.memory import MemoryState
 from marigoldkeel.servers import HttpApplication, Request, Response
-from marigoldkeel.stores import MAX_WRITES, MemoryState, StoredValue
+from marigoldkeel.stores import MAX_WRITES, StoredValue
 
 
 NonEmpty = Annotated[bytes, msgspec.Meta(min_length=1)]
--- a/tests/load.py
+++ b/tests/load.py
@@ -9,16 +9,11 @@
 
 import anyio
 
+from marigoldkeel.attempts import Attempt, EntryAnswer, NotSent
 from marigoldkeel.exceptions import MarigoldkeelError
 from marigoldkeel.identifiers import mint_submission_id
 from marigoldkeel.models import Outcome
-from marigoldkeel.sessions import (
-    AsyncSession,
-    Attempt,
-    EntryAnswer,
-    NotSent,
-    Submitting,
-)
+from marigoldkeel.sessions import AsyncSession, Submitting
 from tests.histories import Answered, Event, Sent, Start, check_history
 
 
--- a/tests/protocol_model.py
+++ b/tests/protocol_model.py
@@ -19,6 +19,7 @@
 )
 from marigoldkeel.failover import FailoverController
 from marigoldkeel.identifiers import mint_incarnation
+from marigoldkeel.memory import MemoryStore
 from marigoldkeel.messages import Claim, Move, Submit, TaskResult, Transfer
 from marigoldkeel.models import Member, Outcome, TaskState
 from marigoldkeel.partitions import (
@@ -29,7 +30,7 @@
 )
 from marigoldkeel.primaries import PrimaryController
 from marigoldkeel.reopening import plan_reopening
-from marigoldkeel.stores import MemoryStore, Write
+from marigoldkeel.stores import Write
 from tests.histories import Answered, HistoryChecker, Sent, Start
 
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -12,7 +12,7 @@
 from marigoldkeel.configuration import Configuration, ConfigurationError
 from marigoldkeel.exceptions import InvalidInput, StoreUnavailable
 from marigoldkeel.identifiers import mint_submission_id
-from marigoldkeel.stores import MemoryStore
+from marigoldkeel.memory import MemoryStore
 
 
 @pytest.fixture
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -16,10 +16,7 @@
     Refused,
     Session,
 )
-from marigoldkeel.identifiers import mint_submission_id
-from marigoldkeel.models import Outcome
-from marigoldkeel.servers import HttpApplication, Response, serve_http
-from marigoldkeel.sessions import (
+from marigoldkeel.attempts import (
     Attempt,
     AttemptPlan,
     EntryAnswer,
@@ -27,6 +24,9 @@
     NotSent,
     read_answer,
 )
+from marigoldkeel.identifiers import mint_submission_id
+from marigoldkeel.models import Outcome
+from marigoldkeel.servers import HttpApplication, Response, serve_http
 
 
 REPLIES = {
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -9,11 +9,11 @@
 
 from marigoldkeel import stores
 from marigoldkeel.exceptions import InvalidInput, StoreUnavailable
+from marigoldkeel.memory import MemoryStore
 from marigoldkeel.servers import HttpApplication, Response, serve_http
 from marigoldkeel.standins import StoreStandin
 from marigoldkeel.stores import (
     EtcdStore,
-    MemoryStore,
     Snapshot,
     StoredValue,
     Write,
