Return held tasks at once when their target is lost

Cause: an agent holds tasks that were granted ahead or pushed and wait for a slot. When its target left or fell silent they waited until their deadline, as nothing else looked at them. Ruled out: the leaving target itself; it finished what it had. Change: queued work of a kind that no target of the agent serves any more is reported as not started, and its primary places it elsewhere. Before: all three new cases in test_executors fail. After: they pass.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -187,6 +187,7 @@
             self.stragglers.review()
         elif self.stragglers.suspended:
             self.stragglers.resume()
+        self._return_unservable()
         self._start_work()
         self._update_load()
 
@@ -216,6 +217,16 @@
         per_slot = self.board.setting("queue_tasks_per_slot")
         self.queue.max_tasks = self.queue.slots * per_slot
 
+    def _return_unservable(self) -> None:
+        """Give back queued work whose targets are lost, so that others run it."""
+        now = self.board.clock()
+        for kind in self.queue.kinds():
+            if self.targets.serves(kind, now):
+                continue
+            for item in self.queue.take_kind(kind):
+                self.board.events["items_without_target"] += 1
+                self._return_unstarted(item.source, "no target here serves this kind")
+
     def _start_work(self) -> None:
         """Give queued work to free slots, skipping kinds that have none."""
         skipped = []
--- a/marigoldkeel/queues.py
+++ b/marigoldkeel/queues.py
@@ -294,6 +294,20 @@
             self._remove(entry)
         return items
 
+    def kinds(self) -> set[str]:
+        """Return the kinds of the queued items."""
+        return {kind for (_, kind), lane in self.lanes.items() if lane.first()}
+
+    def take_kind(self, kind: str) -> list[WorkItem]:
+        """Take out and return all items of a kind."""
+        items = []
+        for priority in Priority:
+            lane = self.lanes.get((priority, kind))
+            while lane is not None and (entry := lane.first()):
+                self._remove(entry)
+                items.append(entry.item)
+        return items
+
     def observe(self, kind: str, run_time_s: float) -> None:
         """Add an observed run time in seconds."""
         forgotten = self.run_times.observe(kind, run_time_s)
--- a/marigoldkeel/targets.py
+++ b/marigoldkeel/targets.py
@@ -90,6 +90,15 @@
             return 0
         return max(0, min(info.slots, info.connections) - self.busy.get(name, 0))
 
+    def serves(self, kind: str, now: float) -> bool:
+        """Whether a target that may get new work, now or later, takes this kind."""
+        return any(
+            kind in info.kinds
+            and not info.leaving
+            and now - info.renewed_at < SILENT_AFTER_S
+            for info in self.targets.values()
+        )
+
     def available(self, kind: str, now: float) -> list[TargetInfo]:
         """Return the targets that may get a task of this kind now."""
         return [
--- a/tests/test_executors.py
+++ b/tests/test_executors.py
@@ -103,3 +103,68 @@
             group.cancel_scope.cancel()
     assert [result.state for result in primary.results] == [state]
     assert executor.adapter.started == started
+
+
+class HangingTarget(RecordingTarget):
+    """A target whose tasks do not end."""
+
+    async def run(self, target, task):
+        self.started.append(task.index)
+        await anyio.sleep_forever()
+
+
+class WidePrimary:
+    """Grants all that is asked for, of a job with many tasks."""
+
+    def __init__(self):
+        self.granted = 0
+        self.results = []
+
+    async def request(self, address, take, timeout_s):
+        self.results += take.results
+        first = self.granted
+        self.granted += take.want
+        tasks = [TaskItem(index, b"1") for index in range(first, self.granted)]
+        return Grant(PARTITION, 1, tasks, 18)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("loss", ["leaving", "silent", "withdrawn"])
+async def test_held_tasks_are_returned_when_their_target_is_lost(loss):
+    """Guards against tasks that wait until their deadline for a lost target."""
+    now = [0.0]
+    board = Blackboard(Member("a", "a@1"), clock=lambda: now[0])
+    primary, pushed = WidePrimary(), []
+    with anyio.fail_after(HANG_LIMIT_S):
+        async with anyio.create_task_group() as group:
+            executor = make_executor(primary, board, group)
+            executor.adapter = HangingTarget()
+            executor.spare_slot_share = 0.0
+            await executor.probe(
+                Probe(PARTITION, 1, SUBMISSION, "quote", 1, 60_000, 12)
+            )
+            executor.step()
+            await anyio.wait_all_tasks_blocked()
+
+            async def push():
+                run = Run(PARTITION, 1, b"p" * 16, "quote", 1, 60_000, [TaskItem(0)])
+                pushed.extend((await executor.run(run)).results)
+
+            group.start_soon(push)
+            await anyio.wait_all_tasks_blocked()
+            assert (executor.adapter.started, primary.granted) == ([0], 3)
+            if loss == "leaving":
+                executor.targets.targets["runner"].leaving = True
+            elif loss == "silent":
+                now[0] = 3.0
+            else:
+                executor.targets.withdraw("runner")
+            executor.step()
+            await anyio.wait_all_tasks_blocked()
+            returned = {result.index: result.state for result in primary.results}
+            assert returned == {
+                1: TaskState.NOT_STARTED,
+                2: TaskState.NOT_STARTED,
+            }
+            assert [result.state for result in pushed] == [TaskState.NOT_STARTED]
+            group.cancel_scope.cancel()
