--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
+from loguru import logger
 
 from marigoldkeel.admissions import QUOTA_STEP, Admissions, CallerRequest
 from marigoldkeel.blackboard import Blackboard
@@ -161,6 +162,13 @@
         self.request_times.observe(
             caller.priority, answer.outcome, self.board.clock() - started_at
         )
+        logger.debug(
+            "submission {} of team {}: {} {}",
+            caller.text_id,
+            caller.team,
+            answer.outcome,
+            answer.message,
+        )
         return to_response(answer, caller.text_id, is_job)
 
     async def _cancel(self, request: Request) -> Response:
--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -10,6 +10,7 @@
 
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.exceptions import MarigoldkeelError
+from marigoldkeel.identifiers import text_id
 from marigoldkeel.messages import Grant, Probe, Ran, Run, Take, TaskItem, TaskResult
 from marigoldkeel.models import Priority, TaskState
 from marigoldkeel.queues import WorkItem, WorkQueue
@@ -475,6 +476,13 @@
             self.started.pop((message.submission_id, task.index), None)
             return
         result.run_ms = int(run_time_s * 1000)
+        logger.debug(
+            "submission {}, task {}: {} after {} ms",
+            text_id(message.submission_id),
+            task.index,
+            TaskState(result.state).name.lower(),
+            result.run_ms,
+        )
         self.board.events[f"tasks_{TaskState(result.state).name.lower()}"] += 1
         self.queue.observe(message.kind, run_time_s)
         if result.state == TaskState.SUCCEEDED and not is_json(result.payload):
--- a/marigoldkeel/identifiers.py
+++ b/marigoldkeel/identifiers.py
@@ -46,6 +46,11 @@
     return submission_id
 
 
+def text_id(submission_id: bytes) -> str:
+    """Return the written form of an id."""
+    return str(uuid.UUID(bytes=submission_id))
+
+
 def mint_time_ms(submission_id: uuid.UUID) -> int:
     """Return the wall-clock time in milliseconds at which the id was minted."""
     return submission_id.int >> 80
--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -128,13 +128,13 @@
             since and be running it.
         :return: The indexes that provably did not start and are pending again.
         """
+        if self.answer is not None:
+            return []
         if sequence is not None:
             if (holder, sequence) in self.recorded:
                 return []
             self.recorded.add((holder, sequence))
         returned = []
-        if self.answer is not None:
-            return returned
         for result in results:
             index = result.index
             if index >= len(self.states) or self.holders.get(index) != holder:
@@ -230,6 +230,10 @@
             self.closed = True
             self.finished_at = now
             self.pending.clear()
+            # An answer is kept for a minute; what led to it is not needed.
             self.submission.payloads = []
             self.results = []
+            self.holders = {}
+            self.grants = {}
+            self.recorded = set()
             self.done.set()
