Answer attempts that wait on an unclaimed job with unknown

Cause: a primary that learned of its replacement ended every job without a started task as "not run", also one that still waited for its claim. An attempt attached to such a job was told "not run" although the caller had reported open attempts, one of which had started under the newer generation. Ruled out: jobs with a claim; both members held it, so no other member starts them. Change: only a claimed job is ended there. The attempt that waits for the claim ends the other jobs, with "unknown" for the attached attempts. Before: test_attached_attempt_is_not_told_not_run_for_an_open_one sees "not run". After: no attempt of it is told so. The search checks the same of every answer. Conclusion: "not run" is again said only by a member that knows.

--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -16,13 +16,15 @@
 class Job:
     """Hands out each task at most once and assembles the answer.
 
-    ``pending`` holds the indexes that no agent has been given. ``answer`` is set
-    exactly once, and from then on no task is handed out.
+    ``pending`` holds the indexes that no agent has been given. ``claimed`` is set
+    once both members of the partition hold the claim. ``answer`` is set exactly
+    once, and from then on no task is handed out.
     """
 
     __slots__ = (
         "submission",
         "digest",
+        "claimed",
         "states",
         "results",
         "pending",
@@ -41,6 +43,7 @@
         count = len(submission.payloads)
         self.submission = submission
         self.digest = digest
+        self.claimed = False
         self.states = [TaskState.PENDING] * count
         self.results: list[bytes] = [b""] * count
         self.pending: deque[int] = deque(range(count))
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -147,6 +147,7 @@
             job.finish(Answer(Outcome.UNKNOWN, b"", problem, "claim"), now)
             del self.board.jobs[submission_id]
             return refusal(problem, message.unanswered, "claim")
+        job.claimed = True
         self.board.events["jobs_started"] += 1
         self.group.start_soon(self._run, job)
         await job.done.wait()
@@ -319,11 +320,15 @@
                 job.submission.generation = generation
 
     def step_down(self, partition: int) -> None:
-        """Hand out nothing more of a partition that another member took over."""
+        """Hand out nothing more of a partition that another member took over.
+
+        A job without its claim is ended by the attempt that waits for the claim, as
+        another member may have started the id.
+        """
         for job in list(self.board.jobs.values()):
             if job.submission.partition == partition and job.answer is None:
                 job.pending.clear()
-                if not job.has_started:
+                if job.claimed and not job.has_started:
                     job.fail("the partition was taken over", self.board.clock())
 
     def reap(self) -> None:
--- a/tests/protocol_model.py
+++ b/tests/protocol_model.py
@@ -451,12 +451,13 @@
             attempts.body.encode(),
         )
         self.checker.add(Sent(attempts.submission_id, attempt))
+        earlier = len(attempts.unanswered)
         attempts.unanswered.add(attempt)
         member = record.standby if to_standby else record.primary
 
         def done(answer):
             if not isinstance(answer, MarigoldkeelError):
-                self._answer(attempts, attempt, answer)
+                self._answer(attempts, attempt, answer, earlier)
 
         operation = self.spawn(None, self._request(member.address, submit), done)
         self.resume(operation)
@@ -464,7 +465,10 @@
     async def _request(self, address, submit):
         return await ModelPeers().request(address, submit, 0)
 
-    def _answer(self, attempts, attempt, answer):
+    def _answer(self, attempts, attempt, answer, earlier):
+        if answer.outcome is Outcome.NOT_RUN and earlier:
+            # A member that was told of open attempts must not deny their starts.
+            assert attempts.submission_id not in self.checker.starts
         unanswered = attempts.unanswered - {attempt}
         if answer.outcome is not Outcome.UNKNOWN:
             attempts.unanswered = unanswered
--- a/tests/test_claim_protocol.py
+++ b/tests/test_claim_protocol.py
@@ -428,3 +428,25 @@
     world.learn("c", record)
     world.settle()
     assert generations(world, "c") == (4, True, Phase.ACTIVE)
+
+
+def test_attached_attempt_is_not_told_not_run_for_an_open_one(world):
+    """Guards against "not run" from a member that never held the claim.
+
+    The first attempt runs under the newer generation. The third one waits at the
+    old primary on the claim of the second when that primary learns of it.
+    """
+    world.replace("b", "c")
+    world.settle(("b", "c"))
+    attempts = world.mint()
+    world.send(attempts)
+    world.settle(("b", "c"))
+    world.packets.clear()
+    for _ in range(2):
+        world.send(attempts, world.records[0])
+        world.settle(("a",), rounds=1)
+    world.learn("a", world.records[-1])
+    world.settle()
+    assert world.counts["start"] == TASKS
+    assert "answer not_run" not in world.counts
+    assert world.checker.violations == []
