--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -16,16 +16,18 @@
 class Job:
     """Hands out each task at most once and assembles the answer.
 
-    ``pending`` holds the indexes that no agent has been given. ``answer`` is set
-    exactly once, and from then on no task is handed out. ``first_answer`` replaces
-    it for the attempt that made the job, if that attempt knows more. ``offers``
-    maps the incarnations of agents that were offered or pushed tasks to their
-    addresses, and ``held`` counts the tasks that are granted and have not ended.
+    ``pending`` holds the indexes that no agent has been given. ``claimed`` is set
+    once both members of the partition hold the claim. ``answer`` is set exactly
+    once, and from then on no task is handed out. ``first_answer`` replaces it for
+    the attempt that made the job, if that attempt knows more. ``offers`` maps the
+    incarnations of agents that were offered or pushed tasks to their addresses,
+    and ``held`` counts the tasks that are granted and have not ended.
     """
 
     __slots__ = (
         "submission",
         "digest",
+        "claimed",
         "states",
         "results",
         "pending",
@@ -41,7 +43,6 @@
         "done",
         "started_at",
         "run_ms",
-        "claimed",
         "closed",
         "reason",
         "step",
@@ -52,6 +53,7 @@
         count = len(submission.payloads)
         self.submission = submission
         self.digest = digest
+        self.claimed = False
         self.states = [TaskState.PENDING] * count
         self.results: list[bytes] = [b""] * count
         self.pending: deque[int] = deque(range(count))
@@ -67,7 +69,6 @@
         self.done = anyio.Event()
         self.started_at = now
         self.run_ms = 0
-        self.claimed = False
         self.closed = False
         self.reason = ""
         self.step = "run"
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -367,9 +367,13 @@
                 job.submission.generation = generation
 
     def step_down(self, partition: int) -> None:
-        """Hand out nothing more of a partition that another member took over."""
+        """Hand out nothing more of a partition that another member took over.
+
+        A job without its claim is ended by the attempt that waits for the claim, as
+        another member may have started the id.
+        """
         for job in list(self.board.jobs.values()):
-            if job.submission.partition == partition and job.answer is None:
+            if job.submission.partition == partition and job.claimed:
                 job.close("the partition was taken over", self.board.clock())
 
     def reap(self) -> None:
