--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -49,6 +49,22 @@
     return _serve(Agent, settings_file)
 
 
+def serve(settings_file: str) -> int:
+    """Serve as the entry or agent of a fleet until SIGTERM or SIGINT.
+
+    :param settings_file: The TOML settings of this process.
+    """
+    from marigoldkeel.fleet.settings import FleetSettings
+    from marigoldkeel.logs import configure_decision_log
+    from marigoldkeel.platform.daemons import open_daemon
+    from marigoldkeel.settings import read_settings
+
+    settings = read_settings(settings_file, FleetSettings)
+    configure_decision_log(settings.log_lines_per_s)
+    anyio.run(_run_daemon, open_daemon(settings))
+    return EXIT_OK
+
+
 def _serve(daemon_type: Any, settings_file: str) -> int:
     from marigoldkeel.logs import configure_logs
     from marigoldkeel.settings import Settings
@@ -345,7 +361,7 @@
             return
 
 
-DAEMONS = {"entry": entry, "agent": agent}
+DAEMONS = {"entry": entry, "agent": agent, "serve": serve}
 
 
 def main() -> None:
--- /dev/null
+++ b/marigoldkeel/fleet/daemons.py
@@ -0,0 +1,295 @@
+"""The entry and the agent of a fleet, made of their parts and run as processes.
+
+What speaks to the outside (the store, the worker and the HTTP applications) is passed
+in, so that the daemons know none of its names.
+"""
+
+import time
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from marigoldkeel.blackboard import wall_clock_ms
+from marigoldkeel.exceptions import ProtocolError
+from marigoldkeel.fleet.directory import Directory, DirectoryController
+from marigoldkeel.fleet.drivers import WorkerClient, WorkerDriver
+from marigoldkeel.fleet.following import PlanFollower
+from marigoldkeel.fleet.links import AgentLinks, OwnerLinks
+from marigoldkeel.fleet.messages import Announce, DropJob
+from marigoldkeel.fleet.plans import Plan
+from marigoldkeel.fleet.schedulers import Scheduler
+from marigoldkeel.fleet.settings import FleetSettings
+from marigoldkeel.fleet.supervisors import Supervisor
+from marigoldkeel.fleet.views import FleetView
+from marigoldkeel.identifiers import mint_incarnation
+from marigoldkeel.messages import Pull
+from marigoldkeel.models import Member
+from marigoldkeel.servers import HttpApplication, serve_http
+from marigoldkeel.stores import LeasedStore
+from marigoldkeel.transports import PeerPool, parse_address, serve_peers
+
+
+DRAIN_TICK_S = 0.02
+# The balancer asks once a second and takes an entry out after two refusals.
+BALANCER_NOTICE_S = 2.4
+# What is left of the grace at the end of a planned stop, for the process to end.
+EXIT_MARGIN_S = 0.5
+# Time for the last answers to leave.
+FLUSH_S = 0.05
+# How long an agent that is stopped lets its worker's runs end. A successor takes over
+# what is left, so a longer wait only keeps the worker idle.
+RUN_OUT_S = 0.6
+
+
+class FleetDaemon:
+    """Base of the two daemons.
+
+    :cvar is_agent: Whether it stands beside a worker.
+    """
+
+    is_agent = False
+
+    def __init__(self, settings: FleetSettings, store: LeasedStore):
+        self.settings = settings
+        self.store = store
+        self.clock: Callable[[], float] = time.monotonic
+        self.own = Member(
+            settings.name,
+            mint_incarnation(settings.name),
+            settings.listen,
+            settings.domain,
+        )
+        self.stopping = anyio.Event()
+        self.stops_at = float("inf")
+        self.servers: list[tuple[str, HttpApplication]] = []
+        self.directory: Directory | None = None
+        self.controller: DirectoryController | None = None
+
+    async def run(self) -> None:
+        """Serve until `stop` is called and the work in progress has ended."""
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self.store.aclose)
+            self.peers = await stack.enter_async_context(
+                PeerPool.open(self.outgoing_listener())
+            )
+            async with anyio.create_task_group() as group:
+                self.assemble(group)
+                await group.start(
+                    serve_peers,
+                    self.settings.listen,
+                    self.handle,
+                    self.peers.counters,
+                    self.incoming_listener(),
+                )
+                for address, application in self.servers:
+                    host, port = parse_address(address)
+                    await group.start(serve_http, application, host, port)
+                logger.info("started as {}", self.own.incarnation)
+                self.start(group)
+                await self.stopping.wait()
+                await self.wind_up()
+                logger.info("stopped")
+                group.cancel_scope.cancel()
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        if not self.stopping.is_set():
+            self.stops_at = self.clock() + self.settings.grace_s - EXIT_MARGIN_S
+            logger.info("planned stop begins")
+            self.stopping.set()
+
+    def outgoing_listener(self) -> Any:
+        """Return the listener of the connections that this daemon makes."""
+        return None
+
+    def incoming_listener(self) -> Any:
+        """Return the listener of the connections that are made to this daemon."""
+        return None
+
+    def assemble(self, group: TaskGroup) -> None:
+        """Make the parts; the peers are open."""
+        raise NotImplementedError
+
+    def start(self, group: TaskGroup) -> None:
+        """Start the loops of the parts."""
+        raise NotImplementedError
+
+    async def wind_up(self) -> None:
+        """Finish the work in progress."""
+        raise NotImplementedError
+
+    async def handle(self, message: Any, peer: str) -> Any:
+        """Answer a message that no listener takes.
+
+        :raises ProtocolError: If this daemon takes no such message.
+        """
+        raise ProtocolError(f"no {type(message).__name__} is taken here", "receive")
+
+
+class FleetEntry(FleetDaemon):
+    """Takes jobs from callers and owns them.
+
+    :param plan_key: Key of the operators' plan in the store.
+    :param decode_plan: Decodes the stored plan.
+    """
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        store: LeasedStore,
+        plan_key: str,
+        decode_plan: Callable[[bytes], Plan],
+    ):
+        super().__init__(settings, store)
+        self.plan_key = plan_key
+        self.decode_plan = decode_plan
+        self.fleet = FleetView()
+        self.links = OwnerLinks(self.own, self.fleet, self.clock)
+        self.scheduler = Scheduler(
+            self.fleet, settings.domain, self.links.send, self.clock, wall_clock_ms
+        )
+        self.links.scheduler = self.scheduler
+        self.leaving = False
+        self.closing = False
+        self.in_progress = 0
+
+    @property
+    def plan(self) -> Plan | None:
+        """The operators' plan in force."""
+        return self.follower.plan
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers are better sent here than elsewhere."""
+        return not self.leaving and self.plan is not None and self.links.connected > 0
+
+    def outgoing_listener(self) -> OwnerLinks:
+        return self.links
+
+    def assemble(self, group: TaskGroup) -> None:
+        self.group = group
+        self.links.peers = self.peers
+        self.links.group = group
+        self.follower = PlanFollower(
+            self.store, self.peers, self.plan_key, self.decode_plan
+        )
+        self.directory = Directory(self.own, self.links.add, self.links.remove)
+        self.controller = DirectoryController(
+            self.directory,
+            self.store,
+            self.peers,
+            group,
+            self.settings.seeds,
+            self.is_agent,
+            self.clock,
+            plan_version=lambda: self.follower.version,
+            is_alive=self._is_connected,
+        )
+
+    def start(self, group: TaskGroup) -> None:
+        group.start_soon(self.links.run_forever)
+        group.start_soon(self.follower.run_forever)
+        group.start_soon(self.controller.run_forever)
+
+    def _is_connected(self, name: str) -> bool:
+        link = self.links.links.get(name)
+        return link is not None and link.connection is not None
+
+    async def handle(self, message: Any, peer: str) -> Any:
+        if isinstance(message, Announce):
+            self.controller.receive(message)
+            if not message.is_agent:
+                await self.follower.pull(message.member.address, message.plan_version)
+            return None
+        if isinstance(message, Pull):
+            return self.follower.answer(message)
+        if isinstance(message, DropJob):
+            self.scheduler.cancel(message.job_id)
+            return None
+        return await super().handle(message, peer)
+
+    async def drop_elsewhere(self, job_id: str) -> None:
+        """Tell the other entries that the caller of a job has cancelled it."""
+        for listing in self.directory.entries():
+            self.group.start_soon(self._send_drop, listing.member.address, job_id)
+
+    async def _send_drop(self, address: str, job_id: str) -> None:
+        try:
+            await self.peers.send(address, DropJob(job_id))
+        except ConnectionError as error:
+            logger.info("cancellation not passed on: {}", error)
+
+    async def wind_up(self) -> None:
+        """Leave the balancer's rotation, then answer what is in progress."""
+        self.leaving = True
+        self.controller.leaving = True
+        await anyio.sleep(BALANCER_NOTICE_S)
+        self.closing = True
+        while self.in_progress and self.clock() < self.stops_at:
+            await anyio.sleep(DRAIN_TICK_S)
+        for owned in list(self.scheduler.jobs.values()):
+            self.scheduler.abandon(owned, "the entry stops")
+        await anyio.sleep(FLUSH_S)
+
+
+class FleetAgent(FleetDaemon):
+    """Keeps the account of its worker and carries out the owners' orders there."""
+
+    is_agent = True
+
+    def __init__(
+        self, settings: FleetSettings, store: LeasedStore, client: WorkerClient
+    ):
+        super().__init__(settings, store)
+        self.client = client
+        self.supervisor = Supervisor(self.clock)
+        self.links = AgentLinks(self.supervisor, self.flush)
+        self.driver: WorkerDriver | None = None
+
+    def incoming_listener(self) -> AgentLinks:
+        return self.links
+
+    def flush(self) -> None:
+        self.driver.flush()
+
+    def assemble(self, group: TaskGroup) -> None:
+        self.driver = WorkerDriver(
+            self.supervisor, self.client, self.links.deliver, group
+        )
+        self.directory = Directory(self.own)
+        self.controller = DirectoryController(
+            self.directory,
+            self.store,
+            self.peers,
+            group,
+            self.settings.seeds,
+            self.is_agent,
+            self.clock,
+            is_found=lambda: bool(self.links.links),
+        )
+
+    def start(self, group: TaskGroup) -> None:
+        group.start_soon(self.driver.look_forever)
+        group.start_soon(self.driver.tick_forever)
+        group.start_soon(self.controller.run_forever)
+
+    async def handle(self, message: Any, peer: str) -> Any:
+        if isinstance(message, Announce):
+            self.controller.receive(message)
+            return None
+        return await super().handle(message, peer)
+
+    async def wind_up(self) -> None:
+        """Start nothing more; leave what still runs to the successor."""
+        self.controller.leaving = True
+        self.supervisor.leaving = True
+        self.supervisor.changed = True
+        self.driver.flush()
+        ends_at = self.clock() + RUN_OUT_S
+        while self.supervisor.runs and self.clock() < ends_at:
+            await anyio.sleep(DRAIN_TICK_S)
+        await self.driver.hand_over()
--- /dev/null
+++ b/marigoldkeel/fleet/following.py
@@ -0,0 +1,120 @@
+"""Keeps the operators' plan of a daemon up to date, from the store and from peers."""
+
+from collections.abc import Callable
+
+import anyio
+from loguru import logger
+
+from marigoldkeel.exceptions import InvalidInput, MarigoldkeelError, StoreUnavailable
+from marigoldkeel.fleet.plans import Plan
+from marigoldkeel.messages import Pull, Pulled
+from marigoldkeel.revisions import RevisionRegister
+from marigoldkeel.stores import LeasedStore
+from marigoldkeel.transports import PeerPool
+
+
+DOCUMENT = "plan"
+# A change has to be in force everywhere within two seconds, also when a watch has gone
+# silent without a word.
+WATCH_IDLE_S = 0.8
+STORE_RETRY_S = 0.3
+PULL_TIMEOUT_S = 0.5
+
+
+class PlanFollower:
+    """Follows the plan.
+
+    :param key: The key of the plan in the store.
+    :param decode: Decodes the stored plan; raises `InvalidInput` if it cannot.
+    """
+
+    def __init__(
+        self,
+        store: LeasedStore,
+        peers: PeerPool,
+        key: str,
+        decode: Callable[[bytes], Plan],
+    ):
+        self.store = store
+        self.peers = peers
+        self.key = key
+        self.decode = decode
+        self.register = RevisionRegister()
+        self.data = b""
+        self.pulling = False
+        self.store_up: bool | None = None
+
+    @property
+    def plan(self) -> Plan | None:
+        """The plan in force, or None before the first."""
+        return self.register.document
+
+    @property
+    def version(self) -> int:
+        """The version of the plan in force, 0 before the first."""
+        return self.register.revision
+
+    def offer(self, data: bytes, source: str) -> None:
+        """Put a plan in force if it is newer than the present one."""
+        try:
+            plan = self.decode(data)
+        except InvalidInput as error:
+            logger.warning("plan from {} not readable: {}", source, error)
+            return
+        if self.register.offer(plan.version, plan):
+            self.data = data
+            logger.info(
+                "plan {} from {} in force: {} queues",
+                plan.version,
+                source,
+                len(plan.queues),
+            )
+
+    async def run_forever(self) -> None:
+        """Read the plan and watch it; begin again whenever the watch ends."""
+        while True:
+            try:
+                await self._follow()
+            except MarigoldkeelError as error:
+                self._note_store(False, error)
+                await anyio.sleep(STORE_RETRY_S)
+
+    async def _follow(self) -> None:
+        snapshot = await self.store.get_prefix(self.key)
+        self._note_store(True)
+        for value in snapshot.values:
+            if value.key == self.key:
+                self.offer(value.data, "store")
+        changes = self.store.watch_changes(self.key, snapshot.revision, WATCH_IDLE_S)
+        async for change in changes:
+            if change.key == self.key and change.data is not None:
+                self.offer(change.data, "store")
+
+    def answer(self, message: Pull) -> Pulled:
+        """Return the plan to a peer that is behind.
+
+        :raises StoreUnavailable: If the peer asks for something else.
+        """
+        if message.what != DOCUMENT:
+            raise StoreUnavailable(f"no document {message.what!r}", step="pull")
+        return Pulled(message.above, self.version, self.data)
+
+    async def pull(self, address: str, version: int) -> None:
+        """Get the plan from a peer that has a newer one."""
+        if self.pulling or version <= self.version:
+            return
+        self.pulling = True
+        try:
+            request = Pull(DOCUMENT, self.version)
+            reply = await self.peers.request(address, request, PULL_TIMEOUT_S)
+            if reply.document:
+                self.offer(reply.document, address)
+        except MarigoldkeelError as error:
+            logger.info("plan not pulled: {}", error)
+        finally:
+            self.pulling = False
+
+    def _note_store(self, is_up: bool, error: Exception | str = "") -> None:
+        if is_up != self.store_up:
+            self.store_up = is_up
+            logger.info("plan {} {}", "followed" if is_up else "not followed", error)
--- /dev/null
+++ b/marigoldkeel/fleet/links.py
@@ -0,0 +1,343 @@
+"""The connections between the owners of jobs and the agents of workers.
+
+Each entry keeps one connection to each agent. Both ends send whenever they have
+something to say, and an owner that has nothing else to say renews its lease.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from marigoldkeel.exceptions import MarigoldkeelError, PeerUnavailable
+from marigoldkeel.fleet.messages import (
+    Attach,
+    Progress,
+    Renew,
+    RunEvent,
+    StartRuns,
+    StopRuns,
+    WorkerFacts,
+    WorkerState,
+)
+from marigoldkeel.fleet.schedulers import Scheduler
+from marigoldkeel.fleet.supervisors import (
+    CLOCK_DRIFT,
+    LAPSE_MARGIN_S,
+    OWNER_LEASE_S,
+    WORKER_LEASE_S,
+    Supervisor,
+)
+from marigoldkeel.fleet.views import FleetView
+from marigoldkeel.models import Member
+from marigoldkeel.transports import Connection, ConnectionListener, PeerPool
+
+
+TICK_S = 0.05
+# An owner with runs at a worker is heard at least this often, two and a half times
+# within its lease.
+RENEW_S = 0.2
+# How often an agent is asked for its state when there is nothing else to say.
+IDLE_RENEW_S = 1.0
+# A renewal without an answer for this long means that the connection is dead, even if
+# it has not been reset.
+SILENCE_S = 0.4
+FIRST_RETRY_S = 0.05
+MAX_RETRY_S = 0.5
+# After the last message to an agent that cannot be reached, its worker has ended all
+# runs of this owner: the agent stops them when the lease has run out, and if it is
+# gone too, the worker ends them by itself.
+GONE_AFTER_S = OWNER_LEASE_S + WORKER_LEASE_S * (1 + CLOCK_DRIFT) + 3 * LAPSE_MARGIN_S
+
+
+@dataclass(slots=True)
+class AgentLink:
+    """An entry's connection to one agent.
+
+    :ivar unanswered: When each message was sent that no state of the agent has taken
+        into account yet, by its number.
+    :ivar gone_at: When the runs at an agent that cannot be reached have ended.
+    """
+
+    member: Member
+    connection: Connection | None = None
+    connecting: bool = False
+    sequence: int = 0
+    unanswered: dict[int, float] = field(default_factory=dict)
+    last_sent_at: float = float("-inf")
+    retry_at: float = 0.0
+    retry_s: float = FIRST_RETRY_S
+    gone_at: float | None = None
+    facts: WorkerFacts | None = None
+
+    def note_sent(self, now: float) -> None:
+        """Note that the message with the present number has been sent."""
+        self.last_sent_at = now
+        self.unanswered[self.sequence] = now
+
+    def note_heard(self, sequence: int) -> None:
+        """Note that the agent has seen the messages up to a number."""
+        for number in [key for key in self.unanswered if key <= sequence]:
+            del self.unanswered[number]
+
+    def silent_s(self, now: float) -> float:
+        """Return how long the oldest message has had no answer."""
+        return now - next(iter(self.unanswered.values()), now)
+
+
+class OwnerLinks(ConnectionListener):
+    """An entry's links to the agents that it knows of."""
+
+    def __init__(self, own: Member, fleet: FleetView, clock: Callable[[], float]):
+        self.own = own
+        self.fleet = fleet
+        self.clock = clock
+        self.links: dict[str, AgentLink] = {}
+        self.by_address: dict[str, AgentLink] = {}
+        self.scheduler: Scheduler | None = None
+        self.peers: PeerPool | None = None
+        self.group: TaskGroup | None = None
+
+    def add(self, member: Member) -> None:
+        """Keep a link to an agent."""
+        link = self.links.get(member.name)
+        if link is not None and link.member.address == member.address:
+            link.member = member
+            return
+        if link is not None:
+            self._forget(link)
+        self.links[member.name] = AgentLink(member)
+        self.by_address[member.address] = self.links[member.name]
+
+    def remove(self, name: str) -> None:
+        """Drop the link to an agent, unless it is alive."""
+        link = self.links.get(name)
+        if link is not None and link.connection is None and link.gone_at is None:
+            self._forget(link)
+
+    @property
+    def connected(self) -> int:
+        """The number of agents that are connected."""
+        return sum(link.connection is not None for link in self.links.values())
+
+    def send(self, name: str, message: StartRuns | StopRuns | Renew) -> int:
+        """Send a message to an agent and return its number.
+
+        What cannot be sent is lost; the next `Attach` puts the agent right.
+        """
+        link = self.links.get(name)
+        if link is None or link.connection is None:
+            return 0
+        link.sequence += 1
+        message.sequence = link.sequence
+        now = self.clock()
+        try:
+            link.connection.send(message)
+        except PeerUnavailable as error:
+            logger.info("not sent to agent {}: {}", name, error)
+            return link.sequence
+        link.note_sent(now)
+        return link.sequence
+
+    async def run_forever(self) -> None:
+        """Connect, renew and give up as time passes."""
+        while True:
+            now = self.clock()
+            for link in list(self.links.values()):
+                await self._review(link, now)
+            self.scheduler.tick()
+            await anyio.sleep(TICK_S)
+
+    async def _review(self, link: AgentLink, now: float) -> None:
+        if link.connection is None:
+            if link.gone_at is not None and now > link.gone_at:
+                link.gone_at = None
+                self.scheduler.lose_worker(link.member.name, "agent not reachable")
+            if not link.connecting and now >= link.retry_at:
+                link.connecting = True
+                self.group.start_soon(self._connect, link)
+            return
+        if link.silent_s(now) > SILENCE_S:
+            logger.bind(peer=link.member.address).info(
+                "link to agent {} dropped: silent for {:.2f} s",
+                link.member.name,
+                link.silent_s(now),
+            )
+            await link.connection.abort()
+            self._lost(link)
+            return
+        has_runs = bool(self.scheduler.held_by(link.member.name))
+        interval_s = RENEW_S if has_runs else IDLE_RENEW_S
+        if now - link.last_sent_at >= interval_s:
+            self.send(link.member.name, Renew())
+
+    async def _connect(self, link: AgentLink) -> None:
+        try:
+            connection = await self.peers.connect(link.member.address)
+            self._attach(link, connection)
+        except MarigoldkeelError as error:
+            logger.debug("agent {} not connected: {}", link.member.name, error)
+            link.retry_at = self.clock() + link.retry_s
+            link.retry_s = min(MAX_RETRY_S, 2 * link.retry_s)
+        finally:
+            link.connecting = False
+
+    def _attach(self, link: AgentLink, connection: Connection) -> None:
+        now = self.clock()
+        if connection.closed or self.links.get(link.member.name) is not link:
+            link.retry_at = now + link.retry_s
+            return
+        link.connection = connection
+        link.sequence += 1
+        link.note_sent(now)
+        held = self.scheduler.held_by(link.member.name)
+        facts = link.facts or WorkerFacts()
+        connection.send(Attach(link.sequence, self.own, held, facts))
+
+    def received(self, connection: Connection, content: Any) -> bool:
+        link = self.by_address.get(connection.peer)
+        if link is None or link.connection is not connection:
+            return isinstance(content, WorkerFacts | WorkerState | RunEvent | Progress)
+        name = link.member.name
+        if isinstance(content, WorkerState):
+            self._take_state(link, content)
+        elif isinstance(content, WorkerFacts):
+            link.facts = content
+            self.fleet.view(name).facts = content
+        elif isinstance(content, RunEvent):
+            self.scheduler.take_event(name, content)
+        elif isinstance(content, Progress):
+            self.scheduler.take_progress(name, content)
+        else:
+            return False
+        self.scheduler.schedule()
+        return True
+
+    def _take_state(self, link: AgentLink, state: WorkerState) -> None:
+        link.gone_at = None
+        link.retry_s = FIRST_RETRY_S
+        view = self.fleet.view(link.member.name)
+        if not view.connected:
+            logger.bind(peer=link.member.address).info(
+                "agent {} connected", link.member.name
+            )
+        view.connected = True
+        view.update(state)
+        link.note_heard(state.heard)
+
+    def closed(self, connection: Connection) -> None:
+        link = self.by_address.get(connection.peer)
+        if link is not None and link.connection is connection:
+            self._lost(link)
+
+    def _lost(self, link: AgentLink) -> None:
+        """Note that the connection has ended; the agent may still run what it has."""
+        link.connection = None
+        link.unanswered.clear()
+        link.retry_at = self.clock()
+        if link.gone_at is None:
+            link.gone_at = link.last_sent_at + GONE_AFTER_S
+        self.fleet.view(link.member.name).disconnect()
+        logger.bind(peer=link.member.address).info("agent {} lost", link.member.name)
+
+    def _forget(self, link: AgentLink) -> None:
+        self.links.pop(link.member.name, None)
+        if self.by_address.get(link.member.address) is link:
+            del self.by_address[link.member.address]
+        self.fleet.remove(link.member.name)
+        self.scheduler.lose_worker(link.member.name, "agent replaced")
+
+
+@dataclass(slots=True)
+class OwnerLink:
+    """An agent's connection to one owner."""
+
+    connection: Connection
+    owner: Member
+    heard: int = 0
+    facts_sent: WorkerFacts | None = None
+    state_sent: tuple = field(default_factory=tuple)
+
+
+class AgentLinks(ConnectionListener):
+    """An agent's links to the owners of runs at its worker."""
+
+    def __init__(self, supervisor: Supervisor, flush: Callable[[], None]):
+        self.supervisor = supervisor
+        self.flush = flush
+        self.links: dict[str, OwnerLink] = {}
+        self.by_connection: dict[int, OwnerLink] = {}
+
+    def received(self, connection: Connection, content: Any) -> bool:
+        if isinstance(content, Attach):
+            self._attach(connection, content)
+            return True
+        if not isinstance(content, StartRuns | StopRuns | Renew):
+            return False
+        link = self.by_connection.get(id(connection))
+        if link is None or not self.supervisor.heard(link.owner.incarnation):
+            # Its lease has run out; it has to attach anew.
+            self._close(connection)
+            return True
+        link.heard = max(link.heard, content.sequence)
+        if isinstance(content, StartRuns):
+            self.supervisor.start(link.owner.incarnation, content)
+        elif isinstance(content, StopRuns):
+            self.supervisor.stop(link.owner.incarnation, content.runs)
+        else:
+            self._send_state(link)
+        self.flush()
+        return True
+
+    def closed(self, connection: Connection) -> None:
+        link = self.by_connection.pop(id(connection), None)
+        if link is not None and self.links.get(link.owner.incarnation) is link:
+            del self.links[link.owner.incarnation]
+
+    def deliver(self) -> None:
+        """Send the notices and, where something has changed, the state."""
+        for notice in self.supervisor.take_notices():
+            link = self.links.get(notice.owner)
+            if link is not None:
+                self._send(link, notice.content)
+        if self.supervisor.changed:
+            self.supervisor.changed = False
+            for link in list(self.links.values()):
+                self._send_state(link)
+
+    @property
+    def entries(self) -> list[Member]:
+        """The entries that are connected."""
+        return [link.owner for link in self.links.values()]
+
+    def _attach(self, connection: Connection, message: Attach) -> None:
+        link = OwnerLink(connection, message.owner, message.sequence)
+        self.links[message.owner.incarnation] = link
+        self.by_connection[id(connection)] = link
+        self.supervisor.attach(message)
+        logger.bind(peer=message.owner.address).info(
+            "owner {} attached with {} runs", message.owner.name, len(message.held)
+        )
+        self.supervisor.changed = True
+        self.flush()
+
+    def _send_state(self, link: OwnerLink) -> None:
+        supervisor = self.supervisor
+        if supervisor.facts is not None and supervisor.facts != link.facts_sent:
+            link.facts_sent = supervisor.facts
+            self._send(link, supervisor.facts)
+        state = WorkerState(link.heard, supervisor.room, supervisor.usable)
+        self._send(link, state)
+
+    def _send(self, link: OwnerLink, content: Any) -> None:
+        try:
+            link.connection.send(content)
+        except PeerUnavailable as error:
+            logger.info("not sent to owner {}: {}", link.owner.name, error)
+
+    def _close(self, connection: Connection) -> None:
+        self.by_connection.pop(id(connection), None)
+        connection.close_soon()
--- /dev/null
+++ b/marigoldkeel/fleet/views.py
@@ -0,0 +1,88 @@
+"""An entry's picture of the workers, pieced together from what their agents tell."""
+
+from dataclasses import dataclass, field
+
+from marigoldkeel.fleet.messages import WorkerFacts, WorkerState
+from marigoldkeel.fleet.work import NO_RESOURCES, Resources
+
+
+@dataclass(slots=True)
+class WorkerView:
+    """One worker as its agent last described it.
+
+    :ivar name: The name of its agent.
+    :ivar reserved: Demands of orders that ``room`` does not take into account yet, by
+        the number of the order.
+    """
+
+    name: str
+    facts: WorkerFacts | None = None
+    room: Resources = NO_RESOURCES
+    usable: bool = False
+    connected: bool = False
+    heard: int = 0
+    reserved: dict[int, Resources] = field(default_factory=dict)
+
+    @property
+    def ready(self) -> bool:
+        """Whether runs may be sent there."""
+        return self.connected and self.usable and self.facts is not None
+
+    @property
+    def free(self) -> Resources:
+        """The room that is left after what has been sent there."""
+        free = self.room
+        for demand in self.reserved.values():
+            free = free - demand
+        return free
+
+    def reserve(self, sequence: int, demand: Resources) -> None:
+        """Count an order that has just been sent."""
+        self.reserved[sequence] = demand
+
+    def update(self, state: WorkerState) -> None:
+        """Take a newer state."""
+        self.heard = state.heard
+        self.room = state.room
+        self.usable = state.usable
+        for sequence in [key for key in self.reserved if key <= state.heard]:
+            del self.reserved[sequence]
+
+    def disconnect(self) -> None:
+        """Note that nothing is known of it any more."""
+        self.connected = False
+        self.usable = False
+        self.reserved.clear()
+
+
+class FleetView:
+    """All workers that an entry knows of, by the name of their agent."""
+
+    def __init__(self):
+        self.workers: dict[str, WorkerView] = {}
+
+    def view(self, name: str) -> WorkerView:
+        """Return the view of a worker, which is made if it is new."""
+        if name not in self.workers:
+            self.workers[name] = WorkerView(name)
+        return self.workers[name]
+
+    def remove(self, name: str) -> None:
+        """Forget a worker."""
+        self.workers.pop(name, None)
+
+    def ready(self, service: str) -> list[WorkerView]:
+        """Return the workers of a service that runs may be sent to."""
+        return [
+            view
+            for view in self.workers.values()
+            if view.ready and view.facts.service == service
+        ]
+
+    def known(self, service: str) -> list[WorkerView]:
+        """Return the workers of a service, also those that are not usable now."""
+        return [
+            view
+            for view in self.workers.values()
+            if view.facts is not None and view.facts.service == service
+        ]
--- a/marigoldkeel/logs.py
+++ b/marigoldkeel/logs.py
@@ -1,11 +1,20 @@
-"""Log output: one sink for people or one of JSON lines."""
+"""Log output: one sink for people, one of JSON lines, and one of bounded volume."""
 
+import os
 import sys
+import time
+from collections.abc import Callable
+from typing import Any
 
+import msgspec
 from loguru import logger
 
 
 TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {name}: {message} {extra}"
+# How many lines may be written at once after a quiet time, in seconds of the rate.
+BURST_S = 5.0
+# Unwritten output is kept up to this size while standard output takes no more.
+MAX_BACKLOG_BYTES = 256 * 1024
 
 
 def configure_logs(log_format: str = "text", level: str = "INFO") -> None:
@@ -22,3 +31,82 @@
         logger.add(sys.stderr, level=level, serialize=True, diagnose=False)
     else:
         logger.add(sys.stderr, level=level, format=TEXT_FORMAT, diagnose=False)
+
+
+def configure_decision_log(lines_per_s: float, level: str = "INFO") -> None:
+    """Send the logs of this process to standard output as short JSON lines.
+
+    Usage::
+
+        configure_decision_log(200)
+
+    :param lines_per_s: Mean number of lines a second; what is beyond is counted only.
+    """
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    sink = BoundedSink(lambda data: os.write(descriptor, data), lines_per_s)
+    logger.remove()
+    logger.add(sink, level=level, format="{message}", diagnose=False)
+
+
+class BoundedSink:
+    """Writes log records as JSON lines, at a bounded rate and without waiting.
+
+    A line that says how many were left out follows each gap. Warnings and errors are
+    never left out for the rate.
+
+    :param write: Writes some bytes and returns how many; raises `BlockingIOError` when
+        it can take none.
+    """
+
+    def __init__(
+        self,
+        write: Callable[[bytes], int],
+        lines_per_s: float,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.write_some = write
+        self.lines_per_s = lines_per_s
+        self.clock = clock
+        self.tokens = lines_per_s * BURST_S
+        self.filled_at = clock()
+        self.left_out = 0
+        self.backlog = bytearray()
+
+    def __call__(self, message: Any) -> None:
+        record = message.record
+        now = self.clock()
+        self.tokens = min(
+            self.lines_per_s * BURST_S,
+            self.tokens + (now - self.filled_at) * self.lines_per_s,
+        )
+        self.filled_at = now
+        is_bounded = record["level"].no < logger.level("WARNING").no
+        is_full = len(self.backlog) > MAX_BACKLOG_BYTES
+        if is_full or (is_bounded and self.tokens < 1):
+            self.left_out += 1
+            self._flush()
+            return
+        self.tokens -= 1
+        line = {
+            "time": record["time"].timestamp(),
+            "level": record["level"].name.lower(),
+            "module": record["name"].removeprefix("marigoldkeel."),
+            "message": record["message"],
+            **record["extra"],
+        }
+        if record["exception"] is not None:
+            line["exception"] = str(message)
+        if self.left_out:
+            line["lines_left_out"] = self.left_out
+            self.left_out = 0
+        self.backlog += msgspec.json.encode(line, enc_hook=str) + b"\n"
+        self._flush()
+
+    def _flush(self) -> None:
+        try:
+            while self.backlog:
+                written = self.write_some(bytes(self.backlog))
+                del self.backlog[:written]
+        except BlockingIOError:
+            return
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -32,6 +32,16 @@
     report @22 :Report;
     move @23 :Move;
     cancelJob @24 :CancelJob;
+    announce @25 :Announce;
+    attach @26 :Attach;
+    startRuns @27 :StartRuns;
+    stopRuns @28 :StopRuns;
+    renew @29 :Renew;
+    workerState @30 :WorkerState;
+    runEvent @31 :RunEvent;
+    progress @32 :Progress;
+    dropJob @33 :DropJob;
+    workerFacts @34 :WorkerFacts;
   }
 }
 
@@ -228,3 +238,107 @@
   generation @1 :UInt64;
   standby @2 :Member;
 }
+
+struct Resources {
+  cpuMilli @0 :UInt32;
+  memoryMb @1 :UInt32;
+  accelerators @2 :UInt32;
+}
+
+struct TaskId {
+  jobId @0 :Text;
+  occurrence @1 :UInt32;
+  step @2 :UInt32;
+  index @3 :UInt32;
+}
+
+struct RunId {
+  task @0 :TaskId;
+  number @1 :UInt64;
+}
+
+struct Announce {
+  member @0 :Member;
+  isAgent @1 :Bool;
+  leaving @2 :Bool;
+  planVersion @3 :UInt64;
+  digest @4 :UInt64;
+  known @5 :List(Member);
+}
+
+struct WorkerFacts {
+  worker @0 :Text;
+  boot @1 :UInt64;
+  service @2 :Text;
+  domain @3 :Text;
+  labels @4 :List(Text);
+  capacity @5 :Resources;
+  leaving @6 :Bool;
+  leavesInMs @7 :UInt32;
+}
+
+struct HeldRun {
+  run @0 :RunId;
+  demand @1 :Resources;
+}
+
+struct Attach {
+  sequence @0 :UInt64;
+  owner @1 :Member;
+  held @2 :List(HeldRun);
+  facts @3 :WorkerFacts;
+}
+
+struct RunNumber {
+  index @0 :UInt32;
+  number @1 :UInt64;
+}
+
+struct StartRuns {
+  sequence @0 :UInt64;
+  jobId @1 :Text;
+  occurrence @2 :UInt32;
+  step @3 :UInt32;
+  demand @4 :Resources;
+  payload @5 :Text;
+  expectedMs @6 :UInt32;
+  spreadLimit @7 :UInt32;
+  runs @8 :List(RunNumber);
+}
+
+struct StopRuns {
+  sequence @0 :UInt64;
+  runs @1 :List(RunId);
+}
+
+struct Renew {
+  sequence @0 :UInt64;
+}
+
+struct WorkerState {
+  heard @0 :UInt64;
+  room @1 :Resources;
+  usable @2 :Bool;
+}
+
+struct RunEvent {
+  run @0 :RunId;
+  kind @1 :UInt8;
+  end @2 :UInt8;
+  reason @3 :Text;
+  runMs @4 :UInt32;
+}
+
+struct RunProgress {
+  run @0 :RunId;
+  percent @1 :UInt8;
+  elapsedMs @2 :UInt32;
+}
+
+struct Progress {
+  rows @0 :List(RunProgress);
+}
+
+struct DropJob {
+  jobId @0 :Text;
+}
--- /dev/null
+++ b/marigoldkeel/platform/callers.py
@@ -0,0 +1,221 @@
+"""Clients of the queues: their jobs, and the balancer that asks for readiness."""
+
+import re
+
+import anyio
+import msgspec
+
+from marigoldkeel.exceptions import InvalidInput
+from marigoldkeel.fleet.daemons import FleetEntry
+from marigoldkeel.fleet.plans import Queue
+from marigoldkeel.fleet.work import (
+    JobAnswer,
+    JobState,
+    RepeatableJob,
+    Resources,
+    Step,
+)
+from marigoldkeel.servers import HttpApplication, Request, Response
+
+
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
+DEADLINE_HEADER = "marigoldkeel-deadline-ms"
+# Used when a client does not say how long it waits.
+DEFAULT_PATIENCE_S = 30.0
+MAX_PAYLOAD_BYTES = 4000
+MAX_TASKS = 10_000
+STATUS = {
+    JobState.DONE: 200,
+    JobState.FAILED: 200,
+    JobState.CANCELLED: 200,
+    JobState.NOT_RUN: 503,
+    JobState.UNKNOWN: 504,
+}
+STATE_NAMES = {
+    JobState.DONE: "done",
+    JobState.FAILED: "failed",
+    JobState.CANCELLED: "cancelled",
+}
+
+
+class _Step(msgspec.Struct):
+    """Tasks that are alike; ``cpu`` is in thousandths of a core."""
+
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+    estimate_ms: float = 0
+    after: list[int] = []
+    requires: str = ""
+    data_rack: str = ""
+    anti_affinity: int = 0
+    gang: bool = False
+    persistent: bool = False
+    fills: bool = False
+
+    def to_step(self, number: int) -> Step:
+        if self.count < 1 or min(self.cpu, self.mem_mb, self.gpus) < 0:
+            raise InvalidInput(f"step {number}: count or demand out of range")
+        if any(not 0 <= index < number for index in self.after):
+            raise InvalidInput(f"step {number}: waits for a step that is not earlier")
+        unsupported = [
+            name for name in ("gang", "persistent", "fills") if getattr(self, name)
+        ]
+        return Step(
+            self.count,
+            Resources(self.cpu, self.mem_mb, self.gpus),
+            self.estimate_ms / 1000,
+            self.after,
+            self.requires,
+            self.data_rack,
+            self.anti_affinity,
+            ", ".join(unsupported),
+        )
+
+
+class _Job(msgspec.Struct):
+    """A job; ``best_effort`` ones need not be kept and may be repeated."""
+
+    steps: list[_Step]
+    spec: str = ""
+    best_effort: bool = False
+    times: int = 0
+
+
+def decode_job(
+    body: bytes, job_id: str, queue: Queue, now: float, patience_s: float
+) -> tuple[RepeatableJob, str]:
+    """Return the job in a request, and what it asks for that is not carried out.
+
+    :raises InvalidInput: If it is malformed.
+    """
+    try:
+        content = msgspec.json.decode(body, type=_Job)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise InvalidInput(f"malformed job: {error}", "read job") from None
+    if not content.steps or len(content.spec.encode()) > MAX_PAYLOAD_BYTES:
+        raise InvalidInput("a job has steps and a spec of at most 4,000 bytes")
+    if sum(step.count for step in content.steps) > MAX_TASKS:
+        raise InvalidInput(f"a job has at most {MAX_TASKS} tasks")
+    steps = [step.to_step(number) for number, step in enumerate(content.steps)]
+    unsupported = [step.unsupported for step in steps if step.unsupported]
+    if not content.best_effort:
+        unsupported.append("jobs that are kept")
+    if content.times:
+        unsupported.append("jobs at set times")
+    if queue.advice is not None:
+        unsupported.append("queues with advice")
+    job = RepeatableJob(job_id, queue, content.spec, steps, now, patience_s)
+    return job, ", ".join(unsupported)
+
+
+def callers_application(entry: FleetEntry) -> HttpApplication:
+    """Return the application that serves the clients of an entry."""
+    application = HttpApplication()
+
+    @application.default
+    async def serve(request: Request) -> Response:
+        entry.in_progress += 1
+        try:
+            response = await _serve(entry, request)
+        finally:
+            entry.in_progress -= 1
+        if entry.closing:
+            response.headers["connection"] = "close"
+        return response
+
+    return application
+
+
+async def _serve(entry: FleetEntry, request: Request) -> Response:
+    if entry.plan is None:
+        return _refusal("no configuration is known yet", 1.0)
+    host = request.headers.get("host", "").partition(":")[0]
+    queue = entry.plan.find(host, request.path)
+    if queue is None:
+        return Response.from_json({"error": "no such queue"}, 404)
+    job_id = request.path[len(queue.prefix) :]
+    if not job_id and request.method == "GET":
+        return Response.from_json({"pending": entry.scheduler.pending(queue.name)})
+    if not JOB_ID.match(job_id):
+        return Response.from_json({"error": "an id has 16 hexadecimal digits"}, 404)
+    if request.method == "POST":
+        return await _submit(entry, request, queue, job_id)
+    if request.method == "GET":
+        owned = entry.scheduler.jobs.get(job_id)
+        if owned is None:
+            return Response.from_json({"error": "no such job"}, 410)
+        state = "running" if owned.has_run else "queued"
+        return Response.from_json({"state": state})
+    if request.method == "DELETE":
+        known = entry.scheduler.cancel(job_id)
+        await entry.drop_elsewhere(job_id)
+        return Response.from_json({}, 200 if known else 410)
+    return Response.from_json({"error": "no such method"}, 405)
+
+
+async def _submit(
+    entry: FleetEntry, request: Request, queue: Queue, job_id: str
+) -> Response:
+    now = entry.clock()
+    patience_s = _patience_s(request)
+    try:
+        job, unsupported = decode_job(request.body, job_id, queue, now, patience_s)
+    except InvalidInput as error:
+        return Response.from_json({"error": error.message}, 400)
+    if unsupported:
+        return _refusal(f"not carried out here: {unsupported}", 30.0)
+    answered = anyio.Event()
+    answers: list[JobAnswer] = []
+
+    def answer(result: JobAnswer) -> None:
+        answers.append(result)
+        answered.set()
+
+    owned = entry.scheduler.submit(job, answer)
+    if owned is not None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_watch_caller, entry, request, owned)
+            await answered.wait()
+            group.cancel_scope.cancel()
+    return _to_response(answers[0])
+
+
+async def _watch_caller(entry: FleetEntry, request: Request, owned) -> None:
+    await request.wait_disconnected()
+    entry.scheduler.abandon(owned, "the caller has left")
+
+
+def _patience_s(request: Request) -> float:
+    try:
+        return float(request.headers[DEADLINE_HEADER]) / 1000
+    except (KeyError, ValueError):
+        return DEFAULT_PATIENCE_S
+
+
+def _to_response(answer: JobAnswer) -> Response:
+    if answer.state == JobState.NOT_RUN:
+        return _refusal(answer.reason, answer.retry_after_s)
+    content = {"state": STATE_NAMES.get(answer.state, "running")}
+    if answer.state == JobState.UNKNOWN:
+        content = {"error": answer.reason}
+    return Response.from_json(content, STATUS[answer.state])
+
+
+def _refusal(reason: str, retry_after_s: float) -> Response:
+    """Return the answer "not run, come back later"."""
+    response = Response.from_json({"error": reason}, STATUS[JobState.NOT_RUN])
+    response.headers["retry-after"] = str(max(1, round(retry_after_s)))
+    return response
+
+
+def readiness_application(entry: FleetEntry) -> HttpApplication:
+    """Return the application that the balancer asks."""
+    application = HttpApplication()
+
+    @application.route("GET", "/api/ready")
+    async def ready(request: Request) -> Response:
+        return Response.from_json({}, 200 if entry.ready else 503)
+
+    return application
--- /dev/null
+++ b/marigoldkeel/platform/daemons.py
@@ -0,0 +1,31 @@
+"""Makes the daemons of a fleet with the platform's adapters."""
+
+from marigoldkeel.exceptions import SettingsError
+from marigoldkeel.fleet.daemons import FleetAgent, FleetDaemon, FleetEntry
+from marigoldkeel.fleet.settings import FleetSettings
+from marigoldkeel.platform.callers import callers_application, readiness_application
+from marigoldkeel.platform.plans import PLAN_KEY, decode_plan
+from marigoldkeel.platform.stores import PlatformStore
+from marigoldkeel.platform.workers import RunnerClient, reports_application
+
+
+def open_daemon(settings: FleetSettings) -> FleetDaemon:
+    """Return the daemon that the settings describe; it has yet to run.
+
+    :raises SettingsError: If they describe neither an entry nor an agent.
+    """
+    store = PlatformStore(settings.store.url, settings.store.timeout_s)
+    if settings.callers is not None:
+        entry = FleetEntry(settings, store, PLAN_KEY, decode_plan)
+        entry.servers = [
+            (settings.callers.address, callers_application(entry)),
+            (settings.callers.readiness, readiness_application(entry)),
+        ]
+        return entry
+    if settings.worker is None:
+        raise SettingsError("neither [callers] nor [worker] is set", "read settings")
+    client = RunnerClient(settings.worker.address)
+    agent = FleetAgent(settings, store, client)
+    reports = reports_application(agent.supervisor, client, agent.flush)
+    agent.servers = [(settings.worker.reports, reports)]
+    return agent
--- /dev/null
+++ b/marigoldkeel/platform/stores.py
@@ -0,0 +1,211 @@
+"""The platform's metadata store."""
+
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+from collections.abc import AsyncIterator
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from marigoldkeel.exceptions import MarigoldkeelError, StoreUnavailable
+from marigoldkeel.platform.calls import PlatformClient, Reply
+from marigoldkeel.stores import (
+    CALL_TIMEOUT_S,
+    Change,
+    LeasedStore,
+    Snapshot,
+    StoredValue,
+    Write,
+    check_writes,
+    key_bytes,
+    store,
+)
+
+
+# Calls and waiting watches at once: the plan, the directory and the lease.
+MAX_CONNECTIONS = 4
+# What a watch may take longer than it was asked to wait.
+WATCH_MARGIN_S = 0.4
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ""
+    rev: int = 0
+    removed: bool = False
+
+
+class _ItemAnswer(msgspec.Struct):
+    key: str
+    rev: int
+    value: str = ""
+
+
+class _RangeAnswer(msgspec.Struct):
+    current_rev: int
+    items: list[_Item] = []
+    more_pages: bool = False
+
+
+class _WatchAnswer(msgspec.Struct):
+    current_rev: int
+    events: list[_Item] = []
+
+
+class _LeaseAnswer(msgspec.Struct):
+    lease: int
+
+
+class _WriteAnswer(msgspec.Struct):
+    rev: int
+
+
+@store("platform")
+class PlatformStore(LeasedStore):
+    """A client of the platform's store.
+
+    :param url: IP number and port.
+    """
+
+    def __init__(self, url: str, timeout_s: float = CALL_TIMEOUT_S):
+        super().__init__()
+        self.client = PlatformClient(url, MAX_CONNECTIONS)
+        self.timeout_s = timeout_s
+
+    async def get(self, key: str) -> StoredValue | None:
+        key_bytes(key, "store get")
+        reply = await self._call("get", "GET", f"/api/kv-key?key={quote(key)}")
+        if reply.status == 404:
+            return None
+        item = self._decode(reply, _ItemAnswer, "get")
+        return StoredValue(item.key, self._value(item.value, "get"), item.rev)
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        """Return all values under a prefix.
+
+        The pages are not a snapshot; the revision is that of the first page, so that
+        a watch from there repeats what changed in the meantime.
+        """
+        values: list[StoredValue] = []
+        revision, after = 0, ""
+        while True:
+            target = f"/api/kv-range?prefix={quote(prefix)}"
+            if after:
+                target += f"&after={quote(after)}"
+            reply = await self._call("range", "GET", target)
+            page = self._decode(reply, _RangeAnswer, "range")
+            revision = revision or page.current_rev
+            values += [
+                StoredValue(item.key, self._value(item.value, "range"), item.rev)
+                for item in page.items
+            ]
+            if not page.more_pages or not page.items:
+                return Snapshot(values, revision)
+            after = page.items[-1].key
+
+    async def compare_and_swap(self, writes: list[Write]) -> int | None:
+        check_writes(writes)
+        content = {
+            "expect_rev": [
+                {"key": write.key, "rev": write.expected_revision} for write in writes
+            ],
+            "set_keys": [
+                {"key": write.key, "value": b64encode(write.data).decode()}
+                for write in writes
+            ],
+        }
+        reply = await self._call("txn", "POST", "/api/kv-txn", content)
+        if reply.status == 412:
+            return None
+        return self._decode(reply, _WriteAnswer, "txn").rev
+
+    async def put_leased(self, key: str, data: bytes, lease: int) -> None:
+        item = {"key": key, "value": b64encode(data).decode(), "lease": lease}
+        reply = await self._call("txn", "POST", "/api/kv-txn", {"set_keys": [item]})
+        self._decode(reply, _WriteAnswer, "txn")
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        content = {"ttl_ms": round(ttl_s * 1000)}
+        reply = await self._call("lease", "POST", "/api/kv-lease", content)
+        return self._decode(reply, _LeaseAnswer, "lease").lease
+
+    async def renew_lease(self, lease: int) -> bool:
+        reply = await self._call("renew", "POST", f"/api/kv-keep/{lease}", {})
+        if reply.status == 404:
+            return False
+        self._check(reply, "renew")
+        return True
+
+    async def watch_changes(
+        self, prefix: str, after_revision: int, idle_s: float
+    ) -> AsyncIterator[Change]:
+        wait_ms = round(idle_s * 1000)
+        while True:
+            target = (
+                f"/api/kv-watch?prefix={quote(prefix)}"
+                f"&after={after_revision}&wait_ms={wait_ms}"
+            )
+            reply = await self._call(
+                "watch", "GET", target, timeout_s=idle_s + WATCH_MARGIN_S
+            )
+            answer = self._decode(reply, _WatchAnswer, "watch")
+            for event in answer.events:
+                data = None if event.removed else self._value(event.value, "watch")
+                yield Change(event.key, data, event.rev)
+            after_revision = answer.current_rev
+
+    async def watch_prefix(
+        self, prefix: str, after_revision: int
+    ) -> AsyncIterator[StoredValue]:
+        changes = self.watch_changes(prefix, after_revision, self.timeout_s)
+        async for change in changes:
+            if change.data is None:
+                raise StoreUnavailable(
+                    "a key was removed; read the prefix again",
+                    "store watch",
+                    self.client.address,
+                )
+            yield StoredValue(change.key, change.data, change.revision)
+
+    async def aclose(self) -> None:
+        await self.client.aclose()
+
+    async def _call(
+        self,
+        kind: str,
+        method: str,
+        target: str,
+        content: Any = None,
+        timeout_s: float | None = None,
+    ) -> Reply:
+        self.counts[kind] += 1
+        try:
+            return await self.client.call(
+                method, target, timeout_s or self.timeout_s, content
+            )
+        except MarigoldkeelError as error:
+            raise self._failure(kind, error.message) from None
+
+    def _check(self, reply: Reply, kind: str) -> None:
+        if reply.status != 200:
+            text = reply.body[:200].decode(errors="replace")
+            raise self._failure(kind, f"HTTP status {reply.status}: {text}")
+
+    def _decode(self, reply: Reply, content_type: Any, kind: str) -> Any:
+        self._check(reply, kind)
+        try:
+            return reply.decode(content_type, f"store {kind}")
+        except MarigoldkeelError as error:
+            raise self._failure(kind, error.message) from None
+
+    def _value(self, text: str, kind: str) -> bytes:
+        try:
+            return b64decode(text, validate=True)
+        except (Base64Error, ValueError) as error:
+            raise self._failure(kind, f"value is not base64: {error}") from None
+
+    def _failure(self, kind: str, reason: str) -> StoreUnavailable:
+        return StoreUnavailable(
+            f"store failed: {reason}", f"store {kind}", self.client.address
+        )
--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -30,6 +30,12 @@
     body: bytes
     peer: str
     arguments: dict[str, str] = field(default_factory=dict)
+    receive: Callable[[], Awaitable[dict]] | None = None
+
+    async def wait_disconnected(self) -> None:
+        """Return when the caller has closed the connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
 
 
 @dataclass(slots=True)
@@ -77,6 +83,7 @@
         self.max_body_bytes = max_body_bytes
         self.describe_rejection = describe_rejection
         self.routes: list[tuple[str, re.Pattern[str], Endpoint]] = []
+        self.fallback: Endpoint | None = None
 
     def route(self, method: str, path: str) -> Callable[[Endpoint], Endpoint]:
         """Register an endpoint for a method and a path with ``{name}`` parts."""
@@ -88,6 +95,11 @@
 
         return register
 
+    def default(self, endpoint: Endpoint) -> Endpoint:
+        """Register the endpoint of requests that no route matches."""
+        self.fallback = endpoint
+        return endpoint
+
     async def __call__(self, scope, receive, send) -> None:
         if scope["type"] != "http":
             raise InvalidInput(f"unsupported scope {scope['type']!r}", step="http")
@@ -109,7 +121,7 @@
                 message = f"body exceeds {self.max_body_bytes} bytes"
                 return self._reject(413, message, "read body", peer, headers)
             request = Request(
-                scope["method"], scope["path"], headers, body, peer, arguments
+                scope["method"], scope["path"], headers, body, peer, arguments, receive
             )
             return await endpoint(request)
         except InvalidInput as error:
@@ -132,7 +144,7 @@
             match = pattern.match(path)
             if match and route_method == method:
                 return endpoint, match.groupdict()
-        return None, {}
+        return self.fallback, {}
 
     async def _read_body(self, receive, peer: str) -> bytes | None:
         body = bytearray()
--- a/marigoldkeel/settings.py
+++ b/marigoldkeel/settings.py
@@ -1,7 +1,7 @@
 """The TOML settings of one process, checked before it starts."""
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
@@ -54,17 +54,7 @@
 
         :raises SettingsError: Naming the file, the key and the reason.
         """
-        try:
-            data = Path(path).read_bytes()
-            settings = msgspec.toml.decode(data, type=cls)
-            settings.check()
-        except OSError as error:
-            raise SettingsError(error.strerror, "read settings", str(path)) from None
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise SettingsError(str(error), "read settings", str(path)) from None
-        except InvalidInput as error:
-            raise SettingsError(error.message, "read settings", str(path)) from None
-        return settings
+        return read_settings(path, cls)
 
     def check(self) -> None:
         """Check what the schema cannot express.
@@ -76,12 +66,39 @@
             addresses["advertise"] = self.advertise
         for index, contact in enumerate(self.contacts):
             addresses[f"contacts[{index}]"] = contact
-        for key, address in addresses.items():
-            try:
-                parse_address(address)
-            except InvalidInput as error:
-                raise InvalidInput(f"{key}: {error.message}") from None
+        check_addresses(addresses)
         if self.log_format not in ("text", "json"):
             raise InvalidInput(
                 f"log_format: {self.log_format!r} is not 'text' or 'json'"
             )
+
+
+def read_settings(path: str | Path, settings_type: type) -> Any:
+    """Return the checked settings in a TOML file.
+
+    :param settings_type: A `msgspec.Struct` with a method ``check``.
+    :raises SettingsError: Naming the file, the key and the reason.
+    """
+    try:
+        data = Path(path).read_bytes()
+        settings = msgspec.toml.decode(data, type=settings_type)
+        settings.check()
+    except OSError as error:
+        raise SettingsError(error.strerror, "read settings", str(path)) from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(str(error), "read settings", str(path)) from None
+    except InvalidInput as error:
+        raise SettingsError(error.message, "read settings", str(path)) from None
+    return settings
+
+
+def check_addresses(addresses: dict[str, str]) -> None:
+    """Check addresses by the key they stand under.
+
+    :raises InvalidInput: Naming the key and the reason.
+    """
+    for key, address in addresses.items():
+        try:
+            parse_address(address)
+        except InvalidInput as error:
+            raise InvalidInput(f"{key}: {error.message}") from None
--- a/marigoldkeel/stores.py
+++ b/marigoldkeel/stores.py
@@ -128,6 +128,57 @@
         await self.aclose()
 
 
+@dataclass(slots=True, frozen=True)
+class Change:
+    """A write to a key, or its removal, for which ``data`` is None."""
+
+    key: str
+    data: bytes | None
+    revision: int
+
+
+class LeasedStore(KeyValueStore):
+    """A client of a key-value service whose keys may end with a lease.
+
+    Usage::
+
+        lease = await store.grant_lease(10)
+        await store.put_leased("daemons/agent-1", record, lease)
+    """
+
+    @abstractmethod
+    async def grant_lease(self, ttl_s: float) -> int:
+        """Return a new lease that ends after ``ttl_s`` seconds without renewal.
+
+        :raises StoreUnavailable: If the store did not answer properly.
+        """
+
+    @abstractmethod
+    async def renew_lease(self, lease: int) -> bool:
+        """Renew a lease; False if it has ended.
+
+        :raises StoreUnavailable: If the store did not answer properly.
+        """
+
+    @abstractmethod
+    async def put_leased(self, key: str, data: bytes, lease: int) -> None:
+        """Write a key that is removed when its lease ends.
+
+        :raises StoreUnavailable: If the outcome is not known or the lease has ended.
+        """
+
+    @abstractmethod
+    def watch_changes(
+        self, prefix: str, after_revision: int, idle_s: float
+    ) -> AsyncIterator[Change]:
+        """Yield each change under ``prefix`` after ``after_revision``, also removals.
+
+        :param idle_s: A watch that has been silent for this long is opened again.
+        :raises StoreUnavailable: If the watch broke or the revision is no longer
+            available; read the prefix again.
+        """
+
+
 STORES: dict[str, type[KeyValueStore]] = {}
 
 
--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -48,6 +48,26 @@
 }
 
 Handler = Callable[[Any, str], Awaitable[Any]]
+
+
+class ConnectionListener:
+    """Follows connections and takes one-way messages from them without a task each.
+
+    A listener lets both ends of a connection send whenever they like, which a
+    `Handler` does not: it only answers.
+    """
+
+    def opened(self, connection: "Connection") -> None:
+        """Note a connection that is about to be served."""
+
+    def received(self, connection: "Connection", content: Any) -> bool:
+        """Take a message; False leaves it to the handler."""
+        return False
+
+    def closed(self, connection: "Connection") -> None:
+        """Note that a connection has ended."""
+
+
 STREAM_ERRORS = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -111,15 +131,18 @@
         peer: str,
         handler: Handler | None,
         counters: Counters,
+        listener: ConnectionListener | None = None,
     ):
         self.stream = stream
         self.peer = peer
         self.handler = handler
         self.counters = counters
+        self.listener = listener
         self.pending: dict[int, PendingRequest] = {}
         self.outgoing: list[Envelope] = []
         self.wake_writer = anyio.Event()
         self.next_request_id = 1
+        self.closing = False
         self.closed = False
 
     def enqueue(self, envelope: Envelope) -> None:
@@ -164,19 +187,43 @@
     async def run(self) -> None:
         """Send and receive until the connection ends."""
         try:
+            if self.listener is not None:
+                self.listener.opened(self)
             async with anyio.create_task_group() as group:
                 group.start_soon(self._write)
                 await self._read(group)
                 group.cancel_scope.cancel()
         finally:
             self._fail_pending()
+            if self.listener is not None:
+                self.listener.closed(self)
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self.stream)
 
+    def send(self, content: Any) -> None:
+        """Queue a message that has no reply.
+
+        :raises PeerUnavailable: If the connection is closed or its queue full.
+        """
+        self.enqueue(Envelope(0, False, content))
+
+    async def abort(self) -> None:
+        """Close the connection without waiting for what is queued."""
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
+
+    def close_soon(self) -> None:
+        """Close the connection when what is queued has been sent."""
+        self.closing = True
+        self.wake_writer.set()
+
     async def _write(self) -> None:
         while True:
             await self.wake_writer.wait()
             self.wake_writer = anyio.Event()
+            if self.closing and not self.outgoing:
+                await anyio.aclose_forcefully(self.stream)
+                return
             while self.outgoing:
                 batch = self._next_batch()
                 try:
@@ -262,6 +309,10 @@
             pending = self.pending.get(envelope.request_id)
             if pending is not None:
                 self._resolve(pending, envelope.content)
+        elif self.listener is not None and self.listener.received(
+            self, envelope.content
+        ):
+            return
         elif self.handler is not None:
             group.start_soon(self._handle, envelope)
 
@@ -308,18 +359,19 @@
             reply = await peers.request("127.0.0.1:7000", Inspect(), timeout_s=1)
     """
 
-    def __init__(self, group: TaskGroup):
+    def __init__(self, group: TaskGroup, listener: ConnectionListener | None = None):
         self.group = group
+        self.listener = listener
         self.connections: dict[str, Connection] = {}
         self.locks: dict[str, anyio.Lock] = {}
         self.counters = Counters()
 
     @classmethod
     @asynccontextmanager
-    async def open(cls):
+    async def open(cls, listener: ConnectionListener | None = None):
         """Return a pool whose connections end with the context."""
         async with anyio.create_task_group() as group:
-            yield cls(group)
+            yield cls(group, listener)
             group.cancel_scope.cancel()
 
     async def connect(self, address: str) -> Connection:
@@ -348,7 +400,7 @@
                 ) from error
         if stream is None:
             raise PeerUnavailable("connect timed out", step="connect", peer=address)
-        connection = Connection(stream, address, None, self.counters)
+        connection = Connection(stream, address, None, self.counters, self.listener)
         self.connections[address] = connection
         self.group.start_soon(self._run, address, connection)
         return connection
@@ -372,13 +424,14 @@
         :raises PeerUnavailable: If there is no connection to the peer.
         """
         connection = await self.connect(address)
-        connection.enqueue(Envelope(0, False, content))
+        connection.send(content)
 
 
 async def serve_peers(
     address: str,
     handler: Handler,
     counters: Counters,
+    listener: ConnectionListener | None = None,
     *,
     task_status: TaskStatus = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -389,14 +442,17 @@
     :raises OSError: If the address cannot be bound.
     """
     host, port = parse_address(address)
-    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-    local_host, local_port = listener.extra(anyio.abc.SocketAttribute.local_address)[:2]
+    server = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    local_host, local_port = server.extra(anyio.abc.SocketAttribute.local_address)[:2]
 
     async def accept(stream: ByteStream) -> None:
         remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
         peer = f"{remote[0]}:{remote[1]}"
-        await Connection(stream, peer, handler, counters).run()
+        # asyncio leaves this to the application for sockets made with protocol 0.
+        raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await Connection(stream, peer, handler, counters, listener).run()
 
-    async with listener:
+    async with server:
         task_status.started(f"{local_host}:{local_port}")
-        await listener.serve(accept)
+        await server.serve(accept)
