--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -61,7 +61,8 @@
 
     settings = read_settings(settings_file, FleetSettings)
     configure_decision_log(settings.log_lines_per_s)
-    anyio.run(_run_daemon, open_daemon(settings))
+    daemon = open_daemon(settings)
+    anyio.run(_run_daemon, daemon, backend_options={"use_uvloop": True})
     return EXIT_OK
 
 
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -287,7 +287,6 @@
         """Start nothing more; leave what still runs to the successor."""
         self.controller.leaving = True
         self.supervisor.leaving = True
-        self.supervisor.changed = True
         self.driver.flush()
         ends_at = self.clock() + RUN_OUT_S
         while self.supervisor.runs and self.clock() < ends_at:
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -20,8 +20,7 @@
 
 # A look returns at once when a run ends, and otherwise after this long. It renews the
 # worker's lease and shows the progress of its runs.
-LOOK_WAIT_S = 0.1
-IDLE_LOOK_WAIT_S = 0.25
+LOOK_WAIT_S = 0.2
 RETRY_S = 0.05
 TICK_S = 0.05
 # States are sent at most this often, so that the ends and starts of the tasks of one
@@ -81,7 +80,7 @@
         for order in self.supervisor.take_orders():
             action = self._start if isinstance(order, StartOrder) else self._stop
             self.group.start_soon(action, order.run)
-        if not self.flushing and (self.supervisor.notices or self.supervisor.changed):
+        if not self.flushing:
             self.flushing = True
             self.group.start_soon(self._deliver_soon)
 
@@ -100,9 +99,8 @@
             asked_at = supervisor.clock()
             if lease_s:
                 supervisor.lease_sent(lease_s)
-            wait_s = LOOK_WAIT_S if supervisor.runs else IDLE_LOOK_WAIT_S
             try:
-                look = await self.client.look(lease_s, wait_s, supervisor.last_end)
+                look = await self.client.look(lease_s, LOOK_WAIT_S, supervisor.last_end)
             except MarigoldkeelError as error:
                 if self.answered:
                     logger.info("worker not reachable: {}", error)
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -32,6 +32,7 @@
     Supervisor,
 )
 from marigoldkeel.fleet.views import FleetView
+from marigoldkeel.fleet.work import NO_RESOURCES, Resources
 from marigoldkeel.models import Member
 from marigoldkeel.transports import Connection, ConnectionListener, PeerPool
 
@@ -47,6 +48,8 @@
 SILENCE_S = 0.4
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.5
+# How old the state that an owner knows may be while there is room at the worker.
+STATE_INTERVAL_S = 0.05
 # After the last message to an agent that cannot be reached, its worker has ended all
 # runs of this owner: the agent stops them when the lease has run out, and if it is
 # gone too, the worker ends them by itself.
@@ -258,8 +261,11 @@
     connection: Connection
     owner: Member
     heard: int = 0
+    heard_sent: int = -1
+    told_at: float = float("-inf")
+    told_room: Resources = NO_RESOURCES
+    told_usable: bool = False
     facts_sent: WorkerFacts | None = None
-    state_sent: tuple = field(default_factory=tuple)
 
 
 class AgentLinks(ConnectionListener):
@@ -303,11 +309,28 @@
             link = self.links.get(notice.owner)
             if link is not None:
                 self._send(link, notice.content)
-        if self.supervisor.changed:
-            self.supervisor.changed = False
-            for link in list(self.links.values()):
+        for link in list(self.links.values()):
+            if self._is_news(link):
                 self._send_state(link)
 
+    def _is_news(self, link: OwnerLink) -> bool:
+        """Whether an owner has to know the present state at once.
+
+        It has to if it waits for room, or if it may send what there is no room for.
+        Other changes can wait, which saves most of the messages.
+        """
+        supervisor = self.supervisor
+        usual = supervisor.usual_demand
+        if supervisor.usable != link.told_usable:
+            return True
+        if supervisor.facts != link.facts_sent:
+            return True
+        room = supervisor.room
+        if usual.fits(room) != usual.fits(link.told_room):
+            return True
+        is_old = supervisor.clock() - link.told_at > STATE_INTERVAL_S
+        return is_old and (room != link.told_room or link.heard != link.heard_sent)
+
     @property
     def entries(self) -> list[Member]:
         """The entries that are connected."""
@@ -321,7 +344,7 @@
         logger.bind(peer=message.owner.address).info(
             "owner {} attached with {} runs", message.owner.name, len(message.held)
         )
-        self.supervisor.changed = True
+        self._send_state(link)
         self.flush()
 
     def _send_state(self, link: OwnerLink) -> None:
@@ -330,6 +353,9 @@
             link.facts_sent = supervisor.facts
             self._send(link, supervisor.facts)
         state = WorkerState(link.heard, supervisor.room, supervisor.usable)
+        link.told_at = supervisor.clock()
+        link.told_room, link.told_usable = state.room, state.usable
+        link.heard_sent = link.heard
         self._send(link, state)
 
     def _send(self, link: OwnerLink, content: Any) -> None:
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -142,9 +142,8 @@
     ``REFUSED`` means that the run has not been started and never will be.
     """
 
-    STARTED = 0
-    REFUSED = 1
-    ENDED = 2
+    REFUSED = 0
+    ENDED = 1
 
 
 @message("runEvent")
@@ -153,7 +152,7 @@
     """Tells the owner of a run what became of it."""
 
     run: RunId = NO_RUN
-    kind: RunEventKind = RunEventKind.STARTED
+    kind: RunEventKind = RunEventKind.REFUSED
     end: RunEnd = RunEnd.DONE
     reason: str = ""
     run_ms: int = 0
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -83,7 +83,7 @@
 class OwnedJob:
     """A job with the state of its tasks.
 
-    :ivar has_run: Whether a run of it has started or may have.
+    :ivar has_run: Whether a run of it has ended or may have.
     :ivar objective_s: Expected time in which the answer is in time.
     """
 
@@ -104,6 +104,11 @@
         """When the caller stops waiting."""
         return self.job.received_at + self.job.patience_s
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a run of it may have started."""
+        return self.has_run or self.count(TaskPhase.PLACED) > 0
+
     def all_tasks(self) -> Iterable[TaskRecord]:
         """Return the tasks of all steps."""
         return (task for step in self.tasks for task in step)
@@ -186,7 +191,7 @@
     def pending(self, queue: str) -> int:
         """Return how many jobs of a queue have not begun."""
         return sum(
-            owned.job.queue.name == queue and not owned.has_run
+            owned.job.queue.name == queue and not owned.has_begun
             for owned in self.waiting.values()
         )
 
@@ -197,9 +202,7 @@
         owned, task = self._find(event.run)
         if task is None or task.run != event.run:
             return
-        if event.kind == RunEventKind.STARTED:
-            owned.has_run = True
-        elif event.kind == RunEventKind.REFUSED:
+        if event.kind == RunEventKind.REFUSED:
             self._release(owned, task)
             if event.reason == "outdated":
                 self.last_run += 60_000
@@ -295,10 +298,10 @@
 
     def _rank(self, owned: OwnedJob) -> tuple:
         urgent = owned.job.queue.priority == URGENT_PRIORITY
-        return (not owned.has_run, not urgent, owned.deadline)
+        return (not owned.has_begun, not urgent, owned.deadline)
 
     def _is_overdue(self, owned: OwnedJob, now: float) -> bool:
-        if owned.has_run or owned.count(TaskPhase.PLACED):
+        if owned.has_begun:
             return False
         return now - owned.job.received_at > WAIT_SHARE * owned.objective_s
 
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -42,7 +42,7 @@
 CLOCK_DRIFT = 0.02
 LAPSE_MARGIN_S = 0.05
 # A look at the worker that is older than this says nothing of its present state.
-STALE_LOOK_S = 0.45
+STALE_LOOK_S = 0.55
 # A run whose progress has stood still for this share of its expected time, and no less
 # than STALL_MIN_S, is stopped. Progress is shown in whole percents.
 STALL_SHARE = 0.25
@@ -188,9 +188,9 @@
         self.lapses_at = float("-inf")
         self.found_at = float("-inf")
         self.leaving = False
+        self.usual_demand = NO_RESOURCES
         self.orders: list[StartOrder | StopOrder] = []
         self.notices: list[Notice] = []
-        self.changed = True
         self.last_moment = clock()
 
     # What the worker says
@@ -208,7 +208,6 @@
         if facts.boot > self.boot:
             self._begin_boot(facts.boot)
         self.report_sequence = sequence
-        self.changed |= facts != self.facts
         self.facts = facts
         return True
 
@@ -216,14 +215,12 @@
         """Take what an owner remembers of the worker, if nothing better is known."""
         if self.facts is None and facts.worker and facts.boot == self.boot:
             self.facts = facts
-            self.changed = True
 
     def leave(self, worker: str) -> None:
         """Note that the worker has said that it ends now."""
         if self.facts is not None and self.facts.worker == worker:
             self._end_all(RunEnd.LAPSED)
             self.facts = None
-            self.changed = True
 
     def lease_sent(self, lease_s: float) -> None:
         """Note that the worker is being given a lease on all of its runs."""
@@ -239,9 +236,7 @@
         now = self.clock()
         if self.looked_at == float("-inf"):
             self.found_at = now
-        was_usable = self.usable
         self.looked_at = asked_at
-        self.changed |= not was_usable
         present = {row.run_id: row for row in look.running}
         for end in look.ended:
             self._ended(end, now)
@@ -260,7 +255,6 @@
         """Note that a look had no answer."""
         if self.clock() > self.lapses_at:
             self._end_all(RunEnd.LAPSED)
-        self.changed = True
 
     def start_answered(self, run: Run, outcome: StartOutcome, detail: str = "") -> None:
         """Take the answer to a `StartOrder`."""
@@ -332,8 +326,8 @@
                 message.expected_ms / 1000,
             )
             self.runs[run_id] = run
+            self.usual_demand = message.demand
             self.orders.append(StartOrder(run))
-            self.changed = True
 
     def stop(self, owner: str, run_ids: list[RunId]) -> None:
         """Stop runs of an owner."""
@@ -456,7 +450,6 @@
         self.boot = boot
         self.report_sequence = -1
         self.last_end = 0
-        self.changed = True
         if self.facts is not None and self.facts.boot != boot:
             self.facts = None
 
@@ -470,7 +463,6 @@
             if run.phase == Phase.FOUND:
                 run.owner, run.demand = owner, demand
                 run.phase = Phase.RUNNING
-                self.changed = True
         elif self.reconciled:
             self._tell_end(run_id, owner, RunEnd.LAPSED, 0.0)
         else:
@@ -484,7 +476,6 @@
             run = Run(row.run_id, owner, demand, phase, now, settled_at=now)
             run.started_at = run.moved_at = now
             self.runs[row.run_id] = run
-            self.changed = True
         run.seen = True
         if run.phase == Phase.STARTING:
             self._started(run, now)
@@ -495,8 +486,6 @@
     def _started(self, run: Run, now: float) -> None:
         run.phase = Phase.RUNNING
         run.started_at = run.moved_at = now
-        event = RunEvent(run.run_id, RunEventKind.STARTED)
-        self.notices.append(Notice(run.owner, event))
 
     def _review(self, run: Run, now: float) -> None:
         """Stop a run that stands still."""
@@ -552,7 +541,6 @@
 
     def _remove(self, run: Run) -> None:
         del self.runs[run.run_id]
-        self.changed = True
 
     def _tell_refused(self, owner: str, run_id: RunId, reason: str) -> None:
         event = RunEvent(run_id, RunEventKind.REFUSED, reason=reason)
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -146,7 +146,7 @@
         owned = entry.scheduler.jobs.get(job_id)
         if owned is None:
             return Response.from_json({"error": "no such job"}, 410)
-        state = "running" if owned.has_run else "queued"
+        state = "running" if owned.has_begun else "queued"
         return Response.from_json({"state": state})
     if request.method == "DELETE":
         known = entry.scheduler.cancel(job_id)
