--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -61,7 +61,7 @@
 
     settings = read_settings(settings_file, FleetSettings)
     configure_decision_log(settings.log_lines_per_s)
-    daemon = open_daemon(settings)
+    daemon = open_daemon(settings, settings_file)
     anyio.run(_run_daemon, daemon, backend_options={"use_uvloop": True})
     return EXIT_OK
 
@@ -84,8 +84,13 @@
 
 
 async def _stop_on_signal(daemon: Any) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
         async for number in signals:
+            if number == signal.SIGHUP:
+                daemon.reload()
+                continue
             logger.info("received {}; stopping", signal.Signals(number).name)
             daemon.stop()
 
--- a/marigoldkeel/daemons.py
+++ b/marigoldkeel/daemons.py
@@ -109,6 +109,10 @@
         """Begin a planned stop; `run` returns when it is complete."""
         self.stopping.set()
 
+    def reload(self) -> None:
+        """Note a request to read the settings again, which only a restart does."""
+        logger.info("settings are read at the start only; restart to apply changes")
+
     def make_controllers(self, group: TaskGroup) -> None:
         """Make the controllers; the store and the peers are open."""
         raise NotImplementedError
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from marigoldkeel.blackboard import wall_clock_ms
-from marigoldkeel.exceptions import ProtocolError
+from marigoldkeel.exceptions import ProtocolError, SettingsError
 from marigoldkeel.fleet.directory import Directory, DirectoryController
 from marigoldkeel.fleet.drivers import WorkerClient, WorkerDriver
 from marigoldkeel.fleet.following import PlanFollower
@@ -29,6 +29,7 @@
 from marigoldkeel.messages import Pull
 from marigoldkeel.models import Member
 from marigoldkeel.servers import HttpApplication, serve_http
+from marigoldkeel.settings import read_settings
 from marigoldkeel.stores import LeasedStore
 from marigoldkeel.transports import PeerPool, parse_address, serve_peers
 
@@ -53,8 +54,11 @@
 
     is_agent = False
 
-    def __init__(self, settings: FleetSettings, store: LeasedStore):
+    def __init__(
+        self, settings: FleetSettings, store: LeasedStore, settings_path: str = ""
+    ):
         self.settings = settings
+        self.settings_path = settings_path
         self.store = store
         self.clock: Callable[[], float] = time.monotonic
         self.own = Member(
@@ -102,6 +106,30 @@
             logger.info("planned stop begins")
             self.stopping.set()
 
+    def reload(self) -> None:
+        """Read the settings file again and apply what can change in a running process.
+
+        That are the addresses of other entries. The rest takes a restart, and a file
+        that cannot be read changes nothing.
+        """
+        try:
+            settings = read_settings(self.settings_path, FleetSettings)
+        except SettingsError as error:
+            logger.warning("settings not reloaded: {}", error)
+            return
+        fixed = [
+            name
+            for name in FleetSettings.__struct_fields__
+            if name != "seeds"
+            and getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings.seeds = settings.seeds
+        if self.controller is not None:
+            self.controller.seeds = settings.seeds
+        logger.bind(changed_but_not_applied=fixed).info(
+            "settings reloaded: {} seeds", len(settings.seeds)
+        )
+
     def outgoing_listener(self) -> Any:
         """Return the listener of the connections that this daemon makes."""
         return None
@@ -143,8 +171,9 @@
         store: LeasedStore,
         plan_key: str,
         decode_plan: Callable[[bytes], Plan],
+        settings_path: str = "",
     ):
-        super().__init__(settings, store)
+        super().__init__(settings, store, settings_path)
         self.plan_key = plan_key
         self.decode_plan = decode_plan
         self.fleet = FleetView()
@@ -242,9 +271,13 @@
     is_agent = True
 
     def __init__(
-        self, settings: FleetSettings, store: LeasedStore, client: WorkerClient
+        self,
+        settings: FleetSettings,
+        store: LeasedStore,
+        client: WorkerClient,
+        settings_path: str = "",
     ):
-        super().__init__(settings, store)
+        super().__init__(settings, store, settings_path)
         self.client = client
         self.supervisor = Supervisor(self.clock)
         self.links = AgentLinks(self.supervisor, self.flush)
--- a/marigoldkeel/platform/daemons.py
+++ b/marigoldkeel/platform/daemons.py
@@ -9,14 +9,15 @@
 from marigoldkeel.platform.workers import RunnerClient, reports_application
 
 
-def open_daemon(settings: FleetSettings) -> FleetDaemon:
+def open_daemon(settings: FleetSettings, settings_path: str = "") -> FleetDaemon:
     """Return the daemon that the settings describe; it has yet to run.
 
+    :param settings_path: The file that is read again at SIGHUP.
     :raises SettingsError: If they describe neither an entry nor an agent.
     """
     store = PlatformStore(settings.store.url, settings.store.timeout_s)
     if settings.callers is not None:
-        entry = FleetEntry(settings, store, PLAN_KEY, decode_plan)
+        entry = FleetEntry(settings, store, PLAN_KEY, decode_plan, settings_path)
         entry.servers = [
             (settings.callers.address, callers_application(entry)),
             (settings.callers.readiness, readiness_application(entry)),
@@ -25,7 +26,7 @@
     if settings.worker is None:
         raise SettingsError("neither [callers] nor [worker] is set", "read settings")
     client = RunnerClient(settings.worker.address)
-    agent = FleetAgent(settings, store, client)
+    agent = FleetAgent(settings, store, client, settings_path)
     reports = reports_application(agent.supervisor, client, agent.flush)
     agent.servers = [(settings.worker.reports, reports)]
     return agent
