Play whole fleets in simulated time, and test the fleet's decisions

Change: emulator/ plays entries, agents and workers with the daemons' own decisions; tests/fleet/ kills, freezes, cuts and restarts them. Found and fixed: a task that was done stayed in its owner's account of the worker's runs without a run, so the next reconnection raised an error; an error in a listener ended the whole daemon and now costs its connection only.

--- /dev/null
+++ b/emulator/stores.py
@@ -0,0 +1,206 @@
+"""A stand-in for the platform's metadata store, with faults."""
+
+from base64 import b64decode, b64encode
+from collections import Counter
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs
+
+import anyio
+import msgspec
+
+from marigoldkeel.servers import HttpApplication, Request, Response
+
+
+PAGE_ITEMS = 500
+
+
+@dataclass(slots=True)
+class Item:
+    """One key with its value."""
+
+    key: str
+    value: bytes
+    rev: int
+    created: int
+    lease: int = 0
+
+    def encode(self) -> dict:
+        """Return the wire form."""
+        return {
+            "key": self.key,
+            "value": b64encode(self.value).decode(),
+            "rev": self.rev,
+            "created": self.created,
+            "lease": self.lease,
+        }
+
+
+@dataclass(slots=True)
+class Lease:
+    """A lease with the time at which it ends."""
+
+    ttl_s: float
+    ends_at: float
+
+
+@dataclass
+class StoreEmulator:
+    """The state of the store, served over HTTP by `application`.
+
+    :ivar refusing: Answer every call with this status; 0 for none.
+    :ivar silent: Give no answer at all.
+    :ivar delay_s: Wait before each answer.
+    :ivar lose_answers: Carry out this many next writes without an answer.
+    """
+
+    rev: int = 1
+    items: dict[str, Item] = field(default_factory=dict)
+    history: list[dict] = field(default_factory=list)
+    compacted: int = 0
+    leases: dict[int, Lease] = field(default_factory=dict)
+    next_lease: int = 1
+    counts: Counter = field(default_factory=Counter)
+    refusing: int = 0
+    silent: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+
+    def __post_init__(self):
+        self.changed = anyio.Event()
+        self.application = HttpApplication()
+        self.application.default(self._serve)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key and return the revision."""
+        self.rev += 1
+        created = self.items[key].created if key in self.items else self.rev
+        item = Item(key, value, self.rev, created, lease)
+        self.items[key] = item
+        self._note(item.encode())
+        return self.rev
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.rev += 1
+            self._note({"key": key, "rev": self.rev, "removed": True})
+
+    def compact(self) -> None:
+        """Drop the history."""
+        self.history.clear()
+        self.compacted = self.rev
+        self._wake()
+
+    def revoke(self, prefix: str) -> None:
+        """Take keys away without a word to their holders."""
+        for key in [key for key in self.items if key.startswith(prefix)]:
+            self.remove(key)
+
+    def expire(self) -> None:
+        """End the leases that have run out."""
+        now = anyio.current_time()
+        for number, lease in list(self.leases.items()):
+            if now > lease.ends_at:
+                del self.leases[number]
+                for key in [k for k, i in self.items.items() if i.lease == number]:
+                    self.remove(key)
+
+    def _note(self, event: dict) -> None:
+        self.history.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def _serve(self, request: Request) -> Response:
+        name = request.path.removeprefix("/api/").split("/")[0]
+        self.counts[name] += 1
+        if self.silent:
+            await anyio.sleep_forever()
+        if self.refusing:
+            return Response.from_json({}, self.refusing)
+        if self.delay_s:
+            await anyio.sleep(self.delay_s)
+        self.expire()
+        query = {key: value[0] for key, value in parse_qs(request.query).items()}
+        match name:
+            case "kv-key":
+                return self._get(query["key"])
+            case "kv-range":
+                return self._range(query["prefix"], query.get("after", ""))
+            case "kv-watch":
+                return await self._watch(query)
+            case "kv-txn":
+                response = self._transact(msgspec.json.decode(request.body))
+                if self.lose_answers:
+                    self.lose_answers -= 1
+                    await anyio.sleep_forever()
+                return response
+            case "kv-lease":
+                return self._grant(msgspec.json.decode(request.body)["ttl_ms"])
+            case "kv-keep":
+                return self._keep(int(request.path.split("/")[-1]))
+        return Response.from_json({"error": "no such call"}, 404)
+
+    def _get(self, key: str) -> Response:
+        if key not in self.items:
+            return Response.from_json({"current_rev": self.rev}, 404)
+        return Response.from_json({**self.items[key].encode(), "current_rev": self.rev})
+
+    def _range(self, prefix: str, after: str) -> Response:
+        keys = sorted(key for key in self.items if key.startswith(prefix))
+        keys = [key for key in keys if key > after]
+        content = {
+            "items": [self.items[key].encode() for key in keys[:PAGE_ITEMS]],
+            "more_pages": len(keys) > PAGE_ITEMS,
+            "current_rev": self.rev,
+        }
+        return Response.from_json(content)
+
+    async def _watch(self, query: dict[str, str]) -> Response:
+        after = int(query["after"])
+        with anyio.move_on_after(int(query["wait_ms"]) / 1000):
+            while True:
+                if after < self.compacted:
+                    return Response.from_json({}, 410)
+                if self._events(query["prefix"], after):
+                    break
+                await self.changed.wait()
+        events = self._events(query["prefix"], after)
+        return Response.from_json({"events": events, "current_rev": self.rev})
+
+    def _events(self, prefix: str, after: int) -> list[dict]:
+        return [
+            event
+            for event in self.history
+            if event["rev"] > after and event["key"].startswith(prefix)
+        ]
+
+    def _transact(self, content: dict) -> Response:
+        for row in content.get("expect_rev", []):
+            item = self.items.get(row["key"])
+            if (item.rev if item else 0) != row["rev"]:
+                return Response.from_json({"items": []}, 412)
+        for row in content.get("set_keys", []):
+            if row.get("lease") and row["lease"] not in self.leases:
+                return Response.from_json({}, 404)
+        for row in content.get("set_keys", []):
+            self.put(row["key"], b64decode(row["value"]), row.get("lease", 0))
+        for key in content.get("remove", []):
+            self.remove(key)
+        return Response.from_json({"rev": self.rev})
+
+    def _grant(self, ttl_ms: int) -> Response:
+        number = self.next_lease
+        self.next_lease += 1
+        ttl_s = ttl_ms / 1000
+        self.leases[number] = Lease(ttl_s, anyio.current_time() + ttl_s)
+        return Response.from_json({"lease": number, "ttl_ms": ttl_ms})
+
+    def _keep(self, number: int) -> Response:
+        lease = self.leases.get(number)
+        if lease is None:
+            return Response.from_json({}, 404)
+        lease.ends_at = anyio.current_time() + lease.ttl_s
+        return Response.from_json({"ttl_ms": round(lease.ttl_s * 1000)})
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -148,28 +148,35 @@
     async def run_forever(self) -> None:
         """Connect, renew and give up as time passes."""
         while True:
-            now = self.clock()
-            for link in list(self.links.values()):
-                await self._review(link, now)
-            self.scheduler.tick()
+            self.step()
             await anyio.sleep(TICK_S)
 
-    async def _review(self, link: AgentLink, now: float) -> None:
-        if link.connection is None:
-            if link.gone_at is not None and now > link.gone_at:
-                link.gone_at = None
-                self.scheduler.lose_worker(link.member.name, "agent not reachable")
-            if not link.connecting and now >= link.retry_at:
-                link.connecting = True
-                self.group.start_soon(self._connect, link)
-            return
+    def step(self) -> None:
+        """Do what is due now."""
+        now = self.clock()
+        for link in list(self.links.values()):
+            if link.connection is None:
+                self._review_lost(link, now)
+            else:
+                self._review(link, now)
+        self.scheduler.tick()
+
+    def _review_lost(self, link: AgentLink, now: float) -> None:
+        if link.gone_at is not None and now > link.gone_at:
+            link.gone_at = None
+            self.scheduler.lose_worker(link.member.name, "agent not reachable")
+        if not link.connecting and now >= link.retry_at:
+            link.connecting = True
+            self.group.start_soon(self.connect, link)
+
+    def _review(self, link: AgentLink, now: float) -> None:
         if link.silent_s(now) > SILENCE_S:
             logger.bind(peer=link.member.address).info(
                 "link to agent {} dropped: silent for {:.2f} s",
                 link.member.name,
                 link.silent_s(now),
             )
-            await link.connection.abort()
+            self.group.start_soon(link.connection.abort)
             self._lost(link)
             return
         has_runs = bool(self.scheduler.held_by(link.member.name))
@@ -177,10 +184,11 @@
         if now - link.last_sent_at >= interval_s:
             self.send(link.member.name, Renew())
 
-    async def _connect(self, link: AgentLink) -> None:
+    async def connect(self, link: AgentLink) -> None:
+        """Connect to an agent and attach; a failure is tried again later."""
         try:
             connection = await self.peers.connect(link.member.address)
-            self._attach(link, connection)
+            self.attach(link, connection)
         except MarigoldkeelError as error:
             logger.debug("agent {} not connected: {}", link.member.name, error)
             link.retry_at = self.clock() + link.retry_s
@@ -188,7 +196,8 @@
         finally:
             link.connecting = False
 
-    def _attach(self, link: AgentLink, connection: Connection) -> None:
+    def attach(self, link: AgentLink, connection: Connection) -> None:
+        """Begin to use a new connection to an agent."""
         now = self.clock()
         if connection.closed or self.links.get(link.member.name) is not link:
             link.retry_at = now + link.retry_s
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -410,6 +410,7 @@
                 )
             task.phase = TaskPhase.DONE
             task.run = None
+            task.worker = ""
             self._unblock(owned)
             return
         self._log(owned.job, "run ended", event.end.name.lower(), worker=worker)
--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -30,6 +30,7 @@
     body: bytes
     peer: str
     arguments: dict[str, str] = field(default_factory=dict)
+    query: str = ""
     receive: Callable[[], Awaitable[dict]] | None = None
 
     async def wait_disconnected(self) -> None:
@@ -121,7 +122,14 @@
                 message = f"body exceeds {self.max_body_bytes} bytes"
                 return self._reject(413, message, "read body", peer, headers)
             request = Request(
-                scope["method"], scope["path"], headers, body, peer, arguments, receive
+                scope["method"],
+                scope["path"],
+                headers,
+                body,
+                peer,
+                arguments,
+                scope.get("query_string", b"").decode("latin-1"),
+                receive,
             )
             return await endpoint(request)
         except InvalidInput as error:
--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -309,13 +309,22 @@
             pending = self.pending.get(envelope.request_id)
             if pending is not None:
                 self._resolve(pending, envelope.content)
-        elif self.listener is not None and self.listener.received(
-            self, envelope.content
-        ):
+        elif self._listen(envelope.content):
             return
         elif self.handler is not None:
             group.start_soon(self._handle, envelope)
 
+    def _listen(self, content: Any) -> bool:
+        """Offer a message to the listener; an error there costs the connection only."""
+        if self.listener is None:
+            return False
+        try:
+            return self.listener.received(self, content)
+        except Exception as error:
+            step = type(content).__name__.lower()
+            logger.exception("unexpected error in step {} from {}", step, self.peer)
+            raise ProtocolError(str(error), step, self.peer) from error
+
     def _resolve(self, pending: PendingRequest, content: Any) -> None:
         if isinstance(content, Error):
             cls = REMOTE_ERRORS.get(content.code, MarigoldkeelError)
--- /dev/null
+++ b/tests/fleet/loads.py
@@ -0,0 +1,56 @@
+"""The fleet and the queues that the played tests share."""
+
+from emulator.plays import Load, Play
+from marigoldkeel.fleet.plans import Queue
+from marigoldkeel.fleet.work import Resources
+
+
+URGENT = Queue("urgent", "h", "/u/", "service", 0, 4, 1.6, 0.06)
+NORMAL = Queue("normal", "h", "/n/", "service", 1, 3, 1.6, 0.06)
+LONG = Queue("long", "h", "/l/", "service", 2, 2, 1.6, 0.06)
+TASK = Resources(1600, 64)
+
+
+def make_fleet(seed: int = 1, workers: int = 11, entries: int = 4, **options) -> Play:
+    """Return a fleet like that of a workshop: a quarter of the workers is slow."""
+    play = Play(seed, options)
+    for number in range(workers):
+        cores = 24 if number % 3 == 2 else 16
+        speed = 0.55 if number % 4 == 0 else 1.2
+        domain = "abcd"[number % 4]
+        capacity = Resources(cores * 1000, 65_536)
+        play.add_worker(f"worker-{number}", domain, capacity, speed)
+    for number in range(entries):
+        play.add_entry(f"entry-{number}", "abcd"[number])
+    return play
+
+
+def offer_mix(play: Play, scale: float, begins_at: float, ends_at: float) -> None:
+    """Offer short urgent, normal and long work; at 1 the fleet is half full."""
+    for queue, jobs_per_s, width, work_s in (
+        (URGENT, 15.1, 8, 0.102),
+        (NORMAL, 44.0, 2, 0.34),
+        (LONG, 2.75, 4, 1.52),
+    ):
+        play.offer(
+            Load(
+                queue,
+                jobs_per_s * scale,
+                width,
+                work_s,
+                TASK,
+                begins_at=begins_at,
+                ends_at=ends_at,
+            )
+        )
+
+
+def in_time(play: Play, queue: Queue) -> float:
+    """Return the share of a queue's jobs that were done within their objective."""
+    jobs = [job for job in play.jobs if job.job.queue is queue]
+    return sum(
+        job.answer is not None
+        and job.took_s <= job.objective_s
+        and job.answer.state == 0
+        for job in jobs
+    ) / len(jobs)
--- /dev/null
+++ b/tests/fleet/test_packing.py
@@ -0,0 +1,58 @@
+"""Which worker each task goes to."""
+
+import random
+from copy import deepcopy
+
+import pytest
+
+from marigoldkeel.exceptions import InvalidInput
+from marigoldkeel.fleet.packing import Candidate, find_packing, packings
+from marigoldkeel.fleet.work import Resources, Step
+
+
+CORE = Resources(1000, 64)
+
+
+def worker(name: str, cores: int, speed: float = 1.0, near: bool = True, **fields):
+    room = Resources(1000 * cores, 4096)
+    return Candidate(name, room, room, fields.pop("labels", []), speed, near, **fields)
+
+
+def pack(count: int, step: Step, workers: list[Candidate], name: str) -> list[str]:
+    copies = deepcopy(workers)
+    chosen = find_packing(name)(count, step, 1.0, copies, random.Random(1))
+    return [candidate.name for candidate in chosen]
+
+
+@pytest.mark.parametrize("name", sorted(packings))
+@pytest.mark.parametrize(
+    "step, workers, placed",
+    [
+        (Step(5, CORE), [worker("x", 2), worker("y", 1)], {"x": 2, "y": 1}),
+        (Step(2, CORE, label="b"), [worker("x", 9, labels=["a"])], {}),
+        (Step(1, CORE, label="b"), [worker("x", 9, labels=["b"])], {"x": 1}),
+        (Step(5, CORE, spread_limit=2), [worker("x", 9)], {"x": 2}),
+        (Step(5, CORE, spread_limit=2), [worker("x", 9, held=1)], {"x": 1}),
+        (Step(1, Resources(500, 0, 1)), [worker("x", 9)], {}),
+        (Step(1, CORE), [], {}),
+    ],
+)
+def test_no_policy_places_more_than_is_allowed(name, step, workers, placed):
+    chosen = pack(step.count, step, workers, name)
+    assert {item: chosen.count(item) for item in chosen} == placed
+
+
+def test_tasks_go_where_they_are_done_soonest():
+    workers = [worker("slow", 9, 0.5), worker("fast", 2, 1.2)]
+    assert pack(3, Step(3, CORE), workers, "soonest") == ["fast", "fast", "slow"]
+
+
+def test_rack_without_the_data_makes_a_worker_slower():
+    step = Step(1, CORE, data_rack="r1")
+    workers = [worker("far", 9, 1.2), worker("close", 9, 1.0, labels=["r1"])]
+    assert pack(1, step, workers, "soonest") == ["close"]
+
+
+def test_unknown_policy_is_named():
+    with pytest.raises(InvalidInput, match="no packing 'x'"):
+        find_packing("x")
--- /dev/null
+++ b/tests/fleet/test_schedulers.py
@@ -0,0 +1,304 @@
+"""The owner's decisions: what is placed, answered, refused and given up."""
+
+import pytest
+
+from marigoldkeel.fleet.messages import (
+    RunEvent,
+    RunEventKind,
+    StartRuns,
+    StopRuns,
+    WorkerFacts,
+    WorkerState,
+)
+from marigoldkeel.fleet.plans import Queue
+from marigoldkeel.fleet.schedulers import LATE_FACTOR, WAIT_SHARE, Scheduler
+from marigoldkeel.fleet.views import FleetView
+from marigoldkeel.fleet.work import (
+    JobAnswer,
+    JobState,
+    RepeatableJob,
+    Resources,
+    RunEnd,
+    RunId,
+    Step,
+    TaskId,
+)
+
+
+CORE = Resources(1000, 64)
+QUEUE = Queue("q", "host", "/q/", "service", 1, 3, 1.6, 0.06)
+URGENT = Queue("u", "host", "/u/", "service", 0, 3, 1.6, 0.06)
+
+
+class Entry:
+    """A scheduler with workers, whose messages are kept."""
+
+    def __init__(
+        self, cores: dict[str, int], labels: dict[str, list[str]] | None = None
+    ):
+        self.now = 10.0
+        self.wall = 1_000_000
+        self.sequence = 0
+        self.sent: list[tuple[str, StartRuns | StopRuns]] = []
+        self.fleet = FleetView()
+        self.scheduler = Scheduler(
+            self.fleet, "a", self.send, lambda: self.now, lambda: self.wall, seed=1
+        )
+        for name, count in cores.items():
+            view = self.fleet.view(name)
+            capacity = Resources(1000 * count, 64_000)
+            view.facts = WorkerFacts(
+                name, 1, "service", "a", (labels or {}).get(name, []), capacity
+            )
+            view.connected = True
+            view.update(WorkerState(0, capacity, True))
+        self.answers: dict[str, JobAnswer] = {}
+
+    def send(self, worker, message) -> int:
+        self.sent.append((worker, message))
+        self.sequence += 1
+        return self.sequence
+
+    def submit(self, job_id="j", queue=QUEUE, steps=None, patience_s=30.0) -> None:
+        steps = steps or [Step(1, CORE, 0.1)]
+        job = RepeatableJob(job_id, queue, "payload", steps, self.now, patience_s)
+
+        def answer(result: JobAnswer) -> None:
+            assert job_id not in self.answers, "answered twice"
+            self.answers[job_id] = result
+
+        self.scheduler.submit(job, answer)
+
+    def state(self, worker: str, cores: int) -> None:
+        """Let an agent tell its room, taking all that was sent into account."""
+        room = Resources(1000 * cores, 64_000)
+        self.fleet.view(worker).update(WorkerState(self.sequence, room, True))
+        self.scheduler.schedule()
+
+    def starts(self) -> list[tuple[str, RunId]]:
+        """Return the runs that were ordered and forget them."""
+        runs = [
+            (
+                worker,
+                RunId(
+                    TaskId(
+                        message.job_id, message.occurrence, message.step, item.index
+                    ),
+                    item.number,
+                ),
+            )
+            for worker, message in self.sent
+            if isinstance(message, StartRuns)
+            for item in message.runs
+        ]
+        self.sent = [item for item in self.sent if isinstance(item[1], StopRuns)]
+        return runs
+
+    def stops(self) -> list[RunId]:
+        return [
+            run
+            for _, message in self.sent
+            if isinstance(message, StopRuns)
+            for run in message.runs
+        ]
+
+    def end(self, worker: str, run: RunId, end: RunEnd = RunEnd.DONE) -> None:
+        event = RunEvent(run, RunEventKind.ENDED, end, run_ms=100)
+        self.scheduler.take_event(worker, event)
+        self.scheduler.schedule()
+
+    def refuse(self, worker: str, run: RunId, reason: str = "no room") -> None:
+        event = RunEvent(run, RunEventKind.REFUSED, reason=reason)
+        self.scheduler.take_event(worker, event)
+
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        self.wall += round(seconds * 1000)
+        self.scheduler.tick()
+
+
+def test_job_is_done_when_all_its_tasks_are():
+    entry = Entry({"w": 4})
+    entry.submit(steps=[Step(2, CORE, 0.1)])
+    (_, first), (_, second) = entry.starts()
+    entry.end("w", first)
+    assert entry.answers == {}
+    entry.end("w", second)
+    assert entry.answers["j"].state == JobState.DONE
+    assert entry.scheduler.jobs == {}
+
+
+def test_step_starts_when_the_steps_before_it_are_done():
+    entry = Entry({"w": 4})
+    entry.submit(steps=[Step(2, CORE, 0.1), Step(1, CORE, 0.1, after=[0])])
+    (_, first), (_, second) = entry.starts()
+    entry.end("w", first)
+    assert entry.starts() == []
+    entry.end("w", second)
+    ((_, third),) = entry.starts()
+    assert third.task.step == 1
+
+
+def test_what_was_sent_counts_until_the_agent_has_taken_it_into_account():
+    entry = Entry({"w": 2})
+    for name in ("a", "b", "c"):
+        entry.submit(name)
+    assert len(entry.starts()) == 2
+    view = entry.fleet.view("w")
+    view.update(WorkerState(0, Resources(2000, 64_000), True))
+    entry.scheduler.schedule()
+    assert entry.starts() == []
+
+
+@pytest.mark.parametrize(
+    "end, attempts",
+    [(RunEnd.FAILED, 3), (RunEnd.LAPSED, None), (RunEnd.STALLED, None)],
+)
+def test_only_failed_runs_count_as_attempts(end, attempts):
+    entry = Entry({"w": 8})
+    entry.submit()
+    for _ in range(attempts or 8):
+        ((_, run),) = entry.starts()
+        entry.end("w", run, end)
+    answered = entry.answers.get("j")
+    assert (answered and answered.state) == (JobState.FAILED if attempts else None)
+
+
+def test_run_numbers_rise_over_owners():
+    # A second owner that began at 1 again was refused by the worker as outdated.
+    first, second = Entry({"w": 4}), Entry({"w": 4})
+    first.submit()
+    second.pass_time(1.3)
+    second.submit()
+    ((_, early),), ((_, late),) = first.starts(), second.starts()
+    assert late.number > early.number
+
+
+class TestRefusals:
+    """A refusal says that nothing ran, and has to be true."""
+
+    def test_job_without_room_is_refused_within_a_quarter_of_its_objective(self):
+        entry = Entry({"w": 0, "v": 1})
+        entry.submit("a", steps=[Step(1, CORE, 10.0)])
+        entry.submit("b", steps=[Step(1, CORE, 1.0)])
+        objective_s = 1.6 * 1.0 + 0.06
+        entry.pass_time(WAIT_SHARE * objective_s - 0.05)
+        assert entry.answers == {}
+        entry.pass_time(0.1)
+        assert entry.answers["b"].state == JobState.NOT_RUN
+        assert entry.answers["b"].retry_after_s > 0
+
+    def test_job_with_a_run_on_its_way_is_not_refused(self):
+        entry = Entry({"w": 1})
+        entry.submit(steps=[Step(2, CORE, 0.1)])
+        ((_, run),) = entry.starts()
+        entry.pass_time(5.0)
+        assert entry.answers == {}
+        entry.refuse("w", run)
+        entry.pass_time(0.01)
+        assert entry.answers["j"].state == JobState.NOT_RUN
+
+    @pytest.mark.parametrize("end", [RunEnd.FAILED, RunEnd.LAPSED, RunEnd.STOPPED])
+    def test_job_with_a_run_that_has_ended_is_not_refused(self, end):
+        entry = Entry({"w": 1})
+        entry.submit()
+        ((_, run),) = entry.starts()
+        entry.state("w", 0)
+        entry.end("w", run, end)
+        entry.pass_time(5.0)
+        assert entry.answers == {}
+
+    def test_job_of_a_lost_worker_is_not_refused(self):
+        entry = Entry({"w": 1})
+        entry.submit()
+        entry.fleet.view("w").disconnect()
+        entry.scheduler.lose_worker("w", "gone")
+        entry.pass_time(5.0)
+        assert entry.answers == {}
+
+    @pytest.mark.parametrize(
+        "step, reason",
+        [
+            (Step(1, Resources(9000, 64), 0.1), "large enough"),
+            (Step(1, CORE, 0.1, label="gpu"), "large enough"),
+        ],
+    )
+    def test_job_that_fits_nowhere_is_refused_at_once(self, step, reason):
+        entry = Entry({"w": 4})
+        entry.submit(steps=[step])
+        assert entry.answers["j"].state == JobState.NOT_RUN
+        assert reason in entry.answers["j"].reason
+
+    def test_job_is_refused_at_once_while_no_worker_is_reachable(self):
+        entry = Entry({})
+        entry.submit()
+        assert entry.answers["j"].state == JobState.NOT_RUN
+
+
+def test_urgent_jobs_go_before_others_and_begun_ones_before_all():
+    entry = Entry({"w": 1})
+    entry.submit("begun", steps=[Step(2, CORE, 1.0)])
+    entry.submit("normal", steps=[Step(1, CORE, 1.0)])
+    entry.submit("urgent", URGENT, steps=[Step(1, CORE, 1.0)])
+    order = []
+    for _ in range(4):
+        ((_, run),) = entry.starts()
+        order.append(run.task.job_id)
+        entry.state("w", 0)
+        entry.end("w", run)
+        entry.state("w", 1)
+    assert order == ["begun", "begun", "urgent", "normal"]
+
+
+def test_runs_of_a_job_whose_caller_has_left_are_stopped():
+    entry = Entry({"w": 4})
+    entry.submit(steps=[Step(2, CORE, 0.1)])
+    runs = [run for _, run in entry.starts()]
+    entry.scheduler.abandon(entry.scheduler.jobs["j"], "left")
+    assert entry.stops() == runs
+    assert entry.scheduler.held_by("w") == []
+    for run in runs:
+        entry.end("w", run, RunEnd.STOPPED)
+    assert entry.scheduler.jobs == {}
+
+
+def test_job_that_nobody_waits_for_any_more_is_answered_and_stopped():
+    entry = Entry({"w": 4})
+    entry.submit(patience_s=1.0)
+    ((_, run),) = entry.starts()
+    entry.pass_time(2.0)
+    assert entry.answers["j"].state == JobState.UNKNOWN
+    assert entry.stops() == [run]
+
+
+def test_cancelled_job_is_answered_once_and_unknown_after():
+    entry = Entry({"w": 4})
+    entry.submit()
+    assert entry.scheduler.cancel("j")
+    assert entry.answers["j"].state == JobState.CANCELLED
+    assert not entry.scheduler.cancel("j")
+
+
+def test_tasks_that_are_done_are_not_held_any_more():
+    # An owner that reconnected while some tasks of a job were done raised an error.
+    entry = Entry({"w": 4})
+    entry.submit(steps=[Step(2, CORE, 0.1)])
+    (_, first), (_, second) = entry.starts()
+    entry.end("w", first)
+    assert [held.run for held in entry.scheduler.held_by("w")] == [second]
+
+
+def test_events_of_earlier_runs_change_nothing():
+    entry = Entry({"w": 4})
+    entry.submit()
+    ((_, old),) = entry.starts()
+    entry.end("w", old, RunEnd.LAPSED)
+    ((_, new),) = entry.starts()
+    entry.end("w", old, RunEnd.DONE)
+    assert entry.answers == {}
+    entry.end("w", new)
+    assert entry.answers["j"].state == JobState.DONE
+
+
+def test_late_factor_is_that_of_the_users():
+    assert LATE_FACTOR == 3.0
--- /dev/null
+++ b/tests/fleet/test_supervisors.py
@@ -0,0 +1,372 @@
+"""The agent's account: capacity, leases, restarts, late orders."""
+
+import pytest
+
+from marigoldkeel.fleet.messages import (
+    Attach,
+    HeldRun,
+    RunEvent,
+    RunEventKind,
+    RunNumber,
+    StartRuns,
+    WorkerFacts,
+)
+from marigoldkeel.fleet.supervisors import (
+    CLAIM_WAIT_S,
+    OWNER_LEASE_S,
+    STALL_MIN_S,
+    WORKER_LEASE_S,
+    EndRow,
+    Look,
+    Phase,
+    RunRow,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    Supervisor,
+)
+from marigoldkeel.fleet.work import Resources, RunEnd, RunId, TaskId
+from marigoldkeel.models import Member
+
+
+CORE = Resources(1000, 64)
+FACTS = WorkerFacts("w-1", 7, "service", "a", ["a"], Resources(4000, 4096))
+OWNER = Member("entry-1", "entry-1@1", "10.0.0.1:7000", "a")
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def run_id(index: int = 0, number: int = 1) -> RunId:
+    return RunId(TaskId("00000000000000aa", 0, 0, index), number)
+
+
+def start_message(*indexes: int, demand: Resources = CORE, **fields) -> StartRuns:
+    runs = [RunNumber(index, 1) for index in indexes]
+    return StartRuns(1, "00000000000000aa", 0, 0, demand, "p", 100, runs=runs, **fields)
+
+
+class Agent:
+    """A supervisor with a worker that has reported and been looked at."""
+
+    def __init__(self, facts: WorkerFacts | None = FACTS):
+        self.clock = Clock()
+        self.percent = 0
+        self.supervisor = Supervisor(self.clock)
+        if facts is not None:
+            self.supervisor.report(facts, 1)
+        self.look()
+        self.attach()
+
+    def attach(self, *held: HeldRun, owner: Member = OWNER, facts=None) -> None:
+        self.supervisor.attach(Attach(1, owner, list(held), facts or WorkerFacts()))
+
+    def look(self, *running: RunId, ended=(), boot: int = 7, percent: int = 0) -> None:
+        rows = [RunRow(item, percent) for item in running]
+        self.clock.now += 0.001
+        asked_at = self.clock.now
+        self.clock.now += 0.001
+        self.supervisor.looked(Look(boot, rows, list(ended)), asked_at)
+
+    def start(self, *indexes: int, answer: StartOutcome | None = StartOutcome.STARTED):
+        self.supervisor.start(OWNER.incarnation, start_message(*indexes))
+        orders = self.supervisor.take_orders()
+        if answer is not None:
+            for order in orders:
+                self.supervisor.start_answered(order.run, answer)
+        return orders
+
+    def pass_time(self, seconds: float, *running: RunId, heard: bool = True) -> None:
+        """Let time pass with looks that show the same runs, which go on."""
+        ends_at = self.clock.now + seconds
+        while self.clock.now < ends_at:
+            self.clock.now += 0.05
+            self.percent += 1
+            if heard:
+                self.supervisor.heard(OWNER.incarnation)
+            self.look(*running, percent=self.percent)
+            self.supervisor.tick()
+
+    def events(self) -> list[tuple]:
+        return [
+            (notice.content.run, notice.content.kind, notice.content.end)
+            for notice in self.supervisor.take_notices()
+            if isinstance(notice.content, RunEvent)
+        ]
+
+    def stops(self) -> list[RunId]:
+        return [
+            order.run.run_id
+            for order in self.supervisor.take_orders()
+            if isinstance(order, StopOrder)
+        ]
+
+
+def ended(item: RunId, end: RunEnd) -> tuple:
+    return (item, RunEventKind.ENDED, end)
+
+
+def refused(item: RunId) -> tuple:
+    return (item, RunEventKind.REFUSED, RunEnd.DONE)
+
+
+def test_runs_beyond_the_capacity_are_refused():
+    agent = Agent()
+    orders = agent.start(0, 1, 2, 3, 4)
+    assert [order.run.run_id.task.index for order in orders] == [0, 1, 2, 3]
+    assert agent.events() == [refused(run_id(4))]
+    assert agent.supervisor.room == Resources(0, 4096 - 4 * 64)
+
+
+def test_start_without_an_answer_takes_room_until_it_can_have_no_effect():
+    # An order that was counted as failed after its timeout was carried out later, on
+    # top of others, and brought the worker over its capacity.
+    agent = Agent()
+    (order,) = agent.start(0, answer=StartOutcome.UNANSWERED)
+    assert agent.supervisor.room.cpu_milli == 3000
+    assert agent.stops() == [run_id(0)]
+    agent.supervisor.stop_answered(order.run, False)
+    assert agent.stops() == [run_id(0)]
+    agent.look()
+    assert agent.supervisor.room.cpu_milli == 3000
+    agent.supervisor.stop_answered(order.run, True)
+    agent.look()
+    assert agent.supervisor.room.cpu_milli == 4000
+    assert agent.events() == [refused(run_id(0))]
+
+
+def test_start_without_an_answer_that_ran_is_told_as_stopped():
+    agent = Agent()
+    (order,) = agent.start(0, answer=StartOutcome.UNANSWERED)
+    agent.look(run_id(0))
+    agent.supervisor.stop_answered(order.run, True)
+    agent.look(ended=[EndRow(1, run_id(0), RunEnd.STOPPED)])
+    assert agent.events() == [ended(run_id(0), RunEnd.STOPPED)]
+
+
+def test_stopped_run_takes_room_until_its_end_is_listed():
+    agent = Agent()
+    agent.start(0)
+    agent.supervisor.stop(OWNER.incarnation, [run_id(0)])
+    assert agent.supervisor.room.cpu_milli == 3000
+    (order,) = agent.supervisor.take_orders()
+    agent.supervisor.stop_answered(order.run, True)
+    assert agent.supervisor.room.cpu_milli == 3000
+    agent.look(ended=[EndRow(1, run_id(0), RunEnd.STOPPED)])
+    assert agent.supervisor.room.cpu_milli == 4000
+
+
+def test_look_begun_before_the_start_was_answered_does_not_end_the_run():
+    agent = Agent()
+    asked_at = agent.clock.now
+    agent.clock.now += 0.01
+    agent.start(0)
+    agent.supervisor.looked(Look(7), asked_at)
+    assert run_id(0) in agent.supervisor.runs
+    agent.clock.now += 0.01
+    agent.look()
+    assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
+
+
+def test_silent_owner_loses_its_runs_and_must_attach_again():
+    agent = Agent()
+    agent.start(0)
+    agent.pass_time(OWNER_LEASE_S - 0.1, run_id(0))
+    assert agent.stops() == []
+    agent.pass_time(OWNER_LEASE_S + 0.1, run_id(0), heard=False)
+    assert agent.stops() == [run_id(0)]
+    assert not agent.supervisor.heard(OWNER.incarnation)
+
+
+def test_owner_without_runs_may_be_silent():
+    agent = Agent()
+    agent.pass_time(3 * OWNER_LEASE_S, heard=False)
+    assert agent.supervisor.heard(OWNER.incarnation)
+
+
+def test_agent_that_stood_still_reads_what_owners_sent_before_it_judges_them():
+    agent = Agent()
+    agent.start(0)
+    agent.supervisor.tick()
+    agent.clock.now += 2 * OWNER_LEASE_S
+    agent.supervisor.tick()
+    assert agent.stops() == []
+    agent.supervisor.heard(OWNER.incarnation)
+    agent.clock.now += 0.05
+    agent.supervisor.tick()
+    assert agent.stops() == []
+
+
+def test_restarted_owner_gives_up_the_runs_of_its_predecessor():
+    agent = Agent()
+    agent.start(0)
+    successor = Member("entry-1", "entry-1@2", OWNER.address, "a")
+    agent.attach(owner=successor)
+    assert agent.stops() == [run_id(0)]
+
+
+def test_runs_that_the_owner_does_not_name_are_stopped_and_others_go_on():
+    agent = Agent()
+    agent.start(0, 1)
+    agent.attach(HeldRun(run_id(1), CORE))
+    assert agent.stops() == [run_id(0)]
+
+
+class TestRestartedAgent:
+    """What a new agent finds at its worker."""
+
+    def make(self, *running: RunId) -> Agent:
+        agent = Agent(facts=None)
+        agent.look(*running)
+        return agent
+
+    def test_starts_nothing_beside_runs_whose_demand_is_not_known(self):
+        agent = self.make(run_id(0))
+        agent.supervisor.report(FACTS, 1)
+        agent.start(1)
+        assert agent.events() == [refused(run_id(1))]
+
+    def test_gives_runs_to_the_owner_that_claims_them(self):
+        agent = self.make(run_id(0))
+        agent.supervisor.report(FACTS, 1)
+        agent.attach(HeldRun(run_id(0), CORE))
+        assert agent.supervisor.room.cpu_milli == 3000
+        agent.look(ended=[EndRow(1, run_id(0), RunEnd.DONE)])
+        assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
+
+    def test_stops_runs_that_nobody_claims(self):
+        agent = self.make(run_id(0))
+        agent.pass_time(CLAIM_WAIT_S + 0.2, run_id(0))
+        assert agent.stops() == [run_id(0)]
+
+    def test_tells_the_end_of_a_run_that_ended_while_there_was_no_agent(self):
+        clock_agent = Agent.__new__(Agent)
+        clock_agent.clock = Clock()
+        clock_agent.supervisor = Supervisor(clock_agent.clock)
+        clock_agent.attach(HeldRun(run_id(0), CORE), HeldRun(run_id(1), CORE))
+        clock_agent.look(ended=[EndRow(4, run_id(0), RunEnd.DONE)])
+        assert clock_agent.events() == [
+            ended(run_id(0), RunEnd.DONE),
+            ended(run_id(1), RunEnd.LAPSED),
+        ]
+
+    def test_uses_what_an_owner_remembers_of_the_same_boot_only(self):
+        agent = Agent(facts=None)
+        agent.attach(facts=WorkerFacts("w-1", 6, "service", "a", [], CORE))
+        assert not agent.supervisor.usable
+        agent.attach(facts=FACTS)
+        assert agent.supervisor.usable
+
+
+def test_new_boot_ends_all_runs_and_forgets_the_capacity():
+    agent = Agent()
+    agent.start(0)
+    agent.look(boot=8)
+    assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
+    assert not agent.supervisor.usable
+    assert agent.supervisor.report(WorkerFacts("w-1", 8, capacity=CORE), 1)
+    agent.look(boot=8)
+    assert agent.supervisor.usable
+
+
+@pytest.mark.parametrize(
+    "boot, sequence, accepted",
+    [(7, 2, True), (7, 1, False), (6, 9, False), (8, 0, True)],
+)
+def test_reports_that_are_late_or_of_an_earlier_boot_are_ignored(
+    boot, sequence, accepted
+):
+    agent = Agent()
+    assert agent.supervisor.report(WorkerFacts("w-1", boot), sequence) is accepted
+
+
+def test_nothing_starts_at_a_worker_that_is_leaving():
+    agent = Agent()
+    leaving = WorkerFacts("w-1", 7, "service", "a", [], FACTS.capacity, True, 3000)
+    agent.supervisor.report(leaving, 2)
+    assert agent.start(0) == []
+    assert agent.events() == [refused(run_id(0))]
+
+
+def test_nothing_starts_at_a_worker_that_has_not_been_looked_at_lately():
+    agent = Agent()
+    agent.clock.now += 2.0
+    assert agent.start(0) == []
+    assert agent.events() == [refused(run_id(0))]
+
+
+def test_runs_at_an_unreachable_worker_end_with_its_lease():
+    agent = Agent()
+    agent.start(0)
+    agent.supervisor.lease_sent(WORKER_LEASE_S)
+    agent.clock.now += WORKER_LEASE_S - 0.01
+    agent.supervisor.unreachable()
+    assert agent.events() == []
+    agent.clock.now += 0.2
+    agent.supervisor.unreachable()
+    assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
+
+
+def test_run_that_stands_still_is_stopped_and_told_as_stalled():
+    agent = Agent()
+    agent.start(0)
+    for _ in range(round((STALL_MIN_S + 0.2) / 0.05)):
+        agent.clock.now += 0.05
+        agent.look(run_id(0), percent=3)
+        agent.supervisor.tick()
+    assert agent.stops() == [run_id(0)]
+    agent.look(ended=[EndRow(1, run_id(0), RunEnd.STOPPED)])
+    assert agent.events() == [ended(run_id(0), RunEnd.STALLED)]
+
+
+def test_run_that_moves_is_left_alone():
+    agent = Agent()
+    agent.start(0)
+    for percent in range(1, 40):
+        agent.clock.now += 0.1
+        agent.supervisor.heard(OWNER.incarnation)
+        agent.look(run_id(0), percent=percent)
+        agent.supervisor.tick()
+    assert agent.stops() == []
+    assert agent.supervisor.runs[run_id(0)].phase == Phase.RUNNING
+
+
+def test_tasks_of_a_step_are_spread_over_workers_when_they_have_to_be():
+    agent = Agent()
+    message = start_message(0, 1, 2, spread_limit=2)
+    agent.supervisor.start(OWNER.incarnation, message)
+    assert len(agent.supervisor.take_orders()) == 2
+    assert agent.events() == [refused(run_id(2))]
+
+
+def test_two_runs_of_one_task_are_not_at_a_worker_at_once():
+    agent = Agent()
+    agent.start(0)
+    message = start_message(0)
+    message.runs[0].number = 2
+    agent.supervisor.start(OWNER.incarnation, message)
+    assert agent.supervisor.take_orders() == []
+    assert agent.events() == [refused(run_id(0, 2))]
+
+
+def test_leaving_agent_starts_nothing():
+    agent = Agent()
+    agent.supervisor.leaving = True
+    assert agent.start(0) == []
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [StartOutcome.REFUSED, StartOutcome.UNHEALTHY, StartOutcome.UNREACHABLE],
+)
+def test_refused_start_frees_its_room_at_once(outcome):
+    agent = Agent()
+    orders = agent.start(0, answer=outcome)
+    assert isinstance(orders[0], StartOrder)
+    assert agent.events() == [refused(run_id(0))]
+    assert agent.supervisor.room.cpu_milli == 4000
