Test the platform's adapters and the whole path against stand-ins

Change: emulator/ gains the platform's store and the runner over HTTP; tests/platform/ checks the store's client, the runner's client, reports, plans, callers, outages of the store, planned stops. Found: a cancellation of an unknown job had no error text.

--- /dev/null
+++ b/emulator/sites.py
@@ -0,0 +1,195 @@
+"""A small installation of the platform on loopback, in one process."""
+
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import httpcore
+import msgspec
+from anyio.abc import TaskGroup
+
+from emulator.runners import RunnerEmulator
+from emulator.stores import StoreEmulator
+from emulator.workers import EmulatedWorker
+from marigoldkeel.fleet.daemons import FleetAgent, FleetDaemon, FleetEntry
+from marigoldkeel.fleet.settings import CallerSettings, FleetSettings, WorkerSettings
+from marigoldkeel.fleet.work import Resources
+from marigoldkeel.platform.daemons import open_daemon
+from marigoldkeel.platform.plans import PLAN_KEY
+from marigoldkeel.servers import serve_http
+from marigoldkeel.settings import StoreSettings
+
+
+HOST = "127.0.0.1"
+REPORT_S = 0.3
+QUEUE_HOST = "shop.example"
+TASK_CPU = 1000
+
+
+def free_address() -> str:
+    """Return a loopback address that nothing listens on."""
+    with socket.create_server((HOST, 0)) as server:
+        return f"{HOST}:{server.getsockname()[1]}"
+
+
+def route(name: str, prefix: str, **fields) -> dict:
+    """Return a queue as the operator writes it."""
+    return {
+        "name": name,
+        "host": QUEUE_HOST,
+        "prefix": prefix,
+        "service": "service",
+        "kind": "unsafe",
+        "timeout_ms": 1500,
+        "slo_ms": 60,
+        "priority": 1,
+        "max_attempts": 3,
+        "stretch": 1.6,
+        **fields,
+    }
+
+
+@dataclass
+class Site:
+    """The processes of an installation and what stands in for the platform.
+
+    Usage::
+
+        async with Site.open(entries=2, workers=3) as site:
+            status, body = await site.submit("/stock/", count=2, work_ms=50)
+    """
+
+    group: TaskGroup
+    pool: httpcore.AsyncConnectionPool
+    store: StoreEmulator
+    store_address: str
+    entries: list[FleetEntry] = field(default_factory=list)
+    agents: list[FleetAgent] = field(default_factory=list)
+    runners: list[RunnerEmulator] = field(default_factory=list)
+    version: int = 0
+    jobs: int = 0
+
+    @classmethod
+    @asynccontextmanager
+    async def open(cls, entries: int = 2, workers: int = 3) -> AsyncIterator["Site"]:
+        """Start everything and wait until the entries know all workers."""
+        async with anyio.create_task_group() as group:
+            store = StoreEmulator()
+            address = await group.start(serve_http, store.application, HOST, 0)
+            async with httpcore.AsyncConnectionPool() as pool:
+                site = cls(group, pool, store, address)
+                site.configure(route("stock", "/stock/"))
+                for number in range(entries):
+                    site.add_entry(f"entry-{number}")
+                for number in range(workers):
+                    await site.add_worker(f"agent-{number}")
+                await site.wait_until_known()
+                yield site
+            group.cancel_scope.cancel()
+
+    def configure(self, *routes: dict) -> int:
+        """Write a new configuration and return its version."""
+        self.version += 2
+        content = {
+            "version": self.version,
+            "routes": list(routes),
+            "services": [{"name": "service", "admission_check": False}],
+            "limits": {},
+        }
+        self.store.put(PLAN_KEY, msgspec.json.encode(content))
+        return self.version
+
+    def settings(self, name: str, **fields) -> FleetSettings:
+        """Return the settings of a daemon."""
+        seeds = [entry.settings.listen for entry in self.entries]
+        store = StoreSettings(self.store_address, "platform", 0.3)
+        return FleetSettings(
+            name=name,
+            domain="a",
+            listen=free_address(),
+            store=store,
+            seeds=seeds,
+            **fields,
+        )
+
+    def add_entry(self, name: str) -> FleetEntry:
+        """Start an entry."""
+        callers = CallerSettings(free_address(), free_address())
+        entry = open_daemon(self.settings(name, callers=callers))
+        self.entries.append(entry)
+        self.group.start_soon(entry.run)
+        return entry
+
+    async def add_worker(self, name: str, cores: int = 4) -> FleetAgent:
+        """Start a runner and the agent beside it."""
+        capacity = Resources(1000 * cores, 65_536)
+        runner = RunnerEmulator(EmulatedWorker(f"i-{name}", "service", "a", capacity))
+        address = await self.group.start(serve_http, runner.application, HOST, 0)
+        worker = WorkerSettings(address, free_address(), "service")
+        agent = open_daemon(self.settings(name, worker=worker))
+        self.runners.append(runner)
+        self.agents.append(agent)
+        self.group.start_soon(agent.run)
+        self.group.start_soon(runner.report_forever, worker.reports, REPORT_S)
+        return agent
+
+    async def wait_until_known(self, limit_s: float = 20.0) -> None:
+        """Wait until every entry has the plan and may use every worker."""
+        with anyio.fail_after(limit_s):
+            while not all(
+                entry.controller is not None
+                and entry.plan is not None
+                and entry.plan.version == self.version
+                and len(entry.fleet.ready("service")) == len(self.agents)
+                for entry in self.entries
+            ):
+                await anyio.sleep(0.02)
+
+    async def request(
+        self,
+        daemon: FleetDaemon,
+        method: str,
+        path: str,
+        content: object = None,
+        patience_ms: int = 10_000,
+    ) -> tuple[int, dict, dict]:
+        """Send an entry a request; return status, content and headers."""
+        body = content if isinstance(content, bytes) else msgspec.json.encode(content)
+        response = await self.pool.request(
+            method,
+            f"http://{daemon.settings.callers.address}{path}",
+            headers={
+                "host": QUEUE_HOST,
+                "content-type": "application/json",
+                "marigoldkeel-deadline-ms": str(patience_ms),
+            },
+            content=body,
+        )
+        headers = {name.decode().lower(): v.decode() for name, v in response.headers}
+        return response.status, msgspec.json.decode(response.content), headers
+
+    def job(self, count: int = 1, work_ms: int = 50, **fields) -> dict:
+        """Return a job of one step."""
+        task = {"work_ms": work_ms, "cpu": TASK_CPU, **fields.pop("task", {})}
+        step = {"count": count, "cpu": TASK_CPU, "mem_mb": 64, "estimate_ms": work_ms}
+        return {
+            "spec": msgspec.json.encode(task).decode(),
+            "steps": [{**step, **fields.pop("step", {})}],
+            "best_effort": True,
+            **fields,
+        }
+
+    def job_path(self, prefix: str = "/stock/") -> str:
+        """Return the path of a new job."""
+        self.jobs += 1
+        return f"{prefix}{self.jobs:016x}"
+
+    def started(self) -> list[str]:
+        """Return the ids of the jobs of which tasks have started."""
+        return [
+            run_id.task.job_id
+            for runner in self.runners
+            for _, run_id in runner.worker.starts
+        ]
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -149,9 +149,10 @@
         state = "running" if owned.has_begun else "queued"
         return Response.from_json({"state": state})
     if request.method == "DELETE":
-        known = entry.scheduler.cancel(job_id)
+        if entry.scheduler.cancel(job_id):
+            return Response.from_json({})
         await entry.drop_elsewhere(job_id)
-        return Response.from_json({}, 200 if known else 410)
+        return Response.from_json({"error": "no such job here"}, 410)
     return Response.from_json({"error": "no such method"}, 405)
 
 
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,237 @@
+"""The whole path over loopback, with stand-ins for what the platform runs."""
+
+import anyio
+import httpcore
+import pytest
+
+from emulator.sites import Site, route
+from marigoldkeel.fleet import daemons
+
+
+pytestmark = pytest.mark.anyio
+
+
+async def until(condition, limit_s: float = 10.0) -> None:
+    """Wait until a condition holds."""
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def test_jobs_are_done_at_every_entry():
+    async with Site.open() as site:
+        for entry in site.entries:
+            status, content, _ = await site.request(
+                entry, "POST", site.job_path(), site.job(count=5)
+            )
+            assert (status, content) == (200, {"state": "done"})
+        assert len(site.started()) == 10
+
+
+@pytest.mark.parametrize(
+    "method, path, content, status",
+    [
+        ("POST", "/else/0000000000000001", {}, 404),
+        ("POST", "/stock/short", {}, 404),
+        ("POST", "/stock/0000000000000001", b"\xff", 400),
+        ("POST", "/stock/0000000000000001", {"steps": []}, 400),
+        ("POST", "/stock/0000000000000001", {"steps": [{"count": 0}]}, 400),
+        ("POST", "/stock/0000000000000001", {"steps": [{"after": [0]}]}, 400),
+        ("POST", "/stock/0000000000000001", {"steps": [{}], "spec": "x" * 4001}, 400),
+        ("GET", "/stock/0000000000000001", None, 410),
+        ("DELETE", "/stock/0000000000000001", None, 410),
+        ("PATCH", "/stock/0000000000000001", None, 405),
+    ],
+)
+async def test_requests_that_name_no_job_get_a_clear_answer(
+    method, path, content, status
+):
+    async with Site.open(entries=1, workers=1) as site:
+        answer = await site.request(site.entries[0], method, path, content)
+        assert answer[0] == status
+        assert answer[1]["error"]
+        assert site.started() == []
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"best_effort": False},
+        {"times": 3},
+        {"step": {"gang": True}},
+        {"step": {"persistent": True}},
+        {"step": {"cpu": 99_000}},
+        {"step": {"requires": "gpu"}},
+    ],
+)
+async def test_what_is_not_carried_out_is_refused_and_not_run(fields):
+    async with Site.open(entries=1, workers=1) as site:
+        status, content, headers = await site.request(
+            site.entries[0], "POST", site.job_path(), site.job(**fields)
+        )
+        assert status == 503
+        assert content["error"]
+        assert int(headers["retry-after"]) >= 1
+        assert site.started() == []
+
+
+async def test_jobs_that_wait_are_counted():
+    async with Site.open(entries=1, workers=1) as site:
+        entry = site.entries[0]
+        async with anyio.create_task_group() as group:
+            for _ in range(6):
+                job = site.job(work_ms=400)
+                group.start_soon(site.request, entry, "POST", site.job_path(), job)
+            await until(lambda: len(site.started()) == 4)
+            status, content, _ = await site.request(entry, "GET", "/stock/")
+        assert (status, content) == (200, {"pending": 2})
+
+
+async def test_job_that_fails_everywhere_is_told_as_failed():
+    async with Site.open(entries=1, workers=2) as site:
+        status, content, _ = await site.request(
+            site.entries[0], "POST", site.job_path(), site.job(task={"fails": True})
+        )
+        assert (status, content) == (200, {"state": "failed"})
+        assert len(site.started()) == 3
+
+
+async def test_job_cancelled_at_another_entry_stops():
+    async with Site.open(entries=2, workers=1) as site:
+        first, second = site.entries
+        path = site.job_path()
+        answers = []
+
+        async def submit() -> None:
+            job = site.job(work_ms=5000)
+            answers.append(await site.request(first, "POST", path, job))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit)
+            await until(lambda: site.started())
+            assert (await site.request(second, "DELETE", path))[0] in (200, 410)
+        assert answers[0][:2] == (200, {"state": "cancelled"})
+        await until(lambda: not site.agents[0].supervisor.runs)
+
+
+async def test_runs_of_a_caller_that_has_left_are_stopped():
+    async with Site.open(entries=1, workers=1) as site:
+        with anyio.move_on_after(0.5):
+            job = site.job(work_ms=5000)
+            await site.request(site.entries[0], "POST", site.job_path(), job)
+        assert site.started()
+        await until(lambda: not site.agents[0].supervisor.runs)
+
+
+async def test_changed_plan_is_in_force_everywhere():
+    async with Site.open() as site:
+        site.configure(route("stock", "/stock/"), route("quote", "/quote/"))
+        await site.wait_until_known()
+        for entry in site.entries:
+            job = site.job()
+            answer = await site.request(entry, "POST", site.job_path("/quote/"), job)
+            assert answer[0] == 200
+        site.configure(route("quote", "/quote/"))
+        await site.wait_until_known()
+        for entry in site.entries:
+            answer = await site.request(entry, "POST", site.job_path(), site.job())
+            assert answer[0] == 404
+
+
+async def test_plan_reaches_an_entry_that_the_store_does_not_serve():
+    async with Site.open() as site:
+        store = site.entries[1].store
+        store.client.address = "127.0.0.1:9"
+        site.configure(route("quote", "/quote/"))
+        await site.wait_until_known()
+
+
+async def test_entry_started_during_an_outage_learns_all_from_its_peers():
+    async with Site.open(entries=1, workers=2) as site:
+        site.store.refusing = 503
+        entry = site.add_entry("entry-late")
+        await site.wait_until_known()
+        answer = await site.request(entry, "POST", site.job_path(), site.job())
+        assert answer[0] == 200
+
+
+async def test_agent_started_during_an_outage_is_found():
+    async with Site.open(entries=2, workers=1) as site:
+        site.store.refusing = 503
+        await site.add_worker("agent-late")
+        await site.wait_until_known()
+
+
+async def test_agents_whose_records_were_taken_away_are_found_by_a_new_entry():
+    async with Site.open(entries=1, workers=1) as site:
+        site.store.revoke("marigoldkeel/")
+        site.add_entry("entry-late")
+        await site.wait_until_known()
+
+
+async def test_entry_without_a_plan_is_not_ready_and_refuses():
+    async with Site.open(entries=1, workers=1) as site:
+        site.store.silent = True
+        site.entries.clear()
+        entry = site.add_entry("entry-alone")
+        await until(lambda: entry.controller is not None)
+        await anyio.sleep(0.2)
+        answer = await site.request(entry, "POST", site.job_path(), site.job())
+        assert answer[0] == 503
+        assert not entry.ready
+
+
+async def test_planned_stop_of_an_entry_answers_what_is_in_progress(monkeypatch):
+    monkeypatch.setattr(daemons, "BALANCER_NOTICE_S", 0.1)
+    async with Site.open(entries=1, workers=1) as site:
+        entry = site.entries[0]
+        answers = []
+
+        async def submit() -> None:
+            job = site.job(work_ms=800)
+            answers.append(await site.request(entry, "POST", site.job_path(), job))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit)
+            await until(lambda: site.started())
+            entry.stop()
+            await anyio.sleep(0.05)
+            assert not entry.ready
+        assert answers[0][:2] == (200, {"state": "done"})
+        assert answers[0][2].get("connection") == "close"
+        with pytest.raises((httpcore.NetworkError, httpcore.ProtocolError)):
+            for _ in range(100):
+                await site.request(entry, "GET", "/stock/")
+                await anyio.sleep(0.05)
+
+
+async def test_successor_of_a_stopped_agent_keeps_its_runs():
+    async with Site.open(entries=1, workers=1) as site:
+        agent, entry = site.agents[0], site.entries[0]
+        answers = []
+
+        async def submit() -> None:
+            job = site.job(work_ms=2500)
+            answers.append(await site.request(entry, "POST", site.job_path(), job))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit)
+            await until(lambda: site.started())
+            stopped = anyio.Event()
+            successor = daemons.FleetAgent(
+                agent.settings, agent.store, agent.client, ""
+            )
+
+            async def replace() -> None:
+                agent.stop()
+                while agent.supervisor.leaving is False:
+                    await anyio.sleep(0.01)
+                await anyio.sleep(daemons.RUN_OUT_S + 0.3)
+                stopped.set()
+                await successor.run()
+
+            group.start_soon(replace)
+            await until(lambda: answers)
+            group.cancel_scope.cancel()
+        assert answers[0][:2] == (200, {"state": "done"})
+        assert len(site.started()) == 1
--- /dev/null
+++ b/tests/platform/test_plans.py
@@ -0,0 +1,66 @@
+"""The operator's configuration."""
+
+import msgspec
+import pytest
+
+from marigoldkeel.exceptions import InvalidInput
+from marigoldkeel.platform.plans import decode_plan
+
+
+ROUTE = {
+    "name": "r-1",
+    "host": "shop.example",
+    "prefix": "/stock/",
+    "kind": "unsafe",
+    "timeout_ms": 1500,
+    "slo_ms": 60,
+    "priority": 0,
+    "service": "s-1",
+    "max_attempts": 4,
+    "stretch": 1.6,
+    "a_field_of_tomorrow": [1],
+}
+
+
+def encode(*routes: dict, version: object = 3, **fields) -> bytes:
+    return msgspec.json.encode({"version": version, "routes": routes, **fields})
+
+
+def test_route_becomes_a_queue():
+    service = {"name": "s-1", "admission_check": True, "max_conns": 64}
+    plan = decode_plan(encode(ROUTE, services=[service]))
+    (queue,) = plan.queues
+    assert (plan.version, queue.allowance_s, queue.stretch) == (3, 0.06, 1.6)
+    assert (queue.max_attempts, queue.priority, queue.advice) == (4, 0, None)
+    assert plan.services[0].checks_room
+
+
+def test_advice_is_read():
+    advice = {"decide_ms": 50, "period_ms": 2, "valid_ms": 3000}
+    (queue,) = decode_plan(encode({**ROUTE, "advice": advice})).queues
+    assert (queue.advice.decide_s, queue.advice.valid_s) == (0.05, 3.0)
+
+
+@pytest.mark.parametrize(
+    "host, path, name",
+    [
+        ("shop.example", "/stock/0a", "r-1"),
+        ("shop.example", "/stock/urgent/0a", "r-2"),
+        ("shop.example", "/stoc", None),
+        ("else.example", "/stock/0a", None),
+    ],
+)
+def test_longest_prefix_of_the_host_decides(host, path, name):
+    longer = {**ROUTE, "name": "r-2", "prefix": "/stock/urgent/"}
+    plan = decode_plan(encode(ROUTE, longer))
+    queue = plan.find(host, path)
+    assert (queue and queue.name) == name
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"\xff", b"[]", encode(version="x"), encode({"name": "r"}), b'{"routes":[]}'],
+)
+def test_configuration_that_cannot_be_read_is_named(data):
+    with pytest.raises(InvalidInput, match="malformed configuration"):
+        decode_plan(data)
--- /dev/null
+++ b/tests/platform/test_stores.py
@@ -0,0 +1,126 @@
+"""The client of the platform's store, against a stand-in with faults."""
+
+from contextlib import aclosing, asynccontextmanager
+
+import anyio
+import pytest
+
+from emulator.stores import StoreEmulator
+from marigoldkeel.exceptions import StoreUnavailable
+from marigoldkeel.platform.stores import PlatformStore
+from marigoldkeel.servers import serve_http
+from marigoldkeel.stores import Write
+
+
+pytestmark = pytest.mark.anyio
+
+
+@asynccontextmanager
+async def opened(timeout_s: float = 0.5):
+    """Serve a stand-in and yield it with a client."""
+    emulator = StoreEmulator()
+    async with anyio.create_task_group() as group:
+        address = await group.start(serve_http, emulator.application, "127.0.0.1", 0)
+        async with PlatformStore(address, timeout_s) as store:
+            yield emulator, store
+        group.cancel_scope.cancel()
+
+
+async def test_values_are_read_as_they_were_written():
+    async with opened() as (emulator, store):
+        emulator.put("op/config", b"\x00\xffplan")
+        value = await store.get("op/config")
+        assert (value.data, value.revision) == (b"\x00\xffplan", emulator.rev)
+        assert await store.get("op/none") is None
+
+
+async def test_prefix_is_read_over_pages():
+    async with opened() as (emulator, store):
+        for number in range(1200):
+            emulator.put(f"d/{number:04}", b"x")
+        emulator.put("e/1", b"y")
+        snapshot = await store.get_prefix("d/")
+        assert len(snapshot.values) == 1200
+        assert snapshot.revision == emulator.rev
+
+
+async def test_swap_is_made_only_at_the_expected_revision():
+    async with opened() as (_, store):
+        revision = await store.compare_and_swap([Write("k", b"1", 0)])
+        assert await store.compare_and_swap([Write("k", b"2", 0)]) is None
+        assert await store.compare_and_swap([Write("k", b"2", revision)]) > revision
+
+
+async def test_key_ends_with_its_lease():
+    async with opened() as (emulator, store):
+        lease = await store.grant_lease(0.2)
+        await store.put_leased("d/1", b"x", lease)
+        assert await store.renew_lease(lease)
+        await anyio.sleep(0.3)
+        emulator.expire()
+        assert "d/1" not in emulator.items
+        assert not await store.renew_lease(lease)
+        with pytest.raises(StoreUnavailable, match="404"):
+            await store.put_leased("d/1", b"x", lease)
+
+
+async def test_watch_yields_writes_and_removals_and_outlives_silence():
+    async with opened() as (emulator, store):
+        seen = []
+
+        async def follow() -> None:
+            async with aclosing(
+                store.watch_changes("d/", emulator.rev, 0.1)
+            ) as changes:
+                async for change in changes:
+                    seen.append((change.key, change.data))
+                    if len(seen) == 3:
+                        return
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(follow)
+            await anyio.sleep(0.3)
+            emulator.put("d/1", b"x")
+            emulator.put("e/1", b"z")
+            emulator.remove("d/1")
+            await anyio.sleep(0.2)
+            emulator.put("d/2", b"y")
+        assert seen == [("d/1", b"x"), ("d/1", None), ("d/2", b"y")]
+        assert emulator.counts["kv-watch"] > 2
+
+
+async def test_watch_of_a_history_that_is_gone_says_so():
+    async with opened() as (emulator, store):
+        emulator.put("d/1", b"x")
+        emulator.compact()
+        with pytest.raises(StoreUnavailable, match="410"):
+            async for _ in store.watch_changes("d/", 1, 0.1):
+                pass
+
+
+@pytest.mark.parametrize(
+    "fault", [{"refusing": 503}, {"refusing": 429}, {"silent": True}]
+)
+async def test_every_call_names_an_outage(fault):
+    async with opened(timeout_s=0.1) as (emulator, store):
+        for name, value in fault.items():
+            setattr(emulator, name, value)
+        for call in (
+            lambda: store.get("k"),
+            lambda: store.get_prefix("k"),
+            lambda: store.compare_and_swap([Write("k", b"", 0)]),
+            lambda: store.grant_lease(1.0),
+            lambda: store.renew_lease(1),
+        ):
+            with pytest.raises(StoreUnavailable) as caught:
+                await call()
+            assert caught.value.step.startswith("store ")
+            assert caught.value.peer == store.client.address
+
+
+async def test_lost_answer_is_an_unknown_outcome():
+    async with opened(timeout_s=0.1) as (emulator, store):
+        emulator.lose_answers = 1
+        with pytest.raises(StoreUnavailable):
+            await store.compare_and_swap([Write("k", b"1", 0)])
+        assert emulator.items["k"].value == b"1"
--- /dev/null
+++ b/tests/platform/test_workers.py
@@ -0,0 +1,168 @@
+"""The client of the runner and the endpoint of its reports."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+import httpcore
+import msgspec
+import pytest
+
+from emulator.runners import RunnerEmulator
+from emulator.workers import EmulatedWorker
+from marigoldkeel.exceptions import MarigoldkeelError, ProtocolError
+from marigoldkeel.fleet.supervisors import Phase, Run, StartOutcome, Supervisor
+from marigoldkeel.fleet.work import Resources, RunEnd, RunId, TaskId
+from marigoldkeel.platform.workers import (
+    RunnerClient,
+    parse_task_name,
+    reports_application,
+    task_name,
+)
+from marigoldkeel.servers import serve_http
+
+
+pytestmark = pytest.mark.anyio
+
+
+def make_run(index: int = 0, number: int = 1, work_ms: int = 50) -> Run:
+    task = TaskId("00000000000000aa", 0, 0, index)
+    payload = msgspec.json.encode({"work_ms": work_ms}).decode()
+    return Run(RunId(task, number), "o", Resources(1000), Phase.STARTING, 0.0, payload)
+
+
+@asynccontextmanager
+async def opened():
+    """Serve a stand-in and yield it with a client that knows its clock."""
+    worker = EmulatedWorker("i-1", "service", "a", Resources(4000, 4096), boot=5)
+    runner = RunnerEmulator(worker)
+    async with anyio.create_task_group() as group:
+        address = await group.start(serve_http, runner.application, "127.0.0.1", 0)
+        client = RunnerClient(address)
+        await client.look(0.5, 0.0, 0)
+        yield runner, client
+        await client.aclose()
+        group.cancel_scope.cancel()
+
+
+async def test_run_is_started_seen_and_its_end_listed_once():
+    async with opened() as (_, client):
+        run = make_run()
+        assert await client.start(run, 0.5) == (StartOutcome.STARTED, "")
+        look = await client.look(0.5, 0.0, 0)
+        assert [row.run_id for row in look.running] == [run.run_id]
+        assert look.boot == 5
+        look = await client.look(0.5, 1.0, 0)
+        (row,) = look.ended
+        assert (row.run_id, row.end) == (run.run_id, RunEnd.DONE)
+        assert (await client.look(0.5, 0.0, row.number)).ended == []
+
+
+async def test_stopped_run_is_refused_when_its_order_arrives_late():
+    async with opened() as (_, client):
+        run = make_run()
+        assert await client.stop(run)
+        assert (await client.start(run, 0.5))[0] == StartOutcome.OUTDATED
+
+
+async def test_order_with_a_lease_in_the_past_is_refused():
+    async with opened() as (_, client):
+        outcome, reason = await client.start(make_run(), -1.0)
+        assert (outcome, reason) == (StartOutcome.REFUSED, "late")
+
+
+async def test_start_before_the_clock_is_known_is_not_sent():
+    client = RunnerClient("127.0.0.1:9")
+    outcome, _ = await client.start(make_run(), 0.5)
+    assert outcome == StartOutcome.UNREACHABLE
+
+
+async def test_lost_answer_leaves_the_outcome_open():
+    async with opened() as (runner, client):
+        runner.lost_answers = 1
+        assert (await client.start(make_run(), 0.5))[0] == StartOutcome.UNANSWERED
+
+
+async def test_runner_that_does_not_listen_got_nothing():
+    client = RunnerClient("127.0.0.1:9")
+    client.offset_ms = 0.0
+    assert (await client.start(make_run(), 0.5))[0] == StartOutcome.UNREACHABLE
+    assert not await client.stop(make_run())
+    with pytest.raises(MarigoldkeelError):
+        await client.look(0.5, 0.0, 0)
+
+
+@pytest.mark.parametrize("name", ["", "aa.0.0", "aa.0.0.x", "aa.0.0.0.0", None])
+async def test_names_that_stand_for_no_task_are_refused(name):
+    with pytest.raises(ProtocolError):
+        parse_task_name(name)
+
+
+async def test_task_names_survive_the_wire():
+    task = TaskId("00000000000000aa", 3, 2, 1)
+    assert parse_task_name(task_name(task)) == task
+
+
+@asynccontextmanager
+async def reports():
+    """Serve the endpoint of reports and yield a way to send them."""
+    supervisor = Supervisor(anyio.current_time)
+    client = RunnerClient("127.0.0.1:9")
+    application = reports_application(supervisor, client, lambda: None)
+    async with anyio.create_task_group() as group:
+        address = await group.start(serve_http, application, "127.0.0.1", 0)
+        async with httpcore.AsyncConnectionPool() as pool:
+
+            async def send(method: str, content=None, name: str = "i-1") -> int:
+                body = (
+                    content
+                    if isinstance(content, bytes)
+                    else msgspec.json.encode(content)
+                )
+                response = await pool.request(
+                    method, f"http://{address}/api/instances/{name}", content=body
+                )
+                return response.status
+
+            yield supervisor, client, send
+        group.cancel_scope.cancel()
+
+
+def report(**fields) -> dict:
+    worker = EmulatedWorker("i-1", "service", "a", Resources(4000, 4096), boot=5)
+    return {**RunnerEmulator(worker).report(), **fields}
+
+
+async def test_report_tells_what_the_worker_is():
+    async with reports() as (supervisor, client, send):
+        assert await send("PUT", report(labels=["b", "r1-2"])) == 200
+        assert supervisor.facts.capacity == Resources(4000, 4096)
+        assert supervisor.facts.labels == ["b", "r1-2"]
+        assert client.instance == "i-1"
+        assert await send("PUT", report(state="draining", seq=2)) == 200
+        assert supervisor.facts.leaving
+        assert await send("DELETE") == 200
+        assert supervisor.facts is None
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"\xff\x00",
+        b"[]",
+        report(state="elsewhere"),
+        report(seq="one"),
+        report(capacity=None),
+        {"service": "s"},
+    ],
+)
+async def test_reports_that_cannot_be_read_change_nothing(content):
+    async with reports() as (supervisor, _, send):
+        assert await send("PUT", content) == 400
+        assert supervisor.facts is None
+
+
+async def test_report_over_the_size_limit_is_refused():
+    async with reports() as (supervisor, _, send):
+        content = report(labels=["x" * (4 * 1024 * 1024)])
+        assert await send("PUT", content) == 413
+        assert supervisor.facts is None
