Keep an entry's own runs in its view of a worker, and send fewer states

Change: an entry counts its own runs in and out itself; an agent tells it at once what others changed only if that decides whether a usual task fits, or moves a fifth of the worker.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -48,8 +48,10 @@
 SILENCE_S = 0.4
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.5
-# How old the state that an owner knows may be while there is room at the worker.
-STATE_INTERVAL_S = 0.05
+# An owner is told at once when the free share of a worker has changed by this much, and
+# of smaller changes after a while. It knows of its own runs anyway.
+NEWS_SHARE = 0.2
+STATE_INTERVAL_S = 0.5
 # After the last message to an agent that cannot be reached, its worker has ended all
 # runs of this owner: the agent stops them when the lease has run out, and if it is
 # gone too, the worker ends them by itself.
@@ -270,7 +272,6 @@
     connection: Connection
     owner: Member
     heard: int = 0
-    heard_sent: int = -1
     told_at: float = float("-inf")
     told_room: Resources = NO_RESOURCES
     told_usable: bool = False
@@ -329,16 +330,18 @@
         Other changes can wait, which saves most of the messages.
         """
         supervisor = self.supervisor
-        usual = supervisor.usual_demand
-        if supervisor.usable != link.told_usable:
-            return True
-        if supervisor.facts != link.facts_sent:
+        facts, room = supervisor.facts, supervisor.room
+        if supervisor.usable != link.told_usable or facts != link.facts_sent:
             return True
-        room = supervisor.room
+        if facts is None or room == link.told_room:
+            return False
+        usual = supervisor.usual_demand
         if usual.fits(room) != usual.fits(link.told_room):
             return True
-        is_old = supervisor.clock() - link.told_at > STATE_INTERVAL_S
-        return is_old and (room != link.told_room or link.heard != link.heard_sent)
+        change = abs(room.cpu_milli - link.told_room.cpu_milli)
+        if change > NEWS_SHARE * facts.capacity.cpu_milli:
+            return True
+        return supervisor.clock() - link.told_at > STATE_INTERVAL_S
 
     @property
     def entries(self) -> list[Member]:
@@ -364,7 +367,6 @@
         state = WorkerState(link.heard, supervisor.room, supervisor.usable)
         link.told_at = supervisor.clock()
         link.told_room, link.told_usable = state.room, state.usable
-        link.heard_sent = link.heard
         self._send(link, state)
 
     def _send(self, link: OwnerLink, content: Any) -> None:
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -199,6 +199,7 @@
 
     def take_event(self, worker: str, event: RunEvent) -> None:
         """Take what an agent tells of a run."""
+        self.fleet.view(worker).release(event.run)
         owned, task = self._find(event.run)
         if task is None or task.run != event.run:
             return
@@ -375,8 +376,8 @@
         )
         sequence = self.send(worker, message)
         view = self.fleet.view(worker)
-        for _ in tasks:
-            view.reserve(sequence, step.demand)
+        for task in tasks:
+            view.place(task.run, sequence, step.demand)
 
     def _next_run(self) -> int:
         self.last_run = max(self.last_run + 1, self.wall_ms())
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from marigoldkeel.fleet.messages import WorkerFacts, WorkerState
-from marigoldkeel.fleet.work import NO_RESOURCES, Resources
+from marigoldkeel.fleet.work import NO_RESOURCES, Resources, RunId
 
 
 @dataclass(slots=True)
@@ -11,8 +11,9 @@
     """One worker as its agent last described it.
 
     :ivar name: The name of its agent.
-    :ivar reserved: Demands of orders that ``room`` does not take into account yet, by
-        the number of the order.
+    :ivar room: What was free when the agent last said so, and what this entry's runs
+        that have ended since have given back.
+    :ivar placed: This entry's runs there, with the number of the order of each.
     """
 
     name: str
@@ -21,7 +22,7 @@
     usable: bool = False
     connected: bool = False
     heard: int = 0
-    reserved: dict[int, Resources] = field(default_factory=dict)
+    placed: dict[RunId, tuple[int, Resources]] = field(default_factory=dict)
 
     @property
     def ready(self) -> bool:
@@ -32,27 +33,32 @@
     def free(self) -> Resources:
         """The room that is left after what has been sent there."""
         free = self.room
-        for demand in self.reserved.values():
-            free = free - demand
+        for sequence, demand in self.placed.values():
+            if sequence > self.heard:
+                free = free - demand
         return free
 
-    def reserve(self, sequence: int, demand: Resources) -> None:
-        """Count an order that has just been sent."""
-        self.reserved[sequence] = demand
+    def place(self, run: RunId, sequence: int, demand: Resources) -> None:
+        """Count a run that has just been ordered."""
+        self.placed[run] = (sequence, demand)
+
+    def release(self, run: RunId) -> None:
+        """Count a run no more that has ended or was refused."""
+        sequence, demand = self.placed.pop(run, (0, NO_RESOURCES))
+        if sequence <= self.heard:
+            self.room = self.room + demand
 
     def update(self, state: WorkerState) -> None:
         """Take a newer state."""
         self.heard = state.heard
         self.room = state.room
         self.usable = state.usable
-        for sequence in [key for key in self.reserved if key <= state.heard]:
-            del self.reserved[sequence]
 
     def disconnect(self) -> None:
         """Note that nothing is known of it any more."""
         self.connected = False
         self.usable = False
-        self.reserved.clear()
+        self.placed.clear()
 
 
 class FleetView:
