Keep jobs waiting while an entry finds its workers; forecast waits; reserve room

Cause: after a power failure an entry refused all jobs of the 0.3 s until its agents were back; in a full fleet urgent jobs got their tasks one by one, in competition with other entries' work; a worker's speed was learned from estimates that are off by 40%; an agent went on ordering starts from a worker that had just crashed, each of which prolonged the lease that it had to wait out. Ruled out in played loads: saving fast workers for long tasks (worse at every load).

Change: admission.py decides on forecasts; packing.py leaves 12% of the fleet to urgent jobs; speeds come from tasks of one step; nothing starts after a look without an answer; the lease is 0.5 s.

--- a/marigoldkeel/blackboard.py
+++ b/marigoldkeel/blackboard.py
@@ -10,6 +10,7 @@
 from marigoldkeel.configuration import Configuration
 from marigoldkeel.ejection import OutlierDetector
 from marigoldkeel.heartbeats import PeerState, PeerTable
+from marigoldkeel.identifiers import wall_clock_ms
 from marigoldkeel.jobs import Job
 from marigoldkeel.messages import TaskResult
 from marigoldkeel.models import Member, TaskState
@@ -21,11 +22,6 @@
 CACHE_S = 1.0
 
 
-def wall_clock_ms() -> int:
-    """Return the wall-clock time in milliseconds."""
-    return time.time_ns() // 1_000_000
-
-
 class Blackboard:
     """What one daemon knows.
 
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -13,7 +13,6 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from marigoldkeel.blackboard import wall_clock_ms
 from marigoldkeel.exceptions import ProtocolError, SettingsError
 from marigoldkeel.fleet.directory import Directory, DirectoryController
 from marigoldkeel.fleet.drivers import WorkerClient, WorkerDriver
@@ -25,7 +24,7 @@
 from marigoldkeel.fleet.settings import FleetSettings
 from marigoldkeel.fleet.supervisors import Supervisor
 from marigoldkeel.fleet.views import FleetView
-from marigoldkeel.identifiers import mint_incarnation
+from marigoldkeel.identifiers import mint_incarnation, wall_clock_ms
 from marigoldkeel.messages import Pull
 from marigoldkeel.models import Member
 from marigoldkeel.servers import HttpApplication, serve_http
@@ -179,7 +178,12 @@
         self.fleet = FleetView()
         self.links = OwnerLinks(self.own, self.fleet, self.clock)
         self.scheduler = Scheduler(
-            self.fleet, settings.domain, self.links.send, self.clock, wall_clock_ms
+            self.fleet,
+            settings.domain,
+            self.links.send,
+            self.clock,
+            wall_clock_ms,
+            sharers=self._count_entries,
         )
         self.links.scheduler = self.scheduler
         self.leaving = False
@@ -224,6 +228,11 @@
         group.start_soon(self.follower.run_forever)
         group.start_soon(self.controller.run_forever)
 
+    def _count_entries(self) -> int:
+        """Return how many entries there are."""
+        others = self.directory.entries() if self.directory is not None else []
+        return 1 + len(others)
+
     def _is_connected(self, name: str) -> bool:
         link = self.links.links.get(name)
         return link is not None and link.connection is not None
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -99,8 +99,10 @@
             asked_at = supervisor.clock()
             if lease_s:
                 supervisor.lease_sent(lease_s)
+            # The first look tells whether the worker is there, so it waits for nothing.
+            wait_s = LOOK_WAIT_S if self.answered else 0.0
             try:
-                look = await self.client.look(lease_s, LOOK_WAIT_S, supervisor.last_end)
+                look = await self.client.look(lease_s, wait_s, supervisor.last_end)
             except MarigoldkeelError as error:
                 if self.answered:
                     logger.info("worker not reachable: {}", error)
--- a/marigoldkeel/fleet/packing.py
+++ b/marigoldkeel/fleet/packing.py
@@ -14,6 +14,13 @@
 
 # Two messages across failure domains, in seconds.
 FAR_S = 0.002
+# Share of the fleet's processors that is left to urgent jobs. An eighth holds a wide
+# job on a dozen workers; in played loads at the fleet's limit it halves the urgent jobs
+# that are late, and more only takes from the others.
+RESERVE_SHARE = 0.12
+# How much a full worker and chance count beside the run time.
+USED_WEIGHT = 0.15
+JITTER_WEIGHT = 0.05
 # How much longer a run is expected to take on a rack without its data.
 REMOTE_FACTOR = 1.5
 
@@ -36,9 +43,23 @@
     held: int = 0
 
 
-PackingPolicy = Callable[
-    [int, Step, float, list[Candidate], random.Random], list[Candidate]
-]
+@dataclass(slots=True)
+class Parcel:
+    """Tasks of one step that are to be placed now.
+
+    :ivar task_s: Expected run time of a task at the mean speed.
+    :ivar left_s: Time until the job's objective has passed.
+    :ivar may_be_late: Whether to place tasks that will end after the objective.
+    """
+
+    step: Step
+    count: int
+    task_s: float
+    left_s: float = float("inf")
+    may_be_late: bool = True
+
+
+PackingPolicy = Callable[[Parcel, list[Candidate], random.Random], list[Candidate]]
 packings: dict[str, PackingPolicy] = {}
 
 
@@ -79,58 +100,80 @@
     return run_s + (0.0 if candidate.near else FAR_S)
 
 
-def _take(step: Step, candidate: Candidate) -> None:
-    candidate.free = candidate.free - step.demand
-    candidate.held += 1
-
-
-@packing("random")
-def pack_randomly(
-    count: int,
-    step: Step,
-    task_s: float,
-    candidates: list[Candidate],
-    rng: random.Random,
+def _take(
+    parcel: Parcel, candidates: list[Candidate], cost: Callable[[Candidate], float]
 ) -> list[Candidate]:
-    """Send each task to a random worker that has room."""
+    """Give each task to the admissible candidate of the least cost."""
     chosen = []
-    for _ in range(count):
-        open_ones = [item for item in candidates if admissible(step, item)]
+    for _ in range(parcel.count):
+        open_ones = [item for item in candidates if admissible(parcel.step, item)]
         if not open_ones:
             break
-        candidate = rng.choice(open_ones)
-        _take(step, candidate)
+        candidate = min(open_ones, key=cost)
+        candidate.free = candidate.free - parcel.step.demand
+        candidate.held += 1
         chosen.append(candidate)
     return chosen
 
 
+@packing("random")
+def pack_randomly(
+    parcel: Parcel, candidates: list[Candidate], rng: random.Random
+) -> list[Candidate]:
+    """Send each task to a random worker that has room."""
+    return _take(parcel, candidates, lambda item: rng.random())
+
+
 @packing("soonest")
 def pack_soonest(
-    count: int,
-    step: Step,
-    task_s: float,
-    candidates: list[Candidate],
-    rng: random.Random,
+    parcel: Parcel, candidates: list[Candidate], rng: random.Random
 ) -> list[Candidate]:
     """Send each task where it is done soonest, and among equals where most is free.
 
     Entries that see the same fleet would all choose the same worker; a small random
     part spreads them.
     """
-    chosen = []
     jitter = {item.name: rng.random() for item in candidates}
 
     def cost(item: Candidate) -> float:
         used = 1 - item.free.cpu_milli / max(1, item.capacity.cpu_milli)
-        return expected_s(step, task_s, item) * (
-            1 + 0.15 * used + 0.05 * jitter[item.name]
-        )
+        spread = 1 + USED_WEIGHT * used + JITTER_WEIGHT * jitter[item.name]
+        return expected_s(parcel.step, parcel.task_s, item) * spread
 
-    for _ in range(count):
-        open_ones = [item for item in candidates if admissible(step, item)]
-        if not open_ones:
-            break
-        candidate = min(open_ones, key=cost)
-        _take(step, candidate)
-        chosen.append(candidate)
-    return chosen
+    return _take(parcel, candidates, cost)
+
+
+@packing("in_time")
+def pack_in_time(
+    parcel: Parcel, candidates: list[Candidate], rng: random.Random
+) -> list[Candidate]:
+    """Send each task where it is done soonest, but only where that is in time.
+
+    A task that waits for a fast worker may still be in time; one that starts on a slow
+    worker too late takes room and is of little use.
+    """
+    if not parcel.may_be_late:
+        candidates = [
+            item
+            for item in candidates
+            if expected_s(parcel.step, parcel.task_s, item) <= parcel.left_s
+        ]
+    return pack_soonest(parcel, candidates, rng)
+
+
+def count_beside_reserve(parcel: Parcel, candidates: list[Candidate]) -> int:
+    """Return how many tasks that are not urgent leave the reserve of the fleet free.
+
+    Several entries fill the fleet without knowing of each other's queues. With the
+    reserve an urgent job finds room for all of its tasks at once when the fleet is
+    full, wherever the work that fills it came from.
+    """
+    free = sum(max(0, item.free.cpu_milli) for item in candidates)
+    capacity = sum(item.capacity.cpu_milli for item in candidates)
+    demand = parcel.step.demand.cpu_milli
+    # A fleet that holds a single task has no reserve.
+    reserve = max(0, min(RESERVE_SHARE * capacity, capacity - demand))
+    beside = free - reserve
+    if beside < demand:
+        return 0
+    return min(parcel.count, int(beside // max(1, demand)))
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -16,7 +16,13 @@
 
 from loguru import logger
 
-from marigoldkeel.fleet.forecasts import Forecaster
+from marigoldkeel.fleet.admission import (
+    OVERHEAD_S,
+    Prospect,
+    refusal_reason,
+    waiting_times,
+)
+from marigoldkeel.fleet.forecasts import Forecaster, Sample
 from marigoldkeel.fleet.messages import (
     HeldRun,
     Progress,
@@ -26,7 +32,13 @@
     StartRuns,
     StopRuns,
 )
-from marigoldkeel.fleet.packing import Candidate, PackingPolicy, find_packing
+from marigoldkeel.fleet.packing import (
+    Candidate,
+    PackingPolicy,
+    Parcel,
+    count_beside_reserve,
+    find_packing,
+)
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import (
     JobAnswer,
@@ -39,21 +51,17 @@
 )
 
 
-# A job that has not begun is refused after this share of its objective: later it is
-# of little use to the caller, who can still turn to somebody else.
-WAIT_SHARE = 0.25
-# A job is late up to this many times its objective, and of no use after that.
-LATE_FACTOR = 3.0
-# Times between the entry and a caller that count towards the objective, in seconds.
-CALLER_S = 0.006
+# How long after an urgent job room is left for the next one.
+URGENT_MEMORY_S = 10.0
+# An entry that has just started, or has just lost all workers, does not know yet what
+# it can serve. Agents that start with it are usable within this time.
+UNINFORMED_S = 1.5
 # How long after the caller's patience its runs may go on. A caller whose connection
 # was lost unseen asks again 1.3 s later, and by then they have to be gone.
 PATIENCE_GRACE_S = 0.3
 RETRY_AFTER_S = 1.0
 # Orders of one urgent class of queues come before all others.
 URGENT_PRIORITY = 0
-# Room is not looked for on a worker that has just refused, until it says more.
-FOREVER = float("inf")
 
 
 class TaskPhase(Enum):
@@ -67,7 +75,10 @@
 
 @dataclass(slots=True)
 class TaskRecord:
-    """One task of an owned job; ``run`` and ``worker`` are set while it is placed."""
+    """One task of an owned job; ``run`` and ``worker`` are set while it is placed.
+
+    :ivar sample: The run time of its last run, ended or foreseen.
+    """
 
     task_id: TaskId
     phase: TaskPhase = TaskPhase.BLOCKED
@@ -77,6 +88,7 @@
     failures: int = 0
     avoided: set[str] = field(default_factory=set)
     stopping: bool = False
+    sample: Sample | None = None
 
 
 @dataclass(slots=True)
@@ -84,12 +96,16 @@
     """A job with the state of its tasks.
 
     :ivar has_run: Whether a run of it has ended or may have.
+    :ivar task_s: Expected run time of a task of each step.
+    :ivar chain_s: Expected run time of the steps that follow each other.
     :ivar objective_s: Expected time in which the answer is in time.
     """
 
     job: RepeatableJob
     answer: Callable[[JobAnswer], None]
     tasks: list[list[TaskRecord]]
+    task_s: list[float] = field(default_factory=list)
+    chain_s: float = 0.0
     objective_s: float = 0.0
     has_run: bool = False
     answered: bool = False
@@ -123,6 +139,7 @@
 
     :param send: Sends a message to the agent of a worker and returns the number that
         it was given.
+    :param sharers: Returns how many entries share the fleet.
     :param wall_ms: Wall-clock time in milliseconds. Run numbers are taken from it, so
         that those of another owner, later on, are higher.
     """
@@ -135,16 +152,20 @@
         clock: Callable[[], float],
         wall_ms: Callable[[], int],
         seed: int | None = None,
-        packing: str = "soonest",
+        packing: str = "in_time",
+        sharers: Callable[[], int] = lambda: 1,
     ):
         self.fleet = fleet
         self.domain = domain
         self.send = send
         self.clock = clock
         self.wall_ms = wall_ms
+        self.sharers = sharers
+        self.informed_at = clock()
         self.random = random.Random(seed)
         self.pack: PackingPolicy = find_packing(packing)
         self.forecaster = Forecaster()
+        self.urgent_at: dict[str, float] = {}
         self.jobs: dict[str, OwnedJob] = {}
         self.waiting: dict[str, OwnedJob] = {}
         self.last_run = 0
@@ -156,6 +177,8 @@
         self, job: RepeatableJob, answer: Callable[[JobAnswer], None]
     ) -> OwnedJob | None:
         """Take a job, or answer it at once."""
+        if job.queue.priority == URGENT_PRIORITY:
+            self.urgent_at[job.queue.service] = self.clock()
         reason = self._hopeless(job)
         if reason:
             self._log(job, "refused", reason)
@@ -169,11 +192,13 @@
             for number, step in enumerate(job.steps)
         ]
         owned = OwnedJob(job, answer, tasks)
-        owned.objective_s = self.objective_s(job)
+        self._forecast(owned)
         self.jobs[job.job_id] = owned
         self._unblock(owned)
         self.schedule()
-        return owned
+        if not owned.answered and not owned.has_begun:
+            self._judge()
+        return None if owned.answered else owned
 
     def abandon(self, owned: OwnedJob, reason: str) -> None:
         """Drop a job whose caller has left."""
@@ -216,13 +241,21 @@
         """Learn from how far the runs at a worker are."""
         for row in progress.rows:
             owned, task = self._find(row.run)
-            if task is None or task.run != row.run:
-                continue
-            step = owned.job.steps[task.task_id.step]
-            foreseen_s = row.elapsed_ms / 10 / row.percent
-            self.forecaster.record(
-                worker, owned.job.queue.name, step.estimate_s, foreseen_s
-            )
+            if task is not None and task.run == row.run:
+                foreseen_s = row.elapsed_ms / 10 / row.percent
+                self._learn(owned, task, Sample(worker, foreseen_s))
+
+    def _learn(self, owned: OwnedJob, task: TaskRecord, sample: Sample) -> None:
+        """Take a run time, and put it beside those of the other tasks of the step."""
+        step = owned.job.steps[task.task_id.step]
+        siblings = [
+            other.sample
+            for other in owned.tasks[task.task_id.step]
+            if other.sample is not None and other is not task
+        ]
+        self.forecaster.compare(sample, siblings)
+        self.forecaster.record(owned.job.queue.name, step.estimate_s, sample)
+        task.sample = sample
 
     def lose_worker(self, worker: str, reason: str) -> None:
         """Give up the runs at a worker that cannot be reached and has stopped them."""
@@ -248,83 +281,153 @@
     # Decisions
 
     def tick(self) -> None:
-        """Refuse what has waited too long and give up what nobody waits for."""
+        """Refuse what has no prospect and give up what nobody waits for."""
         now = self.clock()
         for owned in list(self.jobs.values()):
-            if owned.answered:
-                continue
-            if now > owned.ends_at + PATIENCE_GRACE_S:
+            if not owned.answered and now > owned.ends_at + PATIENCE_GRACE_S:
                 self._finish(owned, JobAnswer(JobState.UNKNOWN, "out of time"))
-            elif self._is_overdue(owned, now):
-                reason = "no room within a quarter of its objective"
-                self._refuse(owned, reason)
         self.schedule()
+        self._judge()
 
     def schedule(self) -> None:
         """Start what there is room for, the most urgent first."""
         if not self.waiting:
             return
-        full: set[tuple] = set()
         for owned in sorted(self.waiting.values(), key=self._rank):
-            for number, step in enumerate(owned.job.steps):
-                shape = (owned.job.queue.service, step.demand, step.label)
-                if shape in full:
-                    continue
-                if not self._place(owned, number, step):
-                    full.add(shape)
-
-    def objective_s(self, job: RepeatableJob) -> float:
-        """Return the time in which a job is to be answered, as expected."""
-        chain_s = [0.0] * len(job.steps)
-        for number, step in enumerate(job.steps):
-            before_s = max((chain_s[index] for index in step.after), default=0.0)
+            for number in range(len(owned.job.steps)):
+                self._place(owned, number)
+            if not owned.count(TaskPhase.WAITING):
+                self.waiting.pop(owned.job.job_id, None)
+
+    def _forecast(self, owned: OwnedJob) -> None:
+        """Set how long a job is expected to take and is allowed to."""
+        job = owned.job
+        ends_s = []
+        for step in job.steps:
+            before_s = max((ends_s[index] for index in step.after), default=0.0)
             task_s = self.forecaster.task_s(job.queue.name, step.estimate_s)
-            chain_s[number] = before_s + task_s
-        return job.queue.stretch * max(chain_s) + job.queue.allowance_s
+            owned.task_s.append(task_s)
+            ends_s.append(before_s + task_s)
+        owned.chain_s = max(ends_s)
+        owned.objective_s = job.queue.stretch * owned.chain_s + job.queue.allowance_s
 
     def _hopeless(self, job: RepeatableJob) -> str:
         """Return why a job cannot be served, or ``""``."""
         if job.job_id in self.jobs:
             return "the job is in progress"
+        if not self._is_informed(job.queue.service):
+            return ""
+        known = self.fleet.known(job.queue.service)
         if not self.fleet.ready(job.queue.service):
             return "no worker is reachable"
         for step in job.steps:
             if not any(
                 step.demand.fits(view.facts.capacity)
                 and (not step.label or step.label in view.facts.labels)
-                for view in self.fleet.known(job.queue.service)
+                for view in known
             ):
                 return "no worker is large enough"
         return ""
 
+    def _is_informed(self, service: str) -> bool:
+        """Whether this entry knows what the workers of a service can do."""
+        now = self.clock()
+        if not self.fleet.ready(service):
+            return now - self.informed_at > UNINFORMED_S
+        self.informed_at = now
+        return True
+
+    def _judge(self) -> None:
+        """Refuse the jobs that have not begun and have no prospect."""
+        now = self.clock()
+        by_service: dict[str, list[OwnedJob]] = {}
+        for owned in sorted(self.waiting.values(), key=self._rank):
+            by_service.setdefault(owned.job.queue.service, []).append(owned)
+        for service, jobs in by_service.items():
+            informed = self._is_informed(service)
+            work = [self._core_seconds(owned) for owned in jobs]
+            waits_s = waiting_times(work, self._cores(service))
+            for owned, wait_s in zip(jobs, waits_s, strict=True):
+                if owned.has_begun:
+                    continue
+                prospect = Prospect(
+                    now - owned.job.received_at,
+                    owned.objective_s,
+                    owned.chain_s / self.forecaster.fastest,
+                    wait_s,
+                    owned.job.patience_s,
+                    informed,
+                )
+                reason = refusal_reason(prospect)
+                if reason:
+                    self._refuse(owned, reason)
+
+    def _core_seconds(self, owned: OwnedJob) -> float:
+        """Return the work of a job's tasks that have yet to start."""
+        return sum(
+            owned.job.steps[task.task_id.step].demand.cpu_milli
+            / 1000
+            * owned.task_s[task.task_id.step]
+            for task in owned.all_tasks()
+            if task.phase in (TaskPhase.WAITING, TaskPhase.BLOCKED)
+        )
+
+    def _cores(self, service: str) -> float:
+        """Return this entry's share of the cores of a service."""
+        cpu_milli = sum(
+            view.facts.capacity.cpu_milli for view in self.fleet.ready(service)
+        )
+        return cpu_milli / 1000 / max(1, self.sharers())
+
     def _rank(self, owned: OwnedJob) -> tuple:
+        """Return what puts the jobs that wait in order.
+
+        First what has begun, as it holds room until it is done; last what will be late
+        in any case; urgent queues before others, and then what has to begin first.
+        """
         urgent = owned.job.queue.priority == URGENT_PRIORITY
-        return (not owned.has_begun, not urgent, owned.deadline)
+        begins_by = owned.deadline - owned.chain_s
+        return (not owned.has_begun, self._is_late(owned), not urgent, begins_by)
 
-    def _is_overdue(self, owned: OwnedJob, now: float) -> bool:
-        if owned.has_begun:
-            return False
-        return now - owned.job.received_at > WAIT_SHARE * owned.objective_s
+    def _is_late(self, owned: OwnedJob) -> bool:
+        """Whether a job that begins now would be late even on the fastest worker."""
+        fastest = self.forecaster.fastest
+        return self.clock() + owned.chain_s / fastest + OVERHEAD_S > owned.deadline
 
-    def _place(self, owned: OwnedJob, number: int, step: Step) -> bool:
-        """Start waiting tasks of a step; False if there was no room for some."""
+    def _place(self, owned: OwnedJob, number: int) -> None:
+        """Start the waiting tasks of a step as far as there is room."""
         waiting = [
             task for task in owned.tasks[number] if task.phase == TaskPhase.WAITING
         ]
         if not waiting:
-            return True
-        queue = owned.job.queue
-        task_s = self.forecaster.task_s(queue.name, step.estimate_s)
-        candidates = self._candidates(queue.service, owned.tasks[number])
-        chosen = self.pack(len(waiting), step, task_s, candidates, self.random)
+            return
+        service = owned.job.queue.service
+        candidates = self._candidates(service, owned.tasks[number])
+        parcel = Parcel(
+            owned.job.steps[number],
+            len(waiting),
+            owned.task_s[number],
+            owned.deadline - self.clock() - OVERHEAD_S,
+            owned.has_begun or self._is_late(owned),
+        )
+        if not owned.has_begun and self._yields(owned):
+            parcel.count = count_beside_reserve(parcel, candidates)
+        avoided = set().union(*(task.avoided for task in waiting))
+        others = [item for item in candidates if item.name not in avoided]
+        chosen = self.pack(parcel, others or candidates, self.random)
         by_worker: dict[str, list[TaskRecord]] = {}
         for task, candidate in zip(waiting, chosen, strict=False):
             by_worker.setdefault(candidate.name, []).append(task)
         for worker, tasks in by_worker.items():
-            self._start(owned, step, worker, tasks, task_s)
-        if not any(task.phase == TaskPhase.WAITING for task in owned.all_tasks()):
-            self.waiting.pop(owned.job.job_id, None)
-        return len(chosen) == len(waiting)
+            self._start(owned, parcel.step, worker, tasks, parcel.task_s)
+
+    def _yields(self, owned: OwnedJob) -> bool:
+        """Whether a job leaves room for urgent ones, which have come lately."""
+        queue = owned.job.queue
+        if queue.priority == URGENT_PRIORITY:
+            return False
+        urgent_at = self.urgent_at.get(queue.service, float("-inf"))
+        return self.clock() - urgent_at < URGENT_MEMORY_S
 
     def _candidates(self, service: str, tasks: list[TaskRecord]) -> list[Candidate]:
         held: dict[str, int] = {}
@@ -400,15 +503,9 @@
     def _ended(
         self, owned: OwnedJob, task: TaskRecord, worker: str, event: RunEvent
     ) -> None:
-        step = owned.job.steps[task.task_id.step]
         if event.end == RunEnd.DONE:
             if event.run_ms:
-                self.forecaster.record(
-                    worker,
-                    owned.job.queue.name,
-                    step.estimate_s,
-                    event.run_ms / 1000,
-                )
+                self._learn(owned, task, Sample(worker, event.run_ms / 1000))
             task.phase = TaskPhase.DONE
             task.run = None
             task.worker = ""
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -35,14 +35,14 @@
 # How long the runs found at a worker may wait for an owner to claim them. Owners
 # reconnect to a restarted agent within a few tenths of a second.
 CLAIM_WAIT_S = 0.6
-# The worker's lease on all of its runs, renewed with each look at it. It bounds how
-# long runs go on at a worker that is cut off from its agent.
-WORKER_LEASE_S = 0.6
+# The worker's lease on all of its runs, renewed with each look at it, every 0.2 s at
+# the latest. It bounds how long the runs of a lost worker cannot be repeated.
+WORKER_LEASE_S = 0.5
 # A worker's clock may be slow by this share, which makes its lease longer.
 CLOCK_DRIFT = 0.02
 LAPSE_MARGIN_S = 0.05
 # A look at the worker that is older than this says nothing of its present state.
-STALE_LOOK_S = 0.55
+STALE_LOOK_S = 0.5
 # A run whose progress has stood still for this share of its expected time, and no less
 # than STALL_MIN_S, is stopped. Progress is shown in whole percents.
 STALL_SHARE = 0.25
@@ -188,6 +188,7 @@
         self.lapses_at = float("-inf")
         self.found_at = float("-inf")
         self.leaving = False
+        self.reachable = False
         self.usual_demand = NO_RESOURCES
         self.orders: list[StartOrder | StopOrder] = []
         self.notices: list[Notice] = []
@@ -237,6 +238,7 @@
         if self.looked_at == float("-inf"):
             self.found_at = now
         self.looked_at = asked_at
+        self.reachable = True
         present = {row.run_id: row for row in look.running}
         for end in look.ended:
             self._ended(end, now)
@@ -252,7 +254,8 @@
             self._tell_end(run_id, owner, RunEnd.LAPSED, 0.0)
 
     def unreachable(self) -> None:
-        """Note that a look had no answer."""
+        """Note that a look had no answer; nothing starts until the next that has one."""
+        self.reachable = False
         if self.clock() > self.lapses_at:
             self._end_all(RunEnd.LAPSED)
 
@@ -389,6 +392,7 @@
             and self.facts.boot == self.boot
             and not self.facts.leaving
             and not self.leaving
+            and self.reachable
             and self.clock() - self.looked_at < STALE_LOOK_S
         )
 
--- a/marigoldkeel/identifiers.py
+++ b/marigoldkeel/identifiers.py
@@ -11,6 +11,11 @@
 UUID_VERSION = 7
 
 
+def wall_clock_ms() -> int:
+    """Return the wall-clock time in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
 def mint_submission_id(now_ms: int | None = None) -> uuid.UUID:
     """Return a new UUIDv7.
 
@@ -22,7 +27,7 @@
     :return: An id whose first 48 bits are the mint time.
     """
     if now_ms is None:
-        now_ms = time.time_ns() // 1_000_000
+        now_ms = wall_clock_ms()
     random_bits = int.from_bytes(os.urandom(10), "big")
     value = (now_ms & 0xFFFF_FFFF_FFFF) << 80 | random_bits
     value = value & ~(0xF << 76) | UUID_VERSION << 76
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -312,6 +312,16 @@
     assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
 
 
+def test_nothing_starts_at_a_worker_whose_last_look_had_no_answer():
+    # Orders to a worker that had just crashed renewed its supposed lease, and its runs
+    # were given up half a second later than they could have been.
+    agent = Agent()
+    agent.supervisor.unreachable()
+    assert agent.start(0) == []
+    agent.look()
+    assert len(agent.start(1)) == 1
+
+
 def test_run_that_stands_still_is_stopped_and_told_as_stalled():
     agent = Agent()
     agent.start(0)
