Learn how far each hint of a job's length is off; tell states after whole frames

Cause: a queue's estimates are off by two fifths while its callers' patience may tell the length better; an agent told its state after each message of a frame, and an entry placed jobs after each; numbers of runs fell behind a worker's after the time of day had been set back.

Change: hints with their bias and variance for each queue; frames are drained as a whole; the owned job moves to a module of its own; refused as outdated, the next run numbers rise by a minute; a new connection counts the held runs again.

--- a/emulator/plays.py
+++ b/emulator/plays.py
@@ -18,8 +18,9 @@
     RETRY_S,
 )
 from marigoldkeel.fleet.links import AgentLink, AgentLinks, OwnerLinks
+from marigoldkeel.fleet.owned import OwnedJob
 from marigoldkeel.fleet.plans import Queue
-from marigoldkeel.fleet.schedulers import OwnedJob, Scheduler
+from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.supervisors import (
     WORKER_LEASE_S,
     Run,
@@ -105,7 +106,11 @@
             # TCP delivers what a cut holds back once it has healed.
             self.world.after(0.05, lambda: self.deliver(content))
             return
-        self.owner.when_awake(lambda: self.listener.received(self, content))
+        self.owner.when_awake(lambda: self._receive(content))
+
+    def _receive(self, content: Any) -> None:
+        self.listener.received(self, content)
+        self.listener.drained(self)
 
     def close(self) -> None:
         """Close both ends."""
--- a/marigoldkeel/fleet/forecasts.py
+++ b/marigoldkeel/fleet/forecasts.py
@@ -1,9 +1,12 @@
-"""How long tasks will run and how fast each worker is, learned from their runs.
+"""How long jobs will run and how fast each worker is, learned from their runs.
 
 A worker runs every task by the same factor faster or slower than the mean of the
 fleet. Tasks of one step differ little in their work, so two of them on different
-workers tell of the workers' speeds; the caller's estimate, which is often off by half,
-tells little. What the estimates of one queue have in common is learned as well.
+workers tell of the workers' speeds.
+
+Callers give two hints of a job's length: an estimate, which is often off by half, and
+how long they wait for the answer. How far off each is, is learned for each queue, and
+the better one counts more.
 """
 
 import math
@@ -12,17 +15,23 @@
 
 # Weight of one comparison of two tasks of a step: about ten fill a worker's speed.
 SIBLING_WEIGHT = 0.1
-# Weight of one run that has only the estimate to compare with.
-ESTIMATE_WEIGHT = 0.015
-QUEUE_WEIGHT = 0.03
-# A run that is this many times off what is expected tells of a change of the worker,
-# and counts more.
+# Weight of one run that has only the job's forecast to compare with.
+FORECAST_WEIGHT = 0.015
+# A run that is this many times off its siblings tells of a change of the worker, and
+# counts more.
 SURPRISE = math.log(2.5)
 SURPRISE_WEIGHT = 0.25
+# Weight of one job in what is learned of a hint, once some have been seen.
+HINT_WEIGHT = 0.03
+# Before that a hint is taken to be off by a factor of e, up or down.
+FIRST_VARIANCE = 1.0
+# No hint is trusted beyond this, as the tasks of a job differ too.
+MIN_VARIANCE = 0.01
 MIN_RUN_S = 0.001
 # Bounds of what one run can say, as a factor.
 MAX_FACTOR = 20.0
-DEFAULT_TASK_S = 0.3
+# Used for a queue of which nothing is known and whose callers say nothing.
+DEFAULT_CHAIN_S = 0.3
 
 
 @dataclass(slots=True)
@@ -33,22 +42,69 @@
     run_s: float
 
 
+@dataclass(slots=True)
+class HintRecord:
+    """What is known of one kind of hint of one queue.
+
+    ``bias`` is the mean of the logarithm of the true length over the hint.
+    """
+
+    seen: int = 0
+    bias: float = 0.0
+    variance: float = FIRST_VARIANCE
+
+    def learn(self, hint_s: float, true_s: float) -> None:
+        """Take the true length of one job."""
+        off = math.log(true_s / hint_s) - self.bias
+        limit = math.log(MAX_FACTOR)
+        if self.seen:
+            off = max(-limit, min(limit, off))
+        self.seen += 1
+        weight = max(HINT_WEIGHT, 1 / self.seen)
+        self.bias += weight * off
+        if self.seen > 1:
+            self.variance += max(HINT_WEIGHT, 1 / (self.seen + 1)) * (
+                off * off - self.variance
+            )
+
+
 @dataclass(slots=True)
 class Forecaster:
     """Learned run times.
 
     :ivar slowness: For each worker the logarithm of its run time over that of the
         fleet's mean.
-    :ivar bias: For each queue the logarithm of the run time over the estimate.
+    :ivar hints: What is known of the hints, by queue and position.
     """
 
     slowness: dict[str, float] = field(default_factory=dict)
-    bias: dict[str, float] = field(default_factory=dict)
-
-    def task_s(self, queue: str, estimate_s: float) -> float:
-        """Return the run time of a task on a worker of the mean speed."""
-        base_s = estimate_s if estimate_s > 0 else DEFAULT_TASK_S
-        return max(MIN_RUN_S, base_s) * math.exp(self.bias.get(queue, 0.0))
+    hints: dict[tuple[str, int], HintRecord] = field(default_factory=dict)
+
+    def chain_s(self, queue: str, hints_s: list[float]) -> float:
+        """Return the length of a job at the mean speed.
+
+        :param hints_s: The callers' hints in seconds; 0 where there is none.
+        """
+        total = weights = 0.0
+        for position, hint_s in enumerate(hints_s):
+            if hint_s <= 0:
+                continue
+            record = self.hints.get((queue, position), HintRecord())
+            # A hint that is not the caller's own measure means nothing until it has
+            # been seen to.
+            if position and not record.seen:
+                continue
+            weight = 1 / max(MIN_VARIANCE, record.variance)
+            total += weight * (math.log(hint_s) + record.bias)
+            weights += weight
+        return math.exp(total / weights) if weights else DEFAULT_CHAIN_S
+
+    def learn_chain(self, queue: str, hints_s: list[float], true_s: float) -> None:
+        """Take the length of a job that is done, at the mean speed."""
+        for position, hint_s in enumerate(hints_s):
+            if hint_s > 0:
+                record = self.hints.setdefault((queue, position), HintRecord())
+                record.learn(hint_s, max(MIN_RUN_S, true_s))
 
     def speed(self, worker: str) -> float:
         """Return a worker's speed; the mean of the fleet is 1."""
@@ -63,25 +119,23 @@
         """Return what a run would have taken at the mean speed."""
         return max(MIN_RUN_S, sample.run_s) * self.speed(sample.worker)
 
-    def record(self, queue: str, estimate_s: float, sample: Sample) -> None:
-        """Compare a run with the caller's estimate."""
-        off = self._off(self.task_s(queue, estimate_s), sample)
-        self._shift(sample.worker, off, ESTIMATE_WEIGHT)
-        if abs(off) <= SURPRISE:
-            self.bias[queue] = self.bias.get(queue, 0.0) + QUEUE_WEIGHT * off
-        self._centre()
+    def compare(
+        self, sample: Sample, siblings: list[Sample], forecast_s: float
+    ) -> None:
+        """Learn a worker's speed from a run.
 
-    def compare(self, sample: Sample, siblings: list[Sample]) -> None:
-        """Compare a run with those of other tasks of its step on other workers."""
+        :param siblings: Runs of other tasks of the same step.
+        :param forecast_s: What the run would take at the mean speed, as forecast.
+        """
+        self._shift(sample.worker, self._off(forecast_s, sample), FORECAST_WEIGHT)
         others = [item for item in siblings if item.worker != sample.worker]
-        if not others:
-            return
-        logs = [math.log(self.work_s(item)) for item in others]
-        off = self._off(math.exp(sum(logs) / len(logs)), sample)
-        weight = SURPRISE_WEIGHT if abs(off) > SURPRISE else SIBLING_WEIGHT
-        self._shift(sample.worker, off, weight)
-        for item in others:
-            self._shift(item.worker, -off / len(others), SIBLING_WEIGHT)
+        if others:
+            logs = [math.log(self.work_s(item)) for item in others]
+            off = self._off(math.exp(sum(logs) / len(logs)), sample)
+            weight = SURPRISE_WEIGHT if abs(off) > SURPRISE else SIBLING_WEIGHT
+            self._shift(sample.worker, off, weight)
+            for item in others:
+                self._shift(item.worker, -off / len(others), SIBLING_WEIGHT)
         self._centre()
 
     def forget(self, worker: str) -> None:
@@ -90,16 +144,14 @@
 
     def _off(self, expected_s: float, sample: Sample) -> float:
         limit = math.log(MAX_FACTOR)
-        off = math.log(self.work_s(sample) / expected_s)
+        off = math.log(self.work_s(sample) / max(MIN_RUN_S, expected_s))
         return max(-limit, min(limit, off))
 
     def _shift(self, worker: str, off: float, weight: float) -> None:
         self.slowness[worker] = self.slowness.get(worker, 0.0) + weight * off
 
     def _centre(self) -> None:
-        """Keep the mean speed at 1; a common factor belongs to the queues."""
+        """Keep the mean speed at 1; a common factor belongs to the hints."""
         mean = sum(self.slowness.values()) / len(self.slowness)
         for worker in self.slowness:
             self.slowness[worker] -= mean
-        for queue in self.bias:
-            self.bias[queue] += mean
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -181,7 +181,7 @@
             self.group.start_soon(link.connection.abort)
             self._lost(link)
             return
-        has_runs = bool(self.scheduler.held_by(link.member.name))
+        has_runs = bool(self.fleet.view(link.member.name).placed)
         interval_s = RENEW_S if has_runs else IDLE_RENEW_S
         if now - link.last_sent_at >= interval_s:
             self.send(link.member.name, Renew())
@@ -208,6 +208,7 @@
         link.sequence += 1
         link.note_sent(now)
         held = self.scheduler.held_by(link.member.name)
+        self.fleet.view(link.member.name).restore(held, link.sequence)
         facts = link.facts or WorkerFacts()
         connection.send(Attach(link.sequence, self.own, held, facts))
 
@@ -227,9 +228,11 @@
             self.scheduler.take_progress(name, content)
         else:
             return False
-        self.scheduler.schedule()
         return True
 
+    def drained(self, connection: Connection) -> None:
+        self.scheduler.schedule()
+
     def _take_state(self, link: AgentLink, state: WorkerState) -> None:
         link.gone_at = None
         link.retry_s = FIRST_RETRY_S
@@ -305,9 +308,11 @@
             self.supervisor.stop(link.owner.incarnation, content.runs)
         else:
             self._send_state(link)
-        self.flush()
         return True
 
+    def drained(self, connection: Connection) -> None:
+        self.flush()
+
     def closed(self, connection: Connection) -> None:
         link = self.by_connection.pop(id(connection), None)
         if link is not None and self.links.get(link.owner.incarnation) is link:
@@ -357,7 +362,6 @@
             "owner {} attached with {} runs", message.owner.name, len(message.held)
         )
         self._send_state(link)
-        self.flush()
 
     def _send_state(self, link: OwnerLink) -> None:
         supervisor = self.supervisor
--- /dev/null
+++ b/marigoldkeel/fleet/owned.py
@@ -0,0 +1,172 @@
+"""The state of one job at its owner: which of its tasks wait, run or are done."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from marigoldkeel.fleet.forecasts import Sample
+from marigoldkeel.fleet.work import JobAnswer, RepeatableJob, RunId, Step, TaskId
+
+
+class TaskPhase(Enum):
+    """Where a task of an owned job stands."""
+
+    BLOCKED = "blocked"
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+@dataclass(slots=True)
+class TaskRecord:
+    """One task of an owned job.
+
+    :ivar run: The run that its worker has been told to start; None unless placed.
+    :ivar avoided: Workers at which a run of it did not end well.
+    :ivar sample: The run time of its last run, ended or foreseen.
+    """
+
+    task_id: TaskId
+    phase: TaskPhase = TaskPhase.BLOCKED
+    run: RunId | None = None
+    worker: str = ""
+    failures: int = 0
+    avoided: set[str] = field(default_factory=set)
+    stopping: bool = False
+    sample: Sample | None = None
+
+
+def chain_length(steps: list[Step], lengths: list[float]) -> float:
+    """Return the length of the longest chain of steps that wait for each other."""
+    ends: list[float] = []
+    for step, length in zip(steps, lengths, strict=True):
+        before = max((ends[index] for index in step.after), default=0.0)
+        ends.append(before + length)
+    return max(ends)
+
+
+class OwnedJob:
+    """A job with the state of its tasks.
+
+    :ivar task_s: Expected run time of a task of each step at the mean speed.
+    :ivar chain_s: Expected time of the steps that follow each other.
+    :ivar objective_s: Time from its arrival in which the answer is in time.
+    :ivar has_run: Whether a run of it has ended or may have.
+    """
+
+    __slots__ = (
+        "job",
+        "answer",
+        "tasks",
+        "counts",
+        "task_s",
+        "chain_s",
+        "objective_s",
+        "has_run",
+        "answered",
+    )
+
+    def __init__(self, job: RepeatableJob, answer: Callable[[JobAnswer], None]):
+        self.job = job
+        self.answer = answer
+        self.tasks = [
+            [
+                TaskRecord(TaskId(job.job_id, 0, number, index))
+                for index in range(step.count)
+            ]
+            for number, step in enumerate(job.steps)
+        ]
+        self.counts = dict.fromkeys(TaskPhase, 0)
+        self.counts[TaskPhase.BLOCKED] = sum(step.count for step in job.steps)
+        self.task_s: list[float] = []
+        self.chain_s = 0.0
+        self.objective_s = 0.0
+        self.has_run = False
+        self.answered = False
+        self.unblock()
+
+    @property
+    def deadline(self) -> float:
+        """When the answer is in time."""
+        return self.job.received_at + self.objective_s
+
+    @property
+    def ends_at(self) -> float:
+        """When the caller stops waiting."""
+        return self.job.received_at + self.job.patience_s
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a run of it may have started."""
+        return self.has_run or self.counts[TaskPhase.PLACED] > 0
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a task waits for room."""
+        return self.counts[TaskPhase.WAITING] > 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks are done."""
+        return self.counts[TaskPhase.DONE] == sum(self.counts.values())
+
+    def all_tasks(self) -> Iterator[TaskRecord]:
+        """Return the tasks of all steps."""
+        return (task for step in self.tasks for task in step)
+
+    def waiting_in(self, step: int) -> list[TaskRecord]:
+        """Return the tasks of a step that wait for room."""
+        return [task for task in self.tasks[step] if task.phase == TaskPhase.WAITING]
+
+    def find(self, run: RunId) -> TaskRecord | None:
+        """Return the task whose present run this is."""
+        task = self.tasks[run.task.step][run.task.index]
+        return task if task.run == run else None
+
+    def place(self, task: TaskRecord, worker: str, number: int) -> None:
+        """Note that a task's worker is being told to start it."""
+        self._move(task, TaskPhase.PLACED)
+        task.run = RunId(task.task_id, number)
+        task.worker = worker
+        task.stopping = False
+
+    def release(self, task: TaskRecord) -> None:
+        """Let a task that has no run any more wait for another one."""
+        self._move(task, TaskPhase.WAITING)
+        task.run = None
+        task.worker = ""
+
+    def finish(self, task: TaskRecord) -> None:
+        """Note that a task is done, which may let others begin."""
+        self._move(task, TaskPhase.DONE)
+        task.run = None
+        task.worker = ""
+        self.unblock()
+
+    def unblock(self) -> None:
+        """Let the steps wait for room whose earlier steps are done."""
+        if not self.counts[TaskPhase.BLOCKED]:
+            return
+        for number, step in enumerate(self.job.steps):
+            earlier: Iterable[TaskRecord] = (
+                task for index in step.after for task in self.tasks[index]
+            )
+            if any(task.phase != TaskPhase.DONE for task in earlier):
+                continue
+            for task in self.tasks[number]:
+                if task.phase == TaskPhase.BLOCKED:
+                    self._move(task, TaskPhase.WAITING)
+
+    def core_seconds(self) -> float:
+        """Return the expected work of the tasks that have yet to start."""
+        return sum(
+            self.job.steps[number].demand.cpu_milli / 1000 * self.task_s[number]
+            for number, tasks in enumerate(self.tasks)
+            for task in tasks
+            if task.phase in (TaskPhase.WAITING, TaskPhase.BLOCKED)
+        )
+
+    def _move(self, task: TaskRecord, phase: TaskPhase) -> None:
+        self.counts[task.phase] -= 1
+        self.counts[phase] += 1
+        task.phase = phase
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -10,9 +10,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from enum import Enum
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -32,6 +30,7 @@
     StartRuns,
     StopRuns,
 )
+from marigoldkeel.fleet.owned import OwnedJob, TaskPhase, TaskRecord, chain_length
 from marigoldkeel.fleet.packing import (
     Candidate,
     PackingPolicy,
@@ -47,7 +46,6 @@
     RunEnd,
     RunId,
     Step,
-    TaskId,
 )
 
 
@@ -60,78 +58,11 @@
 # was lost unseen asks again 1.3 s later, and by then they have to be gone.
 PATIENCE_GRACE_S = 0.3
 RETRY_AFTER_S = 1.0
-# Orders of one urgent class of queues come before all others.
+# Jobs of the queues of this priority come before all others.
 URGENT_PRIORITY = 0
-
-
-class TaskPhase(Enum):
-    """Where a task of an owned job stands."""
-
-    BLOCKED = "blocked"
-    WAITING = "waiting"
-    PLACED = "placed"
-    DONE = "done"
-
-
-@dataclass(slots=True)
-class TaskRecord:
-    """One task of an owned job; ``run`` and ``worker`` are set while it is placed.
-
-    :ivar sample: The run time of its last run, ended or foreseen.
-    """
-
-    task_id: TaskId
-    phase: TaskPhase = TaskPhase.BLOCKED
-    run: RunId | None = None
-    worker: str = ""
-    placed_at: float = 0.0
-    failures: int = 0
-    avoided: set[str] = field(default_factory=set)
-    stopping: bool = False
-    sample: Sample | None = None
-
-
-@dataclass(slots=True)
-class OwnedJob:
-    """A job with the state of its tasks.
-
-    :ivar has_run: Whether a run of it has ended or may have.
-    :ivar task_s: Expected run time of a task of each step.
-    :ivar chain_s: Expected run time of the steps that follow each other.
-    :ivar objective_s: Expected time in which the answer is in time.
-    """
-
-    job: RepeatableJob
-    answer: Callable[[JobAnswer], None]
-    tasks: list[list[TaskRecord]]
-    task_s: list[float] = field(default_factory=list)
-    chain_s: float = 0.0
-    objective_s: float = 0.0
-    has_run: bool = False
-    answered: bool = False
-
-    @property
-    def deadline(self) -> float:
-        """When the answer is in time, as expected."""
-        return self.job.received_at + self.objective_s
-
-    @property
-    def ends_at(self) -> float:
-        """When the caller stops waiting."""
-        return self.job.received_at + self.job.patience_s
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether a run of it may have started."""
-        return self.has_run or self.count(TaskPhase.PLACED) > 0
-
-    def all_tasks(self) -> Iterable[TaskRecord]:
-        """Return the tasks of all steps."""
-        return (task for step in self.tasks for task in step)
-
-    def count(self, phase: TaskPhase) -> int:
-        """Return how many tasks are in a phase."""
-        return sum(task.phase == phase for task in self.all_tasks())
+# Added to the run numbers when a worker has seen higher ones, which happens after the
+# time of day has been set back, by seconds as a rule.
+RENUMBER_MS = 60_000
 
 
 class Scheduler:
@@ -176,7 +107,7 @@
     def submit(
         self, job: RepeatableJob, answer: Callable[[JobAnswer], None]
     ) -> OwnedJob | None:
-        """Take a job, or answer it at once."""
+        """Take a job, or answer it at once and return None."""
         if job.queue.priority == URGENT_PRIORITY:
             self.urgent_at[job.queue.service] = self.clock()
         reason = self._hopeless(job)
@@ -184,21 +115,12 @@
             self._log(job, "refused", reason)
             answer(JobAnswer(JobState.NOT_RUN, reason, RETRY_AFTER_S))
             return None
-        tasks = [
-            [
-                TaskRecord(TaskId(job.job_id, 0, number, index))
-                for index in range(step.count)
-            ]
-            for number, step in enumerate(job.steps)
-        ]
-        owned = OwnedJob(job, answer, tasks)
+        owned = OwnedJob(job, answer)
         self._forecast(owned)
         self.jobs[job.job_id] = owned
-        self._unblock(owned)
+        self.waiting[job.job_id] = owned
         self.schedule()
-        if not owned.answered and not owned.has_begun:
-            self._judge()
-        return None if owned.answered else owned
+        return owned
 
     def abandon(self, owned: OwnedJob, reason: str) -> None:
         """Drop a job whose caller has left."""
@@ -225,13 +147,14 @@
     def take_event(self, worker: str, event: RunEvent) -> None:
         """Take what an agent tells of a run."""
         self.fleet.view(worker).release(event.run)
-        owned, task = self._find(event.run)
-        if task is None or task.run != event.run:
+        owned = self.jobs.get(event.run.task.job_id)
+        task = owned.find(event.run) if owned is not None else None
+        if task is None:
             return
         if event.kind == RunEventKind.REFUSED:
             self._release(owned, task)
             if event.reason == "outdated":
-                self.last_run += 60_000
+                self.last_run += RENUMBER_MS
         else:
             owned.has_run = True
             self._ended(owned, task, worker, event)
@@ -240,28 +163,17 @@
     def take_progress(self, worker: str, progress: Progress) -> None:
         """Learn from how far the runs at a worker are."""
         for row in progress.rows:
-            owned, task = self._find(row.run)
-            if task is not None and task.run == row.run:
+            owned = self.jobs.get(row.run.task.job_id)
+            task = owned.find(row.run) if owned is not None else None
+            if task is not None:
                 foreseen_s = row.elapsed_ms / 10 / row.percent
                 self._learn(owned, task, Sample(worker, foreseen_s))
 
-    def _learn(self, owned: OwnedJob, task: TaskRecord, sample: Sample) -> None:
-        """Take a run time, and put it beside those of the other tasks of the step."""
-        step = owned.job.steps[task.task_id.step]
-        siblings = [
-            other.sample
-            for other in owned.tasks[task.task_id.step]
-            if other.sample is not None and other is not task
-        ]
-        self.forecaster.compare(sample, siblings)
-        self.forecaster.record(owned.job.queue.name, step.estimate_s, sample)
-        task.sample = sample
-
     def lose_worker(self, worker: str, reason: str) -> None:
         """Give up the runs at a worker that cannot be reached and has stopped them."""
         for owned in list(self.jobs.values()):
             for task in owned.all_tasks():
-                if task.phase == TaskPhase.PLACED and task.worker == worker:
+                if task.worker == worker:
                     owned.has_run = True
                     self._log(owned.job, "lost", reason, worker=worker)
                     self._release(owned, task)
@@ -270,13 +182,12 @@
 
     def held_by(self, worker: str) -> list[HeldRun]:
         """Return the runs that are wanted at a worker."""
-        held = []
-        for owned in self.jobs.values():
-            for task in owned.all_tasks():
-                if task.worker == worker and not task.stopping:
-                    step = owned.job.steps[task.task_id.step]
-                    held.append(HeldRun(task.run, step.demand))
-        return held
+        return [
+            HeldRun(task.run, owned.job.steps[task.task_id.step].demand)
+            for owned in self.jobs.values()
+            for task in owned.all_tasks()
+            if task.worker == worker and not task.stopping
+        ]
 
     # Decisions
 
@@ -293,33 +204,48 @@
         """Start what there is room for, the most urgent first."""
         if not self.waiting:
             return
-        for owned in sorted(self.waiting.values(), key=self._rank):
+        rooms: dict[str, list[Candidate]] = {}
+        for owned in self._ranked():
+            service = owned.job.queue.service
+            if service not in rooms:
+                rooms[service] = self._candidates(service)
             for number in range(len(owned.job.steps)):
-                self._place(owned, number)
-            if not owned.count(TaskPhase.WAITING):
-                self.waiting.pop(owned.job.job_id, None)
+                self._place(owned, number, rooms[service])
+            if not owned.is_waiting:
+                del self.waiting[owned.job.job_id]
 
     def _forecast(self, owned: OwnedJob) -> None:
         """Set how long a job is expected to take and is allowed to."""
         job = owned.job
-        ends_s = []
-        for step in job.steps:
-            before_s = max((ends_s[index] for index in step.after), default=0.0)
-            task_s = self.forecaster.task_s(job.queue.name, step.estimate_s)
-            owned.task_s.append(task_s)
-            ends_s.append(before_s + task_s)
-        owned.chain_s = max(ends_s)
-        owned.objective_s = job.queue.stretch * owned.chain_s + job.queue.allowance_s
+        estimates_s = [step.estimate_s for step in job.steps]
+        hinted_s = chain_length(job.steps, estimates_s)
+        owned.chain_s = self.forecaster.chain_s(job.queue.name, self._hints(job))
+        scale = owned.chain_s / hinted_s if hinted_s > 0 else 0.0
+        share_s = owned.chain_s / len(job.steps)
+        owned.task_s = [
+            estimate_s * scale if scale else share_s for estimate_s in estimates_s
+        ]
+        queue = job.queue
+        owned.objective_s = queue.stretch * owned.chain_s + queue.allowance_s
+
+    def _hints(self, job: RepeatableJob) -> list[float]:
+        """Return what the caller lets know of a job's length, in seconds."""
+        estimates_s = [step.estimate_s for step in job.steps]
+        return [
+            chain_length(job.steps, estimates_s),
+            max(0.0, job.patience_s - job.queue.timeout_s),
+        ]
 
     def _hopeless(self, job: RepeatableJob) -> str:
         """Return why a job cannot be served, or ``""``."""
         if job.job_id in self.jobs:
             return "the job is in progress"
-        if not self._is_informed(job.queue.service):
+        service = job.queue.service
+        if not self._is_informed(service):
             return ""
-        known = self.fleet.known(job.queue.service)
-        if not self.fleet.ready(job.queue.service):
+        if not self.fleet.ready(service):
             return "no worker is reachable"
+        known = self.fleet.known(service)
         for step in job.steps:
             if not any(
                 step.demand.fits(view.facts.capacity)
@@ -340,12 +266,13 @@
     def _judge(self) -> None:
         """Refuse the jobs that have not begun and have no prospect."""
         now = self.clock()
+        fastest = self.forecaster.fastest
         by_service: dict[str, list[OwnedJob]] = {}
-        for owned in sorted(self.waiting.values(), key=self._rank):
+        for owned in self._ranked():
             by_service.setdefault(owned.job.queue.service, []).append(owned)
         for service, jobs in by_service.items():
             informed = self._is_informed(service)
-            work = [self._core_seconds(owned) for owned in jobs]
+            work = [owned.core_seconds() for owned in jobs]
             waits_s = waiting_times(work, self._cores(service))
             for owned, wait_s in zip(jobs, waits_s, strict=True):
                 if owned.has_begun:
@@ -353,7 +280,7 @@
                 prospect = Prospect(
                     now - owned.job.received_at,
                     owned.objective_s,
-                    owned.chain_s / self.forecaster.fastest,
+                    owned.chain_s / fastest,
                     wait_s,
                     owned.job.patience_s,
                     informed,
@@ -362,16 +289,6 @@
                 if reason:
                     self._refuse(owned, reason)
 
-    def _core_seconds(self, owned: OwnedJob) -> float:
-        """Return the work of a job's tasks that have yet to start."""
-        return sum(
-            owned.job.steps[task.task_id.step].demand.cpu_milli
-            / 1000
-            * owned.task_s[task.task_id.step]
-            for task in owned.all_tasks()
-            if task.phase in (TaskPhase.WAITING, TaskPhase.BLOCKED)
-        )
-
     def _cores(self, service: str) -> float:
         """Return this entry's share of the cores of a service."""
         cpu_milli = sum(
@@ -379,47 +296,58 @@
         )
         return cpu_milli / 1000 / max(1, self.sharers())
 
-    def _rank(self, owned: OwnedJob) -> tuple:
-        """Return what puts the jobs that wait in order.
+    def _ranked(self) -> list[OwnedJob]:
+        """Return the jobs that wait, in the order in which they are served.
 
         First what has begun, as it holds room until it is done; last what will be late
         in any case; urgent queues before others, and then what has to begin first.
         """
-        urgent = owned.job.queue.priority == URGENT_PRIORITY
-        begins_by = owned.deadline - owned.chain_s
-        return (not owned.has_begun, self._is_late(owned), not urgent, begins_by)
-
-    def _is_late(self, owned: OwnedJob) -> bool:
-        """Whether a job that begins now would be late even on the fastest worker."""
+        now = self.clock() + OVERHEAD_S
         fastest = self.forecaster.fastest
-        return self.clock() + owned.chain_s / fastest + OVERHEAD_S > owned.deadline
 
-    def _place(self, owned: OwnedJob, number: int) -> None:
+        def rank(owned: OwnedJob) -> tuple:
+            is_late = now + owned.chain_s / fastest > owned.deadline
+            urgent = owned.job.queue.priority == URGENT_PRIORITY
+            begins_by = owned.deadline - owned.chain_s
+            return (not owned.has_begun, is_late, not urgent, begins_by)
+
+        return sorted(self.waiting.values(), key=rank)
+
+    def _place(self, owned: OwnedJob, number: int, room: list[Candidate]) -> None:
         """Start the waiting tasks of a step as far as there is room."""
-        waiting = [
-            task for task in owned.tasks[number] if task.phase == TaskPhase.WAITING
-        ]
+        step = owned.job.steps[number]
+        if not any(step.demand.fits(item.free) for item in room):
+            return
+        waiting = owned.waiting_in(number)
         if not waiting:
             return
-        service = owned.job.queue.service
-        candidates = self._candidates(service, owned.tasks[number])
-        parcel = Parcel(
-            owned.job.steps[number],
-            len(waiting),
-            owned.task_s[number],
-            owned.deadline - self.clock() - OVERHEAD_S,
-            owned.has_begun or self._is_late(owned),
+        left_s = owned.deadline - self.clock() - OVERHEAD_S
+        may_be_late = (
+            owned.has_begun or owned.chain_s / self.forecaster.fastest > left_s
         )
+        parcel = Parcel(step, len(waiting), owned.task_s[number], left_s, may_be_late)
         if not owned.has_begun and self._yields(owned):
-            parcel.count = count_beside_reserve(parcel, candidates)
-        avoided = set().union(*(task.avoided for task in waiting))
-        others = [item for item in candidates if item.name not in avoided]
-        chosen = self.pack(parcel, others or candidates, self.random)
+            parcel.count = count_beside_reserve(parcel, room)
+        chosen = self.pack(parcel, self._open_to(owned, number, room), self.random)
         by_worker: dict[str, list[TaskRecord]] = {}
         for task, candidate in zip(waiting, chosen, strict=False):
             by_worker.setdefault(candidate.name, []).append(task)
         for worker, tasks in by_worker.items():
-            self._start(owned, parcel.step, worker, tasks, parcel.task_s)
+            self._start(owned, step, worker, tasks, parcel.task_s)
+
+    def _open_to(
+        self, owned: OwnedJob, number: int, room: list[Candidate]
+    ) -> list[Candidate]:
+        """Return the workers for a step, without those where its tasks did not end."""
+        step, tasks = owned.job.steps[number], owned.tasks[number]
+        if step.spread_limit:
+            for item in room:
+                item.held = sum(task.worker == item.name for task in tasks)
+        avoided = set().union(*(task.avoided for task in tasks))
+        if not avoided:
+            return room
+        others = [item for item in room if item.name not in avoided]
+        return others if any(step.demand.fits(item.free) for item in others) else room
 
     def _yields(self, owned: OwnedJob) -> bool:
         """Whether a job leaves room for urgent ones, which have come lately."""
@@ -429,11 +357,7 @@
         urgent_at = self.urgent_at.get(queue.service, float("-inf"))
         return self.clock() - urgent_at < URGENT_MEMORY_S
 
-    def _candidates(self, service: str, tasks: list[TaskRecord]) -> list[Candidate]:
-        held: dict[str, int] = {}
-        for task in tasks:
-            if task.phase == TaskPhase.PLACED:
-                held[task.worker] = held.get(task.worker, 0) + 1
+    def _candidates(self, service: str) -> list[Candidate]:
         return [
             Candidate(
                 view.name,
@@ -442,7 +366,6 @@
                 view.facts.labels,
                 self.forecaster.speed(view.name),
                 view.facts.domain == self.domain,
-                held.get(view.name, 0),
             )
             for view in self.fleet.ready(service)
         ]
@@ -455,16 +378,9 @@
         tasks: list[TaskRecord],
         task_s: float,
     ) -> None:
-        now = self.clock()
         expected_s = task_s / self.forecaster.speed(worker)
-        numbers = []
         for task in tasks:
-            task.phase = TaskPhase.PLACED
-            task.run = RunId(task.task_id, self._next_run())
-            task.worker = worker
-            task.placed_at = now
-            task.stopping = False
-            numbers.append(RunNumber(task.task_id.index, task.run.number))
+            owned.place(task, worker, self._next_run())
         first = tasks[0].task_id
         message = StartRuns(
             0,
@@ -475,7 +391,7 @@
             owned.job.payload,
             round(expected_s * 1000),
             step.spread_limit,
-            numbers,
+            [RunNumber(task.task_id.index, task.run.number) for task in tasks],
         )
         sequence = self.send(worker, message)
         view = self.fleet.view(worker)
@@ -486,17 +402,39 @@
         self.last_run = max(self.last_run + 1, self.wall_ms())
         return self.last_run
 
-    def _find(self, run: RunId) -> tuple[OwnedJob | None, TaskRecord | None]:
-        owned = self.jobs.get(run.task.job_id)
-        if owned is None:
-            return None, None
-        return owned, owned.tasks[run.task.step][run.task.index]
+    # What becomes of jobs
+
+    def _learn(self, owned: OwnedJob, task: TaskRecord, sample: Sample) -> None:
+        """Take a run time, and put it beside those of the other tasks of the step."""
+        number = task.task_id.step
+        siblings = [
+            other.sample
+            for other in owned.tasks[number]
+            if other.sample is not None and other is not task
+        ]
+        self.forecaster.compare(sample, siblings, owned.task_s[number])
+        task.sample = sample
+
+    def _learn_chain(self, owned: OwnedJob) -> None:
+        """Take the length of a job that is done."""
+        lengths_s = [
+            max(
+                (
+                    self.forecaster.work_s(task.sample)
+                    for task in tasks
+                    if task.sample is not None
+                ),
+                default=0.0,
+            )
+            for tasks in owned.tasks
+        ]
+        true_s = chain_length(owned.job.steps, lengths_s)
+        if true_s > 0:
+            job = owned.job
+            self.forecaster.learn_chain(job.queue.name, self._hints(job), true_s)
 
     def _release(self, owned: OwnedJob, task: TaskRecord) -> None:
-        """Let a task that has no run any more wait for another one."""
-        task.run = None
-        task.worker = ""
-        task.phase = TaskPhase.WAITING
+        owned.release(task)
         if not owned.answered:
             self.waiting[owned.job.job_id] = owned
 
@@ -506,10 +444,9 @@
         if event.end == RunEnd.DONE:
             if event.run_ms:
                 self._learn(owned, task, Sample(worker, event.run_ms / 1000))
-            task.phase = TaskPhase.DONE
-            task.run = None
-            task.worker = ""
-            self._unblock(owned)
+            owned.finish(task)
+            if owned.is_waiting and not owned.answered:
+                self.waiting[owned.job.job_id] = owned
             return
         self._log(owned.job, "run ended", event.end.name.lower(), worker=worker)
         if event.end == RunEnd.FAILED:
@@ -517,28 +454,16 @@
         task.avoided.add(worker)
         self._release(owned, task)
 
-    def _unblock(self, owned: OwnedJob) -> None:
-        """Let the steps wait for room whose earlier steps are done."""
-        for number, step in enumerate(owned.job.steps):
-            earlier = (task for index in step.after for task in owned.tasks[index])
-            if any(task.phase != TaskPhase.DONE for task in earlier):
-                continue
-            for task in owned.tasks[number]:
-                if task.phase == TaskPhase.BLOCKED:
-                    task.phase = TaskPhase.WAITING
-                    self.waiting[owned.job.job_id] = owned
-
     def _settle(self, owned: OwnedJob) -> None:
         """Answer a job that is done or has failed, and forget one without runs."""
         if not owned.answered:
-            if all(task.phase == TaskPhase.DONE for task in owned.all_tasks()):
+            most = owned.job.queue.max_attempts
+            if owned.is_done:
+                self._learn_chain(owned)
                 self._finish(owned, JobAnswer(JobState.DONE))
-            elif any(
-                task.failures >= owned.job.queue.max_attempts
-                for task in owned.all_tasks()
-            ):
+            elif any(task.failures >= most for task in owned.all_tasks()):
                 self._finish(owned, JobAnswer(JobState.FAILED, "a task has failed"))
-        if owned.answered and not owned.count(TaskPhase.PLACED):
+        if owned.answered and not owned.counts[TaskPhase.PLACED]:
             self.jobs.pop(owned.job.job_id, None)
 
     def _refuse(self, owned: OwnedJob, reason: str) -> None:
@@ -548,6 +473,14 @@
         """Answer a job and stop what is left of it."""
         owned.answered = True
         self.waiting.pop(owned.job.job_id, None)
+        if owned.counts[TaskPhase.PLACED]:
+            self._stop_runs(owned)
+        self.answers[answer.state] = self.answers.get(answer.state, 0) + 1
+        self._log(owned.job, answer.state.name.lower(), answer.reason)
+        owned.answer(answer)
+        self._settle(owned)
+
+    def _stop_runs(self, owned: OwnedJob) -> None:
         running: dict[str, list[RunId]] = {}
         for task in owned.all_tasks():
             if task.phase == TaskPhase.PLACED and not task.stopping:
@@ -555,10 +488,6 @@
                 running.setdefault(task.worker, []).append(task.run)
         for worker, runs in running.items():
             self.send(worker, StopRuns(0, runs))
-        self.answers[answer.state] = self.answers.get(answer.state, 0) + 1
-        self._log(owned.job, answer.state.name.lower(), answer.reason)
-        owned.answer(answer)
-        self._settle(owned)
 
     def _log(self, job: RepeatableJob, outcome: str, reason: str, **inputs) -> None:
         waited_ms = round((self.clock() - job.received_at) * 1000)
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -12,6 +12,7 @@
 - An owner is told of each of its runs how it ended or that it never started.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum
@@ -47,9 +48,12 @@
 # than STALL_MIN_S, is stopped. Progress is shown in whole percents.
 STALL_SHARE = 0.25
 STALL_MIN_S = 0.35
+# Ends that are remembered for owners whose connection was lost before they were told,
+# some tens of seconds of them.
+MAX_RECENT = 500
 # Runs that end sooner than this need no reports of progress.
 PROGRESS_AFTER_S = 0.15
-PROGRESS_INTERVAL_S = 0.1
+PROGRESS_INTERVAL_S = 0.2
 
 
 class Phase(Enum):
@@ -184,9 +188,11 @@
         self.runs: dict[RunId, Run] = {}
         self.owners: dict[str, Owner] = {}
         self.claims: dict[RunId, tuple[str, Resources]] = {}
+        self.recent: OrderedDict[RunId, RunEvent] = OrderedDict()
         self.looked_at = float("-inf")
         self.lapses_at = float("-inf")
         self.found_at = float("-inf")
+        self.progress_at = float("-inf")
         self.leaving = False
         self.reachable = False
         self.usual_demand = NO_RESOURCES
@@ -254,7 +260,7 @@
             self._tell_end(run_id, owner, RunEnd.LAPSED, 0.0)
 
     def unreachable(self) -> None:
-        """Note that a look had no answer; nothing starts until the next that has one."""
+        """Note that a look had no answer; nothing starts before one has."""
         self.reachable = False
         if self.clock() > self.lapses_at:
             self._end_all(RunEnd.LAPSED)
@@ -363,7 +369,10 @@
                 self._review(run, now)
 
     def progress(self) -> None:
-        """Leave notices of how far the longer runs are."""
+        """Leave notices of how far the longer runs are, now and then."""
+        if self.clock() - self.progress_at < PROGRESS_INTERVAL_S:
+            return
+        self.progress_at = self.clock()
         rows: dict[str, list[RunProgress]] = {}
         for run in self.runs.values():
             if run.phase != Phase.RUNNING or not run.percent:
@@ -467,6 +476,8 @@
             if run.phase == Phase.FOUND:
                 run.owner, run.demand = owner, demand
                 run.phase = Phase.RUNNING
+        elif run_id in self.recent:
+            self.notices.append(Notice(owner, self.recent[run_id]))
         elif self.reconciled:
             self._tell_end(run_id, owner, RunEnd.LAPSED, 0.0)
         else:
@@ -555,3 +566,6 @@
             run_id, RunEventKind.ENDED, end, run_ms=max(0, round(run_s * 1000))
         )
         self.notices.append(Notice(owner, event))
+        self.recent[run_id] = event
+        if len(self.recent) > MAX_RECENT:
+            self.recent.popitem(last=False)
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from marigoldkeel.fleet.messages import WorkerFacts, WorkerState
+from marigoldkeel.fleet.messages import HeldRun, WorkerFacts, WorkerState
 from marigoldkeel.fleet.work import NO_RESOURCES, Resources, RunId
 
 
@@ -13,12 +13,14 @@
     :ivar name: The name of its agent.
     :ivar room: What was free when the agent last said so, and what this entry's runs
         that have ended since have given back.
+    :ivar free: What is left of it after the orders that it does not take into account.
     :ivar placed: This entry's runs there, with the number of the order of each.
     """
 
     name: str
     facts: WorkerFacts | None = None
     room: Resources = NO_RESOURCES
+    free: Resources = NO_RESOURCES
     usable: bool = False
     connected: bool = False
     heard: int = 0
@@ -29,30 +31,30 @@
         """Whether runs may be sent there."""
         return self.connected and self.usable and self.facts is not None
 
-    @property
-    def free(self) -> Resources:
-        """The room that is left after what has been sent there."""
-        free = self.room
-        for sequence, demand in self.placed.values():
-            if sequence > self.heard:
-                free = free - demand
-        return free
-
     def place(self, run: RunId, sequence: int, demand: Resources) -> None:
         """Count a run that has just been ordered."""
         self.placed[run] = (sequence, demand)
+        self.free = self.free - demand
 
     def release(self, run: RunId) -> None:
         """Count a run no more that has ended or was refused."""
         sequence, demand = self.placed.pop(run, (0, NO_RESOURCES))
+        self.free = self.free + demand
         if sequence <= self.heard:
             self.room = self.room + demand
 
     def update(self, state: WorkerState) -> None:
         """Take a newer state."""
         self.heard = state.heard
-        self.room = state.room
+        self.room = self.free = state.room
         self.usable = state.usable
+        for sequence, demand in self.placed.values():
+            if sequence > state.heard:
+                self.free = self.free - demand
+
+    def restore(self, held: list[HeldRun], sequence: int) -> None:
+        """Count the runs that a new connection's first message names."""
+        self.placed = {item.run: (sequence, item.demand) for item in held}
 
     def disconnect(self) -> None:
         """Note that nothing is known of it any more."""
--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -64,6 +64,9 @@
         """Take a message; False leaves it to the handler."""
         return False
 
+    def drained(self, connection: "Connection") -> None:
+        """Note that all messages of a frame have been passed on."""
+
     def closed(self, connection: "Connection") -> None:
         """Note that a connection has ended."""
 
@@ -290,6 +293,8 @@
                 self.counters.bytes_received += length + LENGTH.size
                 for envelope in decode_frame(frame, self.peer):
                     self._dispatch(envelope, group)
+                if self.listener is not None:
+                    self.listener.drained(self)
         except STREAM_ERRORS:
             if buffer:
                 logger.warning("connection from {} ended inside a frame", self.peer)
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -197,6 +197,7 @@
         entry.state("w", 0)
         for number in range(9):
             entry.submit(str(number), steps=[Step(1, CORE, 1.0)])
+        entry.pass_time(0.01)
         refused = list(entry.answers)
         assert "a" not in refused and len(refused) >= 4
         assert all(entry.answers[name].retry_after_s > 0 for name in refused)
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -217,6 +217,16 @@
     assert agent.stops() == [run_id(0)]
 
 
+def test_end_is_told_again_to_an_owner_that_reconnects():
+    # A run whose end was lost with the connection was repeated.
+    agent = Agent()
+    agent.start(0)
+    agent.look(ended=[EndRow(1, run_id(0), RunEnd.DONE)])
+    agent.events()
+    agent.attach(HeldRun(run_id(0), CORE))
+    assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
+
+
 class TestRestartedAgent:
     """What a new agent finds at its worker."""
 
