Serve counters and latency histograms of the fleet's daemons

Cause: the fleet's entries and agents had no metrics; the setting was read and unused.

A test of the whole path reads the metrics of entries and agents.

--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -70,16 +70,19 @@
     runners: list[RunnerEmulator] = field(default_factory=list)
     version: int = 0
     jobs: int = 0
+    metrics: bool = False
 
     @classmethod
     @asynccontextmanager
-    async def open(cls, entries: int = 2, workers: int = 3) -> AsyncIterator["Site"]:
+    async def open(
+        cls, entries: int = 2, workers: int = 3, metrics: bool = False
+    ) -> AsyncIterator["Site"]:
         """Start everything and wait until the entries know all workers."""
         async with anyio.create_task_group() as group:
             store = StoreEmulator()
             address = await group.start(serve_http, store.application, HOST, 0)
             async with httpcore.AsyncConnectionPool() as pool:
-                site = cls(group, pool, store, address)
+                site = cls(group, pool, store, address, metrics=metrics)
                 site.configure(route("stock", "/stock/"))
                 for number in range(entries):
                     site.add_entry(f"entry-{number}")
@@ -111,6 +114,7 @@
             listen=free_address(),
             store=store,
             seeds=seeds,
+            metrics=free_address() if self.metrics else "",
             **fields,
         )
 
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -119,7 +119,9 @@
             ready = self.board.configuration.ready and not self.board.leaving
             return Response.from_json({"ready": ready}, 200 if ready else 503)
 
-        add_metrics_route(application, self, ENTRY_METRICS, self.request_times)
+        add_metrics_route(
+            application, self, ENTRY_METRICS, [self.request_times.histogram]
+        )
         return application
 
     def report(self) -> dict:
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -5,11 +5,12 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
 from typing import Any
 
 import anyio
+from aioprometheus.collectors import Histogram
 from anyio.abc import TaskGroup
 from loguru import logger
 
@@ -19,6 +20,7 @@
 from marigoldkeel.fleet.following import PlanFollower
 from marigoldkeel.fleet.links import AgentLinks, OwnerLinks
 from marigoldkeel.fleet.messages import Announce, DropJob
+from marigoldkeel.fleet.metrics import AGENT_METRICS, ENTRY_METRICS, JobTimes, RunTimes
 from marigoldkeel.fleet.plans import Plan
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.settings import FleetSettings
@@ -26,6 +28,7 @@
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.identifiers import mint_incarnation, wall_clock_ms
 from marigoldkeel.messages import Pull
+from marigoldkeel.metrics import Metric, add_metrics_route
 from marigoldkeel.models import Member
 from marigoldkeel.servers import HttpApplication, serve_http
 from marigoldkeel.settings import read_settings
@@ -72,6 +75,13 @@
         self.directory: Directory | None = None
         self.controller: DirectoryController | None = None
 
+    def add_metrics(self, metrics: Iterable[Metric], histogram: Histogram) -> None:
+        """Serve metrics if the settings name an address for them."""
+        if self.settings.metrics:
+            application = HttpApplication()
+            add_metrics_route(application, self, metrics, [histogram])
+            self.servers.append((self.settings.metrics, application))
+
     async def run(self) -> None:
         """Serve until `stop` is called and the work in progress has ended."""
         async with AsyncExitStack() as stack:
@@ -186,6 +196,9 @@
             sharers=self._count_entries,
         )
         self.links.scheduler = self.scheduler
+        self.job_times = JobTimes()
+        self.scheduler.observe = self.job_times.observe
+        self.add_metrics(ENTRY_METRICS, self.job_times.histogram)
         self.leaving = False
         self.closing = False
         self.in_progress = 0
@@ -289,6 +302,9 @@
         super().__init__(settings, store, settings_path)
         self.client = client
         self.supervisor = Supervisor(self.clock)
+        self.run_times = RunTimes()
+        self.supervisor.observe = self.run_times.observe
+        self.add_metrics(AGENT_METRICS, self.run_times.histogram)
         self.links = AgentLinks(self.supervisor, self.flush)
         self.driver: WorkerDriver | None = None
 
--- /dev/null
+++ b/marigoldkeel/fleet/metrics.py
@@ -0,0 +1,146 @@
+"""Metrics of a fleet's daemons: what is read at a scrape, and the histograms."""
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+
+from marigoldkeel.fleet.work import JobState, RepeatableJob, RunEnd
+from marigoldkeel.metrics import Metric, Samples, labelled, resident_bytes
+
+
+# From the shortest jobs to three times the objective of the longest.
+JOB_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+RUN_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+
+
+class JobTimes:
+    """The histogram of the time from a job's arrival to its answer."""
+
+    def __init__(self):
+        self.histogram = Histogram(
+            "marigoldkeel_job_seconds",
+            "Time from the arrival of a job to its answer, by queue and outcome.",
+            registry=Registry(),
+            buckets=JOB_BUCKETS_S,
+        )
+
+    def observe(self, job: RepeatableJob, state: JobState, seconds: float) -> None:
+        """Count one answer."""
+        labels = {"queue": job.queue.name, "outcome": state.name.lower()}
+        self.histogram.observe(labels, seconds)
+
+
+class RunTimes:
+    """The histogram of the run times at an agent's worker."""
+
+    def __init__(self):
+        self.histogram = Histogram(
+            "marigoldkeel_run_seconds",
+            "Run time of the tasks at the worker, by how they ended.",
+            registry=Registry(),
+            buckets=RUN_BUCKETS_S,
+        )
+
+    def observe(self, end: RunEnd, seconds: float) -> None:
+        """Count one end."""
+        self.histogram.observe({"end": end.name.lower()}, seconds)
+
+
+def traffic(daemon) -> Samples:
+    """Return the bytes between this daemon and others."""
+    counters = daemon.peers.counters
+    return labelled(
+        "direction", {"in": counters.bytes_received, "out": counters.bytes_sent}
+    )
+
+
+def jobs_by_phase(entry) -> Samples:
+    """Return the jobs that an entry owns."""
+    scheduler = entry.scheduler
+    waiting = len(scheduler.waiting)
+    return labelled(
+        "phase", {"waiting": waiting, "placed": len(scheduler.jobs) - waiting}
+    )
+
+
+def workers_by_state(entry) -> Samples:
+    """Return the workers that an entry knows of."""
+    views = entry.fleet.workers.values()
+    ready = sum(view.ready for view in views)
+    return labelled("state", {"ready": ready, "unusable": len(views) - ready})
+
+
+COMMON_METRICS = (
+    Metric(
+        Gauge,
+        "marigoldkeel_resident_bytes",
+        "Resident memory of the process.",
+        lambda daemon: resident_bytes(),
+    ),
+    Metric(
+        Counter,
+        "marigoldkeel_peer_bytes",
+        "Bytes exchanged with other daemons.",
+        traffic,
+    ),
+    Metric(
+        Counter,
+        "marigoldkeel_store_calls",
+        "Calls to the store, by kind.",
+        lambda daemon: labelled("kind", daemon.store.counts),
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_store_reached",
+        "Whether the last call for this daemon's record succeeded.",
+        lambda daemon: int(bool(daemon.controller.store_up)),
+    ),
+)
+ENTRY_METRICS = (
+    *COMMON_METRICS,
+    Metric(
+        Gauge,
+        "marigoldkeel_plan_version",
+        "Version of the operators' plan in force; 0 before the first.",
+        lambda entry: entry.follower.version,
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_ready",
+        "Whether the balancer is asked to send callers here.",
+        lambda entry: int(entry.ready),
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_requests_in_progress",
+        "Requests of callers that have no answer yet.",
+        lambda entry: entry.in_progress,
+    ),
+    Metric(Gauge, "marigoldkeel_jobs", "Jobs owned by this entry.", jobs_by_phase),
+    Metric(Gauge, "marigoldkeel_workers", "Known workers.", workers_by_state),
+)
+AGENT_METRICS = (
+    *COMMON_METRICS,
+    Metric(
+        Gauge,
+        "marigoldkeel_worker_usable",
+        "Whether new runs may be started at the worker.",
+        lambda agent: int(agent.supervisor.usable),
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_worker_free_cores",
+        "Cores of the worker that no run holds.",
+        lambda agent: agent.supervisor.room.cpu_milli / 1000,
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_runs",
+        "Runs that are or may be at the worker.",
+        lambda agent: len(agent.supervisor.runs),
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_owners",
+        "Entries that are connected.",
+        lambda agent: len(agent.links.links),
+    ),
+)
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -71,6 +71,7 @@
     :param send: Sends a message to the agent of a worker and returns the number that
         it was given.
     :param sharers: Returns how many entries share the fleet.
+    :ivar observe: Told of each answer with the time from the job's arrival to it.
     :param wall_ms: Wall-clock time in milliseconds. Run numbers are taken from it, so
         that those of another owner, later on, are higher.
     """
@@ -100,7 +101,9 @@
         self.jobs: dict[str, OwnedJob] = {}
         self.waiting: dict[str, OwnedJob] = {}
         self.last_run = 0
-        self.answers: dict[JobState, int] = {}
+        self.observe: Callable[[RepeatableJob, JobState, float], None] = (
+            lambda job, state, waited_s: None
+        )
 
     # Callers
 
@@ -112,6 +115,7 @@
             self.urgent_at[job.queue.service] = self.clock()
         reason = self._hopeless(job)
         if reason:
+            self.observe(job, JobState.NOT_RUN, 0.0)
             self._log(job, "refused", reason)
             answer(JobAnswer(JobState.NOT_RUN, reason, RETRY_AFTER_S))
             return None
@@ -475,7 +479,8 @@
         self.waiting.pop(owned.job.job_id, None)
         if owned.counts[TaskPhase.PLACED]:
             self._stop_runs(owned)
-        self.answers[answer.state] = self.answers.get(answer.state, 0) + 1
+        waited_s = self.clock() - owned.job.received_at
+        self.observe(owned.job, answer.state, waited_s)
         self._log(owned.job, answer.state.name.lower(), answer.reason)
         owned.answer(answer)
         self._settle(owned)
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -172,6 +172,7 @@
     Usage::
 
         supervisor = Supervisor(clock=time.monotonic)
+        supervisor.observe = run_times.observe
         supervisor.report(facts)
         supervisor.looked(look, asked_at)
         supervisor.start("entry-1@5f", message)
@@ -199,6 +200,7 @@
         self.orders: list[StartOrder | StopOrder] = []
         self.notices: list[Notice] = []
         self.last_moment = clock()
+        self.observe: Callable[[RunEnd, float], None] = lambda end, run_s: None
 
     # What the worker says
 
@@ -543,6 +545,7 @@
             end = run.stop_reason
         began_at = run.started_at
         run_s = self.clock() - began_at if began_at is not None else 0.0
+        self.observe(end, run_s)
         self._tell_end(run.run_id, run.owner, end, run_s)
 
     def _gone(self, run: Run) -> None:
--- a/marigoldkeel/metrics.py
+++ b/marigoldkeel/metrics.py
@@ -266,7 +266,7 @@
 
 
 def render_metrics(
-    daemon, metrics: Iterable[Metric], request_times: RequestTimes | None = None
+    daemon, metrics: Iterable[Metric], histograms: Iterable[Histogram] = ()
 ) -> bytes:
     """Return the metrics of a daemon in the text format.
 
@@ -276,8 +276,8 @@
     registry = Registry()
     for metric in metrics:
         metric.add_to(registry, daemon)
-    if request_times is not None:
-        registry.register(request_times.histogram)
+    for histogram in histograms:
+        registry.register(histogram)
     return TextFormatter().marshall(registry)
 
 
@@ -285,7 +285,7 @@
     application: HttpApplication,
     daemon,
     metrics: Iterable[Metric],
-    request_times: RequestTimes | None = None,
+    histograms: Iterable[Histogram] = (),
 ) -> None:
     """Serve the metrics of a daemon at ``GET /metrics``."""
     headers = {
@@ -294,5 +294,5 @@
 
     @application.route("GET", "/metrics")
     async def scrape(request: Request) -> Response:
-        body = render_metrics(daemon, metrics, request_times)
+        body = render_metrics(daemon, metrics, histograms)
         return Response(200, body, dict(headers))
--- a/marigoldkeel/platform/daemons.py
+++ b/marigoldkeel/platform/daemons.py
@@ -18,7 +18,7 @@
     store = PlatformStore(settings.store.url, settings.store.timeout_s)
     if settings.callers is not None:
         entry = FleetEntry(settings, store, PLAN_KEY, decode_plan, settings_path)
-        entry.servers = [
+        entry.servers += [
             (settings.callers.address, callers_application(entry)),
             (settings.callers.readiness, readiness_application(entry)),
         ]
@@ -28,5 +28,5 @@
     client = RunnerClient(settings.worker.address)
     agent = FleetAgent(settings, store, client, settings_path)
     reports = reports_application(agent.supervisor, client, agent.flush)
-    agent.servers = [(settings.worker.reports, reports)]
+    agent.servers.append((settings.worker.reports, reports))
     return agent
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -235,3 +235,40 @@
             group.cancel_scope.cancel()
         assert answers[0][:2] == (200, {"state": "done"})
         assert len(site.started()) == 1
+
+
+@pytest.mark.parametrize(
+    "daemons_of, samples",
+    [
+        (
+            lambda site: site.entries,
+            [
+                'marigoldkeel_job_seconds_count{outcome="done",queue="stock"} 1.0',
+                'marigoldkeel_workers{state="ready"} 2',
+                "marigoldkeel_plan_version 2",
+            ],
+        ),
+        (
+            lambda site: site.agents,
+            [
+                'marigoldkeel_run_seconds_count{end="done"} 1.0',
+                "marigoldkeel_worker_usable 1",
+                "marigoldkeel_worker_free_cores 4.0",
+            ],
+        ),
+    ],
+)
+async def test_metrics_tell_what_was_done(daemons_of, samples):
+    async with Site.open(entries=1, workers=2, metrics=True) as site:
+        # Two tasks that fill a worker each.
+        job = site.job(count=2, step={"cpu": 4000}, task={"cpu": 4000})
+        await site.request(site.entries[0], "POST", site.job_path(), job)
+        await until(lambda: not any(agent.supervisor.runs for agent in site.agents))
+        lines = []
+        for daemon in daemons_of(site):
+            response = await site.pool.request(
+                "GET", f"http://{daemon.settings.metrics}/metrics"
+            )
+            lines += response.content.decode().splitlines()
+        for sample in samples:
+            assert lines.count(sample) == len(daemons_of(site)), lines
