Repeat starts and looks whose answer is lost, and log what decided

A start waited 0.25 s and was then stopped and placed elsewhere; a look waited 0.45 s, in which the worker's lease of 0.5 s ran out and killed all runs there: 45 of 140 jobs late in the worst window, 490 core-seconds thrown away. Ruled out: overload, the half-minute without such orders served all.

Change: a start is ordered up to three times under the lease of the first try, as the same run number starts once; a lost look is repeated after 60 ms, and only the second lost one makes the worker unreachable; a run that a look has shown is not stopped for a lost answer. Each decision on a job is logged with its forecast, objective, plan version and the number of usable workers, and placements are logged too.

--- a/emulator/plays.py
+++ b/emulator/plays.py
@@ -16,6 +16,7 @@
     COALESCE_S,
     LOOK_WAIT_S,
     RETRY_S,
+    START_TIMEOUTS_S,
 )
 from marigoldkeel.fleet.links import AgentLink, AgentLinks, OwnerLinks
 from marigoldkeel.fleet.owned import OwnedJob
@@ -23,6 +24,7 @@
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.supervisors import (
     WORKER_LEASE_S,
+    Phase,
     Run,
     StartOrder,
     StartOutcome,
@@ -43,7 +45,8 @@
 TICK_S = 0.05
 NETWORK_S = 0.001
 ORDER_S = 0.0005
-LOOK_TIMEOUT_S = 0.25
+LOOK_TIMEOUT_S = 0.06
+STOP_TIMEOUT_S = 0.1
 # An order that is carried out late has its answer lost and arrives after this.
 LATE_ORDER_S = 3.0
 START_WALL_MS = 1_700_000_000_000
@@ -297,7 +300,10 @@
         if not self.alive or number != self.look_number:
             return
         self.looking = False
-        self.answered = False
+        if self.answered:
+            self.answered = False
+            self.look()
+            return
         self.supervisor.unreachable()
         self.flush()
         self.world.after(RETRY_S, self.look)
@@ -305,25 +311,30 @@
     def _start(self, run: Run) -> None:
         self.supervisor.lease_sent(WORKER_LEASE_S)
         lapses_at = self.world.now + WORKER_LEASE_S
-        supervisor = self.supervisor
+        self._try_start(self.supervisor, run, lapses_at, 0)
+
+    def _try_start(
+        self, supervisor: Supervisor, run: Run, lapses_at: float, attempt: int
+    ) -> None:
+        def answer(outcome: StartOutcome) -> None:
+            if attempt and outcome != StartOutcome.STARTED:
+                outcome = StartOutcome.UNANSWERED
+            self.when_awake(lambda: self._answered(supervisor, run, outcome))
+
+        if attempt == len(START_TIMEOUTS_S) or run.phase != Phase.STARTING:
+            answer(StartOutcome.UNANSWERED)
+            return
         if self.worker.silent or self.world.random.random() < self.late_share:
             self.world.after(LATE_ORDER_S, lambda: self._carry_out(run, lapses_at))
             self.world.after(
-                LOOK_TIMEOUT_S,
-                lambda: self.when_awake(
-                    lambda: self._answered(supervisor, run, StartOutcome.UNANSWERED)
-                ),
+                START_TIMEOUTS_S[attempt],
+                lambda: self._try_start(supervisor, run, lapses_at, attempt + 1),
             )
             return
 
         def execute() -> None:
             outcome = self._carry_out(run, lapses_at)
-            self.world.after(
-                ORDER_S,
-                lambda: self.when_awake(
-                    lambda: self._answered(supervisor, run, outcome)
-                ),
-            )
+            self.world.after(ORDER_S, lambda: answer(outcome))
 
         self.world.after(ORDER_S, execute)
 
@@ -345,7 +356,7 @@
             if answered:
                 self.worker.advance(self.world.now)
                 self.worker.stop(run.run_id)
-            delay_s = ORDER_S if answered else LOOK_TIMEOUT_S + RETRY_S
+            delay_s = ORDER_S if answered else STOP_TIMEOUT_S + RETRY_S
             self.world.after(delay_s, lambda: self.when_awake(lambda: done(answered)))
 
         def done(answered: bool) -> None:
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -278,6 +278,7 @@
         """Leave the balancer's rotation, then answer what is in progress."""
         self.leaving = True
         self.controller.leaving = True
+        self.scheduler.closes_at = self.stops_at
         await anyio.sleep(BALANCER_NOTICE_S)
         self.closing = True
         while self.in_progress and self.clock() < self.stops_at:
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -11,6 +11,7 @@
 from marigoldkeel.fleet.supervisors import (
     WORKER_LEASE_S,
     Look,
+    Phase,
     Run,
     StartOrder,
     StartOutcome,
@@ -23,6 +24,10 @@
 LOOK_WAIT_S = 0.2
 RETRY_S = 0.05
 TICK_S = 0.05
+# How long each try of a start waits for its answer. A worker on the same machine
+# answers within a few milliseconds; urgent tasks run for a tenth of a second, so a lost
+# answer is not waited out.
+START_TIMEOUTS_S = (0.04, 0.06, 0.1)
 # States are sent at most this often, so that the ends and starts of the tasks of one
 # job make one message.
 COALESCE_S = 0.004
@@ -35,8 +40,10 @@
     """Speaks to one worker."""
 
     @abstractmethod
-    async def start(self, run: Run, lease_s: float) -> tuple[StartOutcome, str]:
-        """Order a run to start.
+    async def start(
+        self, run: Run, lease_s: float, timeout_s: float
+    ) -> tuple[StartOutcome, str]:
+        """Order a run to start; an order that is repeated starts it once.
 
         :return: The outcome, and the worker's reason if it refused.
         """
@@ -105,12 +112,16 @@
                 look = await self.client.look(lease_s, wait_s, supervisor.last_end)
             except MarigoldkeelError as error:
                 if self.answered:
+                    # Only the answer may have been lost, so it is asked again at once.
+                    logger.info("look without an answer: {}", error)
+                    self.answered = False
+                    continue
+                if supervisor.reachable:
                     logger.info("worker not reachable: {}", error)
-                self.answered = False
                 supervisor.unreachable()
                 await anyio.sleep(RETRY_S)
             else:
-                if not self.answered:
+                if not supervisor.reachable:
                     logger.info("worker reachable, boot {}", look.boot)
                 self.answered = True
                 supervisor.looked(look, asked_at)
@@ -133,8 +144,7 @@
             logger.info("no last lease: {}", error)
 
     async def _start(self, run: Run) -> None:
-        self.supervisor.lease_sent(WORKER_LEASE_S)
-        outcome, reason = await self.client.start(run, WORKER_LEASE_S)
+        outcome, reason = await self._order_start(run)
         if outcome != StartOutcome.STARTED:
             logger.bind(job=run.run_id.task.job_id).info(
                 "run {} not started: {} {}", run.run_id.number, outcome.value, reason
@@ -142,6 +152,30 @@
         self.supervisor.start_answered(run, outcome, reason)
         self.flush()
 
+    async def _order_start(self, run: Run) -> tuple[StartOutcome, str]:
+        """Order a start until it is answered, a few times.
+
+        All tries carry the lease of the first, so that they do not put off the moment
+        at which the runs of a lost worker are known to have ended.
+        """
+        clock = self.supervisor.clock
+        self.supervisor.lease_sent(WORKER_LEASE_S)
+        lapses_at = clock() + WORKER_LEASE_S
+        reason = "no answer"
+        for attempt, timeout_s in enumerate(START_TIMEOUTS_S):
+            if run.phase != Phase.STARTING:
+                break
+            lease_s = lapses_at - clock()
+            outcome, reason = await self.client.start(run, lease_s, timeout_s)
+            if outcome == StartOutcome.STARTED:
+                return outcome, reason
+            if outcome != StartOutcome.UNANSWERED:
+                if attempt == 0:
+                    return outcome, reason
+                # The run may have been started by an earlier try, and have ended.
+                break
+        return StartOutcome.UNANSWERED, reason
+
     async def _stop(self, run: Run) -> None:
         answered = await self.client.stop(run)
         if not answered:
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -71,6 +71,7 @@
     :param send: Sends a message to the agent of a worker and returns the number that
         it was given.
     :param sharers: Returns how many entries share the fleet.
+    :ivar closes_at: When this entry ends; jobs that would end later are refused.
     :ivar observe: Told of each answer with the time from the job's arrival to it.
     :param wall_ms: Wall-clock time in milliseconds. Run numbers are taken from it, so
         that those of another owner, later on, are higher.
@@ -101,6 +102,7 @@
         self.jobs: dict[str, OwnedJob] = {}
         self.waiting: dict[str, OwnedJob] = {}
         self.last_run = 0
+        self.closes_at = float("inf")
         self.observe: Callable[[RepeatableJob, JobState, float], None] = (
             lambda job, state, waited_s: None
         )
@@ -113,14 +115,14 @@
         """Take a job, or answer it at once and return None."""
         if job.queue.priority == URGENT_PRIORITY:
             self.urgent_at[job.queue.service] = self.clock()
-        reason = self._hopeless(job)
+        owned = OwnedJob(job, answer)
+        self._forecast(owned)
+        reason = self._hopeless(owned)
         if reason:
             self.observe(job, JobState.NOT_RUN, 0.0)
-            self._log(job, "refused", reason)
+            self._log(owned, "refused", reason)
             answer(JobAnswer(JobState.NOT_RUN, reason, RETRY_AFTER_S))
             return None
-        owned = OwnedJob(job, answer)
-        self._forecast(owned)
         self.jobs[job.job_id] = owned
         self.waiting[job.job_id] = owned
         self.schedule()
@@ -179,7 +181,7 @@
             for task in owned.all_tasks():
                 if task.worker == worker:
                     owned.has_run = True
-                    self._log(owned.job, "lost", reason, worker=worker)
+                    self._log(owned, "lost", reason, worker=worker)
                     self._release(owned, task)
             self._settle(owned)
         self.schedule()
@@ -240,10 +242,14 @@
             max(0.0, job.patience_s - job.queue.timeout_s),
         ]
 
-    def _hopeless(self, job: RepeatableJob) -> str:
-        """Return why a job cannot be served, or ``""``."""
+    def _hopeless(self, owned: OwnedJob) -> str:
+        """Return why a job that has just arrived cannot be served, or ``""``."""
+        job = owned.job
         if job.job_id in self.jobs:
             return "the job is in progress"
+        run_s = owned.chain_s / self.forecaster.fastest
+        if self.clock() + run_s + OVERHEAD_S > self.closes_at:
+            return "the entry stops before it can end"
         service = job.queue.service
         if not self._is_informed(service):
             return ""
@@ -291,7 +297,7 @@
                 )
                 reason = refusal_reason(prospect)
                 if reason:
-                    self._refuse(owned, reason)
+                    self._refuse(owned, reason, wait_s)
 
     def _cores(self, service: str) -> float:
         """Return this entry's share of the cores of a service."""
@@ -336,6 +342,9 @@
         by_worker: dict[str, list[TaskRecord]] = {}
         for task, candidate in zip(waiting, chosen, strict=False):
             by_worker.setdefault(candidate.name, []).append(task)
+        if by_worker:
+            placed = {worker: len(tasks) for worker, tasks in by_worker.items()}
+            self._log(owned, "placed", step=number, placed=placed)
         for worker, tasks in by_worker.items():
             self._start(owned, step, worker, tasks, parcel.task_s)
 
@@ -452,7 +461,7 @@
             if owned.is_waiting and not owned.answered:
                 self.waiting[owned.job.job_id] = owned
             return
-        self._log(owned.job, "run ended", event.end.name.lower(), worker=worker)
+        self._log(owned, "run ended", event.end.name.lower(), worker=worker)
         if event.end == RunEnd.FAILED:
             task.failures += 1
         task.avoided.add(worker)
@@ -470,10 +479,12 @@
         if owned.answered and not owned.counts[TaskPhase.PLACED]:
             self.jobs.pop(owned.job.job_id, None)
 
-    def _refuse(self, owned: OwnedJob, reason: str) -> None:
-        self._finish(owned, JobAnswer(JobState.NOT_RUN, reason, RETRY_AFTER_S))
+    def _refuse(self, owned: OwnedJob, reason: str, wait_s: float) -> None:
+        answer = JobAnswer(JobState.NOT_RUN, reason, RETRY_AFTER_S)
+        wait_ms = round(wait_s * 1000) if wait_s < float("inf") else None
+        self._finish(owned, answer, forecast_wait_ms=wait_ms)
 
-    def _finish(self, owned: OwnedJob, answer: JobAnswer) -> None:
+    def _finish(self, owned: OwnedJob, answer: JobAnswer, **inputs) -> None:
         """Answer a job and stop what is left of it."""
         owned.answered = True
         self.waiting.pop(owned.job.job_id, None)
@@ -481,7 +492,7 @@
             self._stop_runs(owned)
         waited_s = self.clock() - owned.job.received_at
         self.observe(owned.job, answer.state, waited_s)
-        self._log(owned.job, answer.state.name.lower(), answer.reason)
+        self._log(owned, answer.state.name.lower(), answer.reason, **inputs)
         owned.answer(answer)
         self._settle(owned)
 
@@ -494,8 +505,17 @@
         for worker, runs in running.items():
             self.send(worker, StopRuns(0, runs))
 
-    def _log(self, job: RepeatableJob, outcome: str, reason: str, **inputs) -> None:
-        waited_ms = round((self.clock() - job.received_at) * 1000)
+    def _log(self, owned: OwnedJob, outcome: str, reason: str = "", **inputs) -> None:
+        """Write one line on a decision, with what decided it."""
+        job = owned.job
         logger.bind(
-            job=job.job_id, queue=job.queue.name, waited_ms=waited_ms, **inputs
-        ).info("{}: {}", outcome, reason)
+            job=job.job_id,
+            queue=job.queue.name,
+            plan=job.plan_version,
+            waited_ms=round((self.clock() - job.received_at) * 1000),
+            forecast_ms=round(owned.chain_s * 1000),
+            objective_ms=round(owned.objective_s * 1000),
+            workers=len(self.fleet.ready(job.queue.service)),
+            waiting=len(self.waiting),
+            **inputs,
+        ).info("{}", f"{outcome}: {reason}" if reason else outcome)
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -276,6 +276,9 @@
             run.settled_at = now
             if run.phase == Phase.STARTING:
                 self._started(run, now)
+        elif outcome == StartOutcome.UNANSWERED and run.phase == Phase.RUNNING:
+            # A look has shown it meanwhile.
+            run.settled_at = now
         elif outcome == StartOutcome.UNANSWERED:
             self._stop(run, RunEnd.STOPPED)
         else:
--- a/marigoldkeel/fleet/work.py
+++ b/marigoldkeel/fleet/work.py
@@ -123,6 +123,7 @@
     :ivar payload: What every task is given.
     :ivar received_at: Monotonic time of its arrival in seconds.
     :ivar patience_s: How long the caller waits for the answer, in seconds.
+    :ivar plan_version: Version of the operators' plan that it was taken under.
     """
 
     job_id: str
@@ -131,6 +132,7 @@
     steps: list[Step]
     received_at: float
     patience_s: float
+    plan_version: int = 0
 
 
 class JobState(IntEnum):
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -84,7 +84,12 @@
 
 
 def decode_job(
-    body: bytes, job_id: str, queue: Queue, now: float, patience_s: float
+    body: bytes,
+    job_id: str,
+    queue: Queue,
+    now: float,
+    patience_s: float,
+    plan_version: int,
 ) -> tuple[RepeatableJob, str]:
     """Return the job in a request, and what it asks for that is not carried out.
 
@@ -106,7 +111,9 @@
         unsupported.append("jobs at set times")
     if queue.advice is not None:
         unsupported.append("queues with advice")
-    job = RepeatableJob(job_id, queue, content.spec, steps, now, patience_s)
+    job = RepeatableJob(
+        job_id, queue, content.spec, steps, now, patience_s, plan_version
+    )
     return job, ", ".join(unsupported)
 
 
@@ -162,7 +169,9 @@
     now = entry.clock()
     patience_s = _patience_s(request)
     try:
-        job, unsupported = decode_job(request.body, job_id, queue, now, patience_s)
+        job, unsupported = decode_job(
+            request.body, job_id, queue, now, patience_s, entry.plan.version
+        )
     except InvalidInput as error:
         return Response.from_json({"error": error.message}, 400)
     if unsupported:
--- a/marigoldkeel/platform/workers.py
+++ b/marigoldkeel/platform/workers.py
@@ -27,10 +27,12 @@
 
 
 # One connection waits for ends, the others carry orders.
-MAX_CONNECTIONS = 4
+MAX_CONNECTIONS = 6
 # A runner on the same machine answers an order in about a millisecond.
-ORDER_TIMEOUT_S = 0.25
-LOOK_MARGIN_S = 0.25
+STOP_TIMEOUT_S = 0.1
+# What a look may take longer than it was asked to wait. A lost answer leaves the ends
+# of runs untold and their lease running out, so it is not waited for.
+LOOK_MARGIN_S = 0.06
 # The runner takes orders from its own machine only, so there is a single sender and
 # no order needs to outrank another.
 FENCE = 1
@@ -85,7 +87,9 @@
         self.instance = ""
         self.offset_ms: float | None = None
 
-    async def start(self, run: Run, lease_s: float) -> tuple[StartOutcome, str]:
+    async def start(
+        self, run: Run, lease_s: float, timeout_s: float
+    ) -> tuple[StartOutcome, str]:
         if self.offset_ms is None:
             return StartOutcome.UNREACHABLE, "the runner's clock is not known"
         content = {
@@ -96,7 +100,7 @@
             "fence": FENCE,
         }
         try:
-            reply = await self._order("/api/run-start", content)
+            reply = await self._order("/api/run-start", content, timeout_s)
         except PeerUnavailable as error:
             return StartOutcome.UNREACHABLE, error.message
         except MarigoldkeelError as error:
@@ -117,7 +121,7 @@
             "fence": FENCE,
         }
         try:
-            reply = await self._order("/api/run-stop", content)
+            reply = await self._order("/api/run-stop", content, STOP_TIMEOUT_S)
         except MarigoldkeelError as error:
             logger.info("stop not answered: {}", error)
             return False
@@ -149,11 +153,11 @@
         """Close all connections."""
         await self.client.aclose()
 
-    async def _order(self, path: str, content: dict) -> Reply:
+    async def _order(self, path: str, content: dict, timeout_s: float) -> Reply:
         headers = {}
         if self.instance:
             headers["Marigoldkeel-Expect-Instance"] = self.instance
-        return await self.client.call("POST", path, ORDER_TIMEOUT_S, content, headers)
+        return await self.client.call("POST", path, timeout_s, content, headers)
 
     def _until_ms(self, lease_s: float) -> int:
         return round(self.clock() * 1000 + self.offset_ms + lease_s * 1000)
--- /dev/null
+++ b/tests/fleet/test_drivers.py
@@ -0,0 +1,130 @@
+"""Orders and looks whose answers are lost."""
+
+import anyio
+import pytest
+
+from marigoldkeel.exceptions import PeerTimeout
+from marigoldkeel.fleet.drivers import START_TIMEOUTS_S, WorkerClient, WorkerDriver
+from marigoldkeel.fleet.supervisors import (
+    WORKER_LEASE_S,
+    Look,
+    Phase,
+    Run,
+    StartOutcome,
+)
+from tests.fleet.test_supervisors import Agent, run_id, start_message
+
+
+pytestmark = pytest.mark.anyio
+
+STARTED, OUTDATED = StartOutcome.STARTED, StartOutcome.OUTDATED
+REFUSED, UNANSWERED = StartOutcome.REFUSED, StartOutcome.UNANSWERED
+
+
+class ScriptedClient(WorkerClient):
+    """A worker whose answers are given; a lost one takes its whole timeout."""
+
+    def __init__(self, agent: Agent, starts=(), looks=()):
+        self.clock = agent.clock
+        self.starts = list(starts)
+        self.looks = list(looks)
+        self.leases_end_at: list[float] = []
+        self.reachable: list[bool] = []
+        self.supervisor = agent.supervisor
+
+    async def start(self, run, lease_s, timeout_s):
+        self.leases_end_at.append(round(self.clock.now + lease_s, 6))
+        outcome = self.starts.pop(0)
+        self.clock.now += timeout_s if outcome == UNANSWERED else 0.001
+        return outcome, ""
+
+    async def stop(self, run):
+        return True
+
+    async def look(self, lease_s, wait_s, last_end):
+        self.reachable.append(self.supervisor.reachable)
+        if not self.looks:
+            await anyio.sleep_forever()
+        self.clock.now += 0.05
+        if not self.looks.pop(0):
+            raise PeerTimeout("no answer", "look", "worker")
+        return Look(7)
+
+
+def ordered(agent: Agent) -> Run:
+    """Return a run whose start is to be ordered."""
+    agent.supervisor.start("entry-1@1", start_message(0))
+    (order,) = agent.supervisor.take_orders()
+    return order.run
+
+
+@pytest.mark.parametrize(
+    "answers, outcome",
+    [
+        ([STARTED], STARTED),
+        ([REFUSED], REFUSED),
+        ([OUTDATED], OUTDATED),
+        ([UNANSWERED, STARTED], STARTED),
+        ([UNANSWERED, UNANSWERED, STARTED], STARTED),
+        # The first try may have started the run, which may even be done.
+        ([UNANSWERED, OUTDATED], UNANSWERED),
+        ([UNANSWERED, REFUSED], UNANSWERED),
+        ([UNANSWERED] * len(START_TIMEOUTS_S), UNANSWERED),
+    ],
+)
+async def test_start_without_an_answer_is_ordered_again(answers, outcome):
+    agent = Agent()
+    client = ScriptedClient(agent, starts=answers)
+    driver = WorkerDriver(agent.supervisor, client, lambda: None, None)
+    run = ordered(agent)
+    lapses_at = round(agent.clock.now + WORKER_LEASE_S, 6)
+    assert (await driver._order_start(run))[0] == outcome
+    assert client.starts == []
+    # With a longer lease a lost worker's runs would have to be waited for longer.
+    assert set(client.leases_end_at) == {lapses_at}
+
+
+async def test_start_is_not_repeated_once_the_run_is_to_be_stopped():
+    agent = Agent()
+    client = ScriptedClient(agent, starts=[UNANSWERED, STARTED])
+    driver = WorkerDriver(agent.supervisor, client, lambda: None, None)
+    run = ordered(agent)
+    client_start = client.start
+
+    async def start(*arguments):
+        answer = await client_start(*arguments)
+        agent.supervisor.stop("entry-1@1", [run.run_id])
+        return answer
+
+    client.start = start
+    assert (await driver._order_start(run))[0] == UNANSWERED
+    assert len(client.starts) == 1
+
+
+def test_run_that_was_seen_is_not_stopped_for_a_lost_answer():
+    agent = Agent()
+    run = ordered(agent)
+    agent.look(run_id(0))
+    agent.supervisor.start_answered(run, UNANSWERED)
+    assert agent.supervisor.runs[run_id(0)].phase == Phase.RUNNING
+    assert agent.supervisor.take_orders() == []
+
+
+@pytest.mark.parametrize(
+    "looks, reachable",
+    [
+        ([True, False, True], [True, True, True, True]),
+        ([True, False, False, True], [True, True, True, False, True]),
+    ],
+)
+async def test_worker_is_given_up_at_the_second_lost_look(looks, reachable):
+    agent = Agent()
+    client = ScriptedClient(agent, looks=looks)
+    async with anyio.create_task_group() as group:
+        driver = WorkerDriver(agent.supervisor, client, lambda: None, group)
+        group.start_soon(driver.look_forever)
+        with anyio.fail_after(5.0):
+            while len(client.reachable) < len(reachable):
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+    assert client.reachable == reachable
--- a/tests/fleet/test_plays.py
+++ b/tests/fleet/test_plays.py
@@ -195,3 +195,15 @@
     check_promises(play)
     assert hopeless[0].answer.state == JobState.FAILED
     assert in_time(play, NORMAL) > 0.95
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_urgent_jobs_are_in_time_while_answers_to_orders_are_lost(seed):
+    # One order in 18 is answered by nobody; a job of eight tasks has to bear it.
+    play = make_fleet(seed)
+    for agent in play.agents:
+        agent.late_share = 0.055
+    offer_mix(play, 0.7, 1.0, 8.0)
+    play.run(20.0)
+    check_promises(play)
+    assert in_time(play, URGENT, since=3.0) >= 0.9
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -47,7 +47,7 @@
 async def test_run_is_started_seen_and_its_end_listed_once():
     async with opened() as (_, client):
         run = make_run()
-        assert await client.start(run, 0.5) == (StartOutcome.STARTED, "")
+        assert await client.start(run, 0.5, 0.3) == (StartOutcome.STARTED, "")
         look = await client.look(0.5, 0.0, 0)
         assert [row.run_id for row in look.running] == [run.run_id]
         assert look.boot == 5
@@ -61,31 +61,31 @@
     async with opened() as (_, client):
         run = make_run()
         assert await client.stop(run)
-        assert (await client.start(run, 0.5))[0] == StartOutcome.OUTDATED
+        assert (await client.start(run, 0.5, 0.3))[0] == StartOutcome.OUTDATED
 
 
 async def test_order_with_a_lease_in_the_past_is_refused():
     async with opened() as (_, client):
-        outcome, reason = await client.start(make_run(), -1.0)
+        outcome, reason = await client.start(make_run(), -1.0, 0.3)
         assert (outcome, reason) == (StartOutcome.REFUSED, "late")
 
 
 async def test_start_before_the_clock_is_known_is_not_sent():
     client = RunnerClient("127.0.0.1:9")
-    outcome, _ = await client.start(make_run(), 0.5)
+    outcome, _ = await client.start(make_run(), 0.5, 0.3)
     assert outcome == StartOutcome.UNREACHABLE
 
 
 async def test_lost_answer_leaves_the_outcome_open():
     async with opened() as (runner, client):
         runner.lost_answers = 1
-        assert (await client.start(make_run(), 0.5))[0] == StartOutcome.UNANSWERED
+        assert (await client.start(make_run(), 0.5, 0.3))[0] == StartOutcome.UNANSWERED
 
 
 async def test_runner_that_does_not_listen_got_nothing():
     client = RunnerClient("127.0.0.1:9")
     client.offset_ms = 0.0
-    assert (await client.start(make_run(), 0.5))[0] == StartOutcome.UNREACHABLE
+    assert (await client.start(make_run(), 0.5, 0.3))[0] == StartOutcome.UNREACHABLE
     assert not await client.stop(make_run())
     with pytest.raises(MarigoldkeelError):
         await client.look(0.5, 0.0, 0)
