Refuse what arrives at the very end of a planned stop; one function for free ports

Change: an entry that is about to end refuses jobs that cannot end before it; the emulator, tests and bench share the function that avoids these ports.

--- a/bench/control_costs.py
+++ b/bench/control_costs.py
@@ -11,7 +11,6 @@
     cost_of,
     daemon_under_test,
     fill_store,
-    free_address,
     start_process,
     wait_for_http,
 )
@@ -22,6 +21,7 @@
     stored_records,
 )
 from bench.slopes import fit, part
+from emulator.addresses import free_address
 from marigoldkeel.audit import ConfigurationStore, VersionedConfiguration
 from marigoldkeel.heartbeats import MAX_PEERS
 from marigoldkeel.identifiers import mint_submission_id
--- a/bench/daemons.py
+++ b/bench/daemons.py
@@ -1,7 +1,6 @@
 """Runs a daemon under test as a process of its own, with this process as its peer."""
 
 import os
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +15,7 @@
 
 from bench.scale import design_configuration, member, stored_records
 from bench.slopes import fit
+from emulator.addresses import free_address
 from marigoldkeel.audit import ConfigurationStore
 from marigoldkeel.identifiers import mint_submission_id
 from marigoldkeel.messages import Heartbeat, HeartbeatReply
@@ -115,11 +115,6 @@
     group: object
 
 
-def free_address() -> str:
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-
 def start_process(*arguments: str) -> subprocess.Popen:
     zipapp = os.environ.get("MARIGOLDKEEL_ZIPAPP")
     program = [zipapp] if zipapp else ["-m", "marigoldkeel"]
--- /dev/null
+++ b/emulator/addresses.py
@@ -0,0 +1,23 @@
+"""Loopback addresses for the processes of a test or an emulated installation."""
+
+import random
+import socket
+
+
+HOST = "127.0.0.1"
+LISTEN_PORTS = (12_000, 32_000)
+
+
+def free_address() -> str:
+    """Return a loopback address whose port was free just now.
+
+    The port is below those of outgoing connections, so that none of these takes it
+    before a daemon listens on it or while it is restarted.
+    """
+    while True:
+        port = random.randrange(*LISTEN_PORTS)
+        try:
+            with socket.create_server((HOST, port)):
+                return f"{HOST}:{port}"
+        except OSError:
+            continue
--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -1,6 +1,5 @@
 """A small installation of the platform on loopback, in one process."""
 
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -10,6 +9,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from emulator.addresses import HOST, free_address
 from emulator.runners import RunnerEmulator
 from emulator.stores import StoreEmulator
 from emulator.workers import EmulatedWorker
@@ -22,18 +22,11 @@
 from marigoldkeel.settings import StoreSettings
 
 
-HOST = "127.0.0.1"
 REPORT_S = 0.3
 QUEUE_HOST = "shop.example"
 TASK_CPU = 1000
 
 
-def free_address() -> str:
-    """Return a loopback address that nothing listens on."""
-    with socket.create_server((HOST, 0)) as server:
-        return f"{HOST}:{server.getsockname()[1]}"
-
-
 def route(name: str, prefix: str, **fields) -> dict:
     """Return a queue as the operator writes it."""
     return {
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -281,8 +281,13 @@
         self.scheduler.closes_at = self.stops_at
         await anyio.sleep(BALANCER_NOTICE_S)
         self.closing = True
-        while self.in_progress and self.clock() < self.stops_at:
+        quiet_at = self.clock() + FLUSH_S
+        while quiet_at > self.clock() < self.stops_at:
             await anyio.sleep(DRAIN_TICK_S)
+            if self.in_progress:
+                quiet_at = self.clock() + FLUSH_S
+        # What arrives from now on, on connections that are still open, is refused.
+        self.scheduler.closes_at = self.clock()
         for owned in list(self.scheduler.jobs.values()):
             self.scheduler.abandon(owned, "the entry stops")
         await anyio.sleep(FLUSH_S)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -10,12 +10,13 @@
 import anyio.from_thread
 import msgspec
 
+from emulator.addresses import free_address
 from marigoldkeel.audit import ChangeResult, ConfigurationStore
 from marigoldkeel.configuration import Configuration
 from marigoldkeel.identifiers import mint_submission_id
 from marigoldkeel.stores import open_store
 from tests.forwarders import Forwarder
-from tests.processes import Daemon, free_address, request, wait_until
+from tests.processes import Daemon, request, wait_until
 
 
 DOMAINS = ("Seregno", "Lissone", "Meda")
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -272,3 +272,36 @@
             lines += response.content.decode().splitlines()
         for sample in samples:
             assert lines.count(sample) == len(daemons_of(site)), lines
+
+
+async def test_jobs_that_arrive_until_the_end_of_a_planned_stop_are_answered(
+    monkeypatch,
+):
+    # A connection that stays open brought a job in the last moment, which was told
+    # an internal error.
+    monkeypatch.setattr(daemons, "BALANCER_NOTICE_S", 0.1)
+    async with Site.open(entries=1, workers=1) as site:
+        entry = site.entries[0]
+        entry.settings.grace_s = 2.0
+        statuses = []
+        entry.stop()
+        with pytest.raises((httpcore.NetworkError, httpcore.ProtocolError)):
+            while True:
+                await anyio.sleep(0.03)
+                job = site.job(work_ms=60)
+                answer = await site.request(entry, "POST", site.job_path(), job)
+                statuses.append(answer[0])
+                assert len(statuses) < 1000
+        assert set(statuses) <= {200, 503}
+
+
+@pytest.mark.parametrize("work_ms, status", [(50, 200), (5000, 503)])
+async def test_stopping_entry_refuses_what_cannot_end_in_time(work_ms, status):
+    async with Site.open(entries=1, workers=1) as site:
+        entry = site.entries[0]
+        entry.settings.grace_s = 3.0
+        entry.stop()
+        job = site.job(work_ms=work_ms)
+        answer = await site.request(entry, "POST", site.job_path(), job)
+        assert answer[0] == status
+        assert len(site.started()) == (status == 200)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,8 +1,6 @@
 """Daemons as processes of their own, and how a test waits for them."""
 
-import random
 import signal
-import socket
 import subprocess
 import time
 from collections.abc import Callable
@@ -14,28 +12,11 @@
 import msgspec
 
 
-HOST = "127.0.0.1"
-LISTEN_PORTS = (12_000, 32_000)
 # Ends a test whose condition never comes true; no verdict depends on its length.
 WAIT_LIMIT_S = 60.0
 POLL_S = 0.1
 
 
-def free_address() -> str:
-    """Return a loopback address whose port was free just now.
-
-    The port is below those of outgoing connections, so that none of these takes it
-    before a daemon listens on it or while it is restarted.
-    """
-    while True:
-        port = random.randrange(*LISTEN_PORTS)
-        try:
-            with socket.create_server((HOST, port)):
-                return f"{HOST}:{port}"
-        except OSError:
-            continue
-
-
 def request(method: str, url: str, content: Any = None) -> Any:
     """Return the JSON answer of a daemon, or None if it did not answer."""
     timeouts = dict.fromkeys(("connect", "read", "write", "pool"), 1.0)
