Close callers' connections while an entry has no workers

Ruled out: late readiness, the links are given up after 0.4 s.

Change: while an entry is not ready it closes the connection with each answer; at a planned stop still only once the balancer knows.

--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -213,6 +213,15 @@
         """Whether callers are better sent here than elsewhere."""
         return not self.leaving and self.plan is not None and self.links.connected > 0
 
+    @property
+    def sends_callers_away(self) -> bool:
+        """Whether callers are better served on a new connection, at another entry.
+
+        A caller stays with its connection, also when the balancer sends no new ones
+        here. At a planned stop it is kept until the balancer knows.
+        """
+        return self.closing if self.leaving else not self.ready
+
     def outgoing_listener(self) -> OwnerLinks:
         return self.links
 
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -128,7 +128,7 @@
             response = await _serve(entry, request)
         finally:
             entry.in_progress -= 1
-        if entry.closing:
+        if entry.sends_callers_away:
             response.headers["connection"] = "close"
         return response
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -181,6 +181,23 @@
         assert not entry.ready
 
 
+async def test_entry_without_workers_sends_its_callers_elsewhere():
+    # An entry that was cut off from all agents refused the jobs of its open connections
+    # for seconds, although the balancer sent no new ones.
+    async with Site.open(entries=1, workers=1) as site:
+        entry = site.entries[0]
+        link = entry.links.links["agent-0"]
+        job = site.job()
+        _, _, headers = await site.request(entry, "POST", site.job_path(), job)
+        assert "connection" not in headers
+        # Stands for an attempt that has no answer.
+        link.connecting = True
+        await link.connection.abort()
+        await until(lambda: not entry.ready)
+        _, _, headers = await site.request(entry, "GET", "/stock/")
+        assert headers["connection"] == "close"
+
+
 async def test_planned_stop_of_an_entry_answers_what_is_in_progress(monkeypatch):
     monkeypatch.setattr(daemons, "BALANCER_NOTICE_S", 0.1)
     async with Site.open(entries=1, workers=1) as site:
