--- a/marigoldkeel/fleet/admission.py
+++ b/marigoldkeel/fleet/admission.py
@@ -14,38 +14,10 @@
 # A job is refused without a forecast when it has waited for this share of its
 # objective: a caller who is refused later has lost too much of the time it had.
 WAIT_SHARE = 0.25
-# How long an entry may wait for its workers after its start or after it has found the
-# first of them again. Agents that start with it are found within this time.
-WARM_UP_S = 1.5
 # Messages and orders between the entry, the agent and the worker.
 OVERHEAD_S = 0.01
 
 
-@dataclass(slots=True)
-class WarmUp:
-    """Whether an entry knows yet what the workers of a service can do.
-
-    It finds them one by one after its start, and after it has lost all of them. A
-    forecast that rests on the first two of a dozen would refuse what the others can
-    serve a moment later.
-
-    :ivar since: When the present warm-up began.
-    :ivar ready: How many workers were ready at the last check.
-    """
-
-    since: float
-    ready: int = 0
-
-    def is_over(self, ready: int, known: int, now: float) -> bool:
-        """Take how many workers are ready, of those that are known to exist."""
-        if bool(ready) != bool(self.ready):
-            self.since = now
-        self.ready = ready
-        if 0 < known <= ready:
-            self.since = float("-inf")
-        return now - self.since > WARM_UP_S
-
-
 @dataclass(slots=True)
 class Prospect:
     """What is known of a job that waits. Times are in seconds.
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -116,7 +116,6 @@
             self._forget(link)
         self.links[member.name] = AgentLink(member)
         self.by_address[member.address] = self.links[member.name]
-        self.fleet.view(member.name)
 
     def remove(self, name: str) -> None:
         """Drop the link to an agent, unless it is alive."""
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -17,7 +17,6 @@
 from marigoldkeel.fleet.admission import (
     OVERHEAD_S,
     Prospect,
-    WarmUp,
     refusal_reason,
     waiting_times,
 )
@@ -52,6 +51,9 @@
 
 # How long after an urgent job room is left for the next one.
 URGENT_MEMORY_S = 10.0
+# An entry that has just started, or has just lost all workers, does not know yet what
+# it can serve. Agents that start with it are usable within this time.
+UNINFORMED_S = 1.5
 # How long after the caller's patience its runs may go on. A caller whose connection
 # was lost unseen asks again 1.3 s later, and by then they have to be gone.
 PATIENCE_GRACE_S = 0.3
@@ -92,8 +94,7 @@
         self.clock = clock
         self.wall_ms = wall_ms
         self.sharers = sharers
-        self.started_at = clock()
-        self.warm_ups: dict[str, WarmUp] = {}
+        self.informed_at = clock()
         self.random = random.Random(seed)
         self.pack: PackingPolicy = find_packing(packing)
         self.forecaster = Forecaster()
@@ -266,9 +267,11 @@
 
     def _is_informed(self, service: str) -> bool:
         """Whether this entry knows what the workers of a service can do."""
-        warm_up = self.warm_ups.setdefault(service, WarmUp(self.started_at))
-        ready = len(self.fleet.ready(service))
-        return warm_up.is_over(ready, self.fleet.expected(service), self.clock())
+        now = self.clock()
+        if not self.fleet.ready(service):
+            return now - self.informed_at > UNINFORMED_S
+        self.informed_at = now
+        return True
 
     def _judge(self) -> None:
         """Refuse the jobs that have not begun and have no prospect."""
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -87,13 +87,6 @@
             if view.ready and view.facts.service == service
         ]
 
-    def expected(self, service: str) -> int:
-        """Return how many workers a service may have, as far as is known."""
-        return sum(
-            view.facts is None or view.facts.service == service
-            for view in self.workers.values()
-        )
-
     def known(self, service: str) -> list[WorkerView]:
         """Return the workers of a service, also those that are not usable now."""
         return [
