Put workers aside that fail what they start

A worker that fails at once always has room, so it was given 814 tasks; 7 jobs failed for it and 51 were late. Ruled out: hopeless jobs, all failures were at one worker.

Change: the scheduler uses the outlier detector of the other path: four failures or stalls among a worker's last ten runs put it aside for 0.5 s, doubling up to 4 s; then it gets one task as a probe. At most 40% of the workers are put aside, and failures of a queue that fails on most workers do not count.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -220,6 +220,8 @@
         if isinstance(content, WorkerState):
             self._take_state(link, content)
         elif isinstance(content, WorkerFacts):
+            if link.facts is not None and link.facts.boot != content.boot:
+                self.scheduler.forget_failures(name)
             link.facts = content
             self.fleet.view(name).facts = content
         elif isinstance(content, RunEvent):
@@ -265,7 +267,7 @@
         if self.by_address.get(link.member.address) is link:
             del self.by_address[link.member.address]
         self.fleet.remove(link.member.name)
-        self.scheduler.lose_worker(link.member.name, "agent replaced")
+        self.scheduler.forget_worker(link.member.name, "agent replaced")
 
 
 @dataclass(slots=True)
--- a/marigoldkeel/fleet/packing.py
+++ b/marigoldkeel/fleet/packing.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from marigoldkeel.exceptions import InvalidInput
-from marigoldkeel.fleet.work import Resources, Step
+from marigoldkeel.fleet.work import NO_RESOURCES, Resources, Step
 
 
 # Two messages across failure domains, in seconds.
@@ -32,6 +32,7 @@
     :ivar speed: The mean of the fleet is 1.
     :ivar near: Whether it is in the failure domain of the entry.
     :ivar held: Tasks of the same step that are there already.
+    :ivar is_probe: Whether it gets a single task, to see whether it works again.
     """
 
     name: str
@@ -41,6 +42,7 @@
     speed: float
     near: bool
     held: int = 0
+    is_probe: bool = False
 
 
 @dataclass(slots=True)
@@ -110,7 +112,9 @@
         if not open_ones:
             break
         candidate = min(open_ones, key=cost)
-        candidate.free = candidate.free - parcel.step.demand
+        candidate.free = (
+            NO_RESOURCES if candidate.is_probe else candidate.free - parcel.step.demand
+        )
         candidate.held += 1
         chosen.append(candidate)
     return chosen
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -14,6 +14,7 @@
 
 from loguru import logger
 
+from marigoldkeel.ejection import OutlierDetector
 from marigoldkeel.fleet.admission import (
     OVERHEAD_S,
     Prospect,
@@ -60,6 +61,18 @@
 RETRY_AFTER_S = 1.0
 # Jobs of the queues of this priority come before all others.
 URGENT_PRIORITY = 0
+# A worker is put aside when this many of its last ten runs failed or stood still. Tasks
+# that can never be done fail once on each of several workers.
+EJECT_AFTER_FAILURES = 4
+# Most workers stay in use: when more of them fail, it is the jobs.
+MAX_EJECTED_SHARE = 0.4
+# A worker that was put aside gets one task after this, and waits up to eight times as
+# long when that fails as well.
+EJECTION_S = 0.5
+MAX_EJECTION_S = 4.0
+# How long failures of a queue are remembered, and how long a probe may take.
+FAILURE_WINDOW_S = 5.0
+PROBE_TIMEOUT_S = 2.0
 # Added to the run numbers when a worker has seen higher ones, which happens after the
 # time of day has been set back, by seconds as a rule.
 RENUMBER_MS = 60_000
@@ -98,6 +111,14 @@
         self.random = random.Random(seed)
         self.pack: PackingPolicy = find_packing(packing)
         self.forecaster = Forecaster()
+        self.detector = OutlierDetector(
+            MAX_EJECTED_SHARE,
+            EJECT_AFTER_FAILURES,
+            EJECTION_S,
+            MAX_EJECTION_S,
+            FAILURE_WINDOW_S,
+            PROBE_TIMEOUT_S,
+        )
         self.urgent_at: dict[str, float] = {}
         self.jobs: dict[str, OwnedJob] = {}
         self.waiting: dict[str, OwnedJob] = {}
@@ -186,6 +207,16 @@
             self._settle(owned)
         self.schedule()
 
+    def forget_worker(self, worker: str, reason: str) -> None:
+        """Give up a worker that was replaced, with all that was learned of it."""
+        self.lose_worker(worker, reason)
+        self.forecaster.forget(worker)
+        self.forget_failures(worker)
+
+    def forget_failures(self, worker: str) -> None:
+        """Forget the failures of a worker that has started anew."""
+        self.detector.remove(worker, self.clock())
+
     def held_by(self, worker: str) -> list[HeldRun]:
         """Return the runs that are wanted at a worker."""
         return [
@@ -302,7 +333,9 @@
     def _cores(self, service: str) -> float:
         """Return this entry's share of the cores of a service."""
         cpu_milli = sum(
-            view.facts.capacity.cpu_milli for view in self.fleet.ready(service)
+            view.facts.capacity.cpu_milli
+            for view in self.fleet.ready(service)
+            if view.name not in self.detector.ejected
         )
         return cpu_milli / 1000 / max(1, self.sharers())
 
@@ -371,6 +404,7 @@
         return self.clock() - urgent_at < URGENT_MEMORY_S
 
     def _candidates(self, service: str) -> list[Candidate]:
+        now = self.clock()
         return [
             Candidate(
                 view.name,
@@ -379,8 +413,10 @@
                 view.facts.labels,
                 self.forecaster.speed(view.name),
                 view.facts.domain == self.domain,
+                is_probe=view.name in self.detector.ejected,
             )
             for view in self.fleet.ready(service)
+            if self.detector.available(view.name, now)
         ]
 
     def _start(
@@ -406,6 +442,7 @@
             step.spread_limit,
             [RunNumber(task.task_id.index, task.run.number) for task in tasks],
         )
+        self.detector.start(worker, self.clock())
         sequence = self.send(worker, message)
         view = self.fleet.view(worker)
         for task in tasks:
@@ -454,6 +491,7 @@
     def _ended(
         self, owned: OwnedJob, task: TaskRecord, worker: str, event: RunEvent
     ) -> None:
+        self._judge_worker(owned, worker, event.end)
         if event.end == RunEnd.DONE:
             if event.run_ms:
                 self._learn(owned, task, Sample(worker, event.run_ms / 1000))
@@ -467,6 +505,17 @@
         task.avoided.add(worker)
         self._release(owned, task)
 
+    def _judge_worker(self, owned: OwnedJob, worker: str, end: RunEnd) -> None:
+        """Count how a run ended for or against its worker."""
+        if end not in (RunEnd.DONE, RunEnd.FAILED, RunEnd.STALLED):
+            return
+        was_ejected = worker in self.detector.ejected
+        queue = owned.job.queue.name
+        self.detector.record(worker, queue, end == RunEnd.DONE, self.clock())
+        if (worker in self.detector.ejected) != was_ejected:
+            outcome = "back in use" if was_ejected else "put aside"
+            logger.bind(worker=worker, end=end.name.lower()).info("worker {}", outcome)
+
     def _settle(self, owned: OwnedJob) -> None:
         """Answer a job that is done or has failed, and forget one without runs."""
         if not owned.answered:
--- a/tests/fleet/test_plays.py
+++ b/tests/fleet/test_plays.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marigoldkeel.fleet.work import JobState
+from marigoldkeel.fleet.work import JobState, RunEnd
 from tests.fleet.loads import LONG, NORMAL, TASK, URGENT, in_time, make_fleet, offer_mix
 
 
@@ -207,3 +207,43 @@
     play.run(20.0)
     check_promises(play)
     assert in_time(play, URGENT, since=3.0) >= 0.9
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_worker_that_fails_all_it_starts_is_put_aside(seed):
+    # A worker that fails everything at once always has room: it was given 814 tasks in
+    # seven seconds, and jobs failed for it.
+    play = make_fleet(seed)
+    sick = play.agents[1].worker
+    play.world.at(3.0, lambda: setattr(sick, "failing", True))
+    play.world.at(8.0, lambda: setattr(sick, "failing", False))
+    offer_mix(play, 1.0, 1.0, 12.0)
+    play.run(24.0)
+    check_promises(play)
+    states = [played.answer.state for played in play.jobs]
+    assert states.count(JobState.DONE) >= 0.99 * len(states)
+    assert in_time(play, URGENT, since=3.0) >= 0.95
+    # Four entries put it aside after four failures, and probe it three times at most
+    # in these five seconds: after 0.5, 1.5 and 3.5 s.
+    failed = sum(end == RunEnd.FAILED for _, _, end in sick.ends)
+    assert failed <= 4 * (10 + 4)
+    # It is in use again after that.
+    assert any(moment > 12.5 - 1.0 for moment, _, _ in sick.ends)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_jobs_that_can_never_be_done_put_no_worker_aside(seed):
+    play = make_fleet(seed)
+    offer_mix(play, 0.7, 1.0, 8.0)
+    for moment in range(20, 70):
+        play.world.at(
+            moment / 10,
+            lambda: play.submit(
+                play.entries[0], LONG, [0.2] * 4, TASK, 0.2, hopeless=True
+            ),
+        )
+    play.run(20.0)
+    check_promises(play)
+    hopeless = [played for played in play.jobs if played.hopeless]
+    assert all(played.answer.state == JobState.FAILED for played in hopeless)
+    assert in_time(play, URGENT, since=3.0) >= 0.95
