Refuse orders that were held back on their way

A partition held an entry's orders back; 6 s later they were delivered, and the agent started the runs of an owner that had long given them up (run, minted 3.9 s before run, was started 2.3 s after it). The agent dropped silent owners only if they had runs there. Ruled out: late orders at the runner, the agent's lease.

Change: an agent tells its clock with each state, counted on while the machine is suspended; an owner stamps starts and renewals with what that clock shows; a start older than 0.15 s is refused and a renewal counts from when it was sent.

--- a/emulator/plays.py
+++ b/emulator/plays.py
@@ -213,7 +213,7 @@
     def begin(self) -> None:
         """Make the parts of a new process and start its loops."""
         self.supervisor = Supervisor(self.world.clock)
-        self.links = AgentLinks(self.supervisor, self.flush)
+        self.links = AgentLinks(self.supervisor, self.flush, self.world.clock)
         self.flushing = False
         self.looking = False
         self.answered = False
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -48,6 +48,11 @@
 RUN_OUT_S = 0.6
 
 
+def boot_time_s() -> float:
+    """Return the time since the machine's start, with the time it was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class FleetDaemon:
     """Base of the two daemons.
 
@@ -320,7 +325,7 @@
         self.run_times = RunTimes()
         self.supervisor.observe = self.run_times.observe
         self.add_metrics(AGENT_METRICS, self.run_times.histogram)
-        self.links = AgentLinks(self.supervisor, self.flush)
+        self.links = AgentLinks(self.supervisor, self.flush, boot_time_s)
         self.driver: WorkerDriver | None = None
 
     def incoming_listener(self) -> AgentLinks:
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -52,10 +52,13 @@
 # of smaller changes after a while. It knows of its own runs anyway.
 NEWS_SHARE = 0.2
 STATE_INTERVAL_S = 0.5
+# An order that has been on its way for longer is refused: a network or a process that
+# stood still may have held it back until its owner has repeated the runs elsewhere.
+MAX_ORDER_AGE_S = 3 * LAPSE_MARGIN_S
 # After the last message to an agent that cannot be reached, its worker has ended all
 # runs of this owner: the agent stops them when the lease has run out, and if it is
 # gone too, the worker ends them by itself.
-GONE_AFTER_S = OWNER_LEASE_S + WORKER_LEASE_S * (1 + CLOCK_DRIFT) + 3 * LAPSE_MARGIN_S
+GONE_AFTER_S = MAX_ORDER_AGE_S + OWNER_LEASE_S + WORKER_LEASE_S * (1 + CLOCK_DRIFT)
 
 
 @dataclass(slots=True)
@@ -65,6 +68,7 @@
     :ivar unanswered: When each message was sent that no state of the agent has taken
         into account yet, by its number.
     :ivar gone_at: When the runs at an agent that cannot be reached have ended.
+    :ivar agent_clock_ms: The agent's clock when it last told it, at ``told_clock_at``.
     """
 
     member: Member
@@ -77,12 +81,18 @@
     retry_s: float = FIRST_RETRY_S
     gone_at: float | None = None
     facts: WorkerFacts | None = None
+    agent_clock_ms: int = 0
+    told_clock_at: float = 0.0
 
     def note_sent(self, now: float) -> None:
         """Note that the message with the present number has been sent."""
         self.last_sent_at = now
         self.unanswered[self.sequence] = now
 
+    def agent_ms(self, now: float) -> int:
+        """Return what the agent's clock shows now, or less."""
+        return self.agent_clock_ms + int((now - self.told_clock_at) * 1000)
+
     def note_heard(self, sequence: int) -> None:
         """Note that the agent has seen the messages up to a number."""
         for number in [key for key in self.unanswered if key <= sequence]:
@@ -139,6 +149,8 @@
         link.sequence += 1
         message.sequence = link.sequence
         now = self.clock()
+        if not isinstance(message, StopRuns):
+            message.sent_ms = link.agent_ms(now)
         try:
             link.connection.send(message)
         except PeerUnavailable as error:
@@ -243,6 +255,7 @@
             logger.bind(peer=link.member.address).info(
                 "agent {} connected", link.member.name
             )
+        link.agent_clock_ms, link.told_clock_at = state.clock_ms, self.clock()
         view.connected = True
         view.update(state)
         link.note_heard(state.heard)
@@ -284,11 +297,20 @@
 
 
 class AgentLinks(ConnectionListener):
-    """An agent's links to the owners of runs at its worker."""
+    """An agent's links to the owners of runs at its worker.
+
+    :param clock: Seconds on a clock that goes on while the machine is suspended.
+    """
 
-    def __init__(self, supervisor: Supervisor, flush: Callable[[], None]):
+    def __init__(
+        self,
+        supervisor: Supervisor,
+        flush: Callable[[], None],
+        clock: Callable[[], float],
+    ):
         self.supervisor = supervisor
         self.flush = flush
+        self.clock = clock
         self.links: dict[str, OwnerLink] = {}
         self.by_connection: dict[int, OwnerLink] = {}
 
@@ -299,12 +321,19 @@
         if not isinstance(content, StartRuns | StopRuns | Renew):
             return False
         link = self.by_connection.get(id(connection))
-        if link is None or not self.supervisor.heard(link.owner.incarnation):
+        age_s = 0.0
+        if not isinstance(content, StopRuns):
+            age_s = max(0.0, self.clock() - content.sent_ms / 1000)
+        if link is None or not self.supervisor.heard(link.owner.incarnation, age_s):
             # Its lease has run out; it has to attach anew.
             self._close(connection)
             return True
         link.heard = max(link.heard, content.sequence)
-        if isinstance(content, StartRuns):
+        if isinstance(content, StartRuns) and age_s > MAX_ORDER_AGE_S:
+            self.supervisor.refuse(
+                link.owner.incarnation, content, f"the order is {age_s:.2f} s old"
+            )
+        elif isinstance(content, StartRuns):
             self.supervisor.start(link.owner.incarnation, content)
         elif isinstance(content, StopRuns):
             self.supervisor.stop(link.owner.incarnation, content.runs)
@@ -370,7 +399,12 @@
         if supervisor.facts is not None and supervisor.facts != link.facts_sent:
             link.facts_sent = supervisor.facts
             self._send(link, supervisor.facts)
-        state = WorkerState(link.heard, supervisor.room, supervisor.usable)
+        state = WorkerState(
+            link.heard,
+            supervisor.room,
+            supervisor.usable,
+            round(self.clock() * 1000),
+        )
         link.told_at = supervisor.clock()
         link.told_room, link.told_usable = state.room, state.usable
         self._send(link, state)
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -90,6 +90,7 @@
 
     :ivar expected_ms: How long the owner expects a run to take there.
     :ivar spread_limit: Tasks of the step on one worker at most; 0 for any number.
+    :ivar sent_ms: When it was sent by the agent's clock, as the owner reckons.
     """
 
     sequence: int = 0
@@ -101,6 +102,7 @@
     expected_ms: int = 0
     spread_limit: int = 0
     runs: list[RunNumber] = field(default_factory=list)
+    sent_ms: int = 0
 
 
 @message("stopRuns")
@@ -115,9 +117,10 @@
 @message("renew")
 @dataclass(slots=True)
 class Renew:
-    """Shows that the owner is alive."""
+    """Shows that the owner is alive; ``sent_ms`` is as in `StartRuns`."""
 
     sequence: int = 0
+    sent_ms: int = 0
 
 
 @message("workerState")
@@ -129,11 +132,13 @@
         into account.
     :ivar room: What is free for new runs.
     :ivar usable: Whether new runs may be started there.
+    :ivar clock_ms: The agent's clock, which goes on while its machine is suspended.
     """
 
     heard: int = 0
     room: Resources = NO_RESOURCES
     usable: bool = False
+    clock_ms: int = 0
 
 
 class RunEventKind(IntEnum):
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -311,13 +311,24 @@
             self._claim(run_id, owner, demand)
         self.suggest(message.facts)
 
-    def heard(self, owner: str) -> bool:
-        """Note a message of an owner; False if it has to attach first."""
+    def heard(self, owner: str, age_s: float = 0.0) -> bool:
+        """Note a message of an owner; False if it has to attach first.
+
+        :param age_s: How long it has been on its way.
+        """
         known = self.owners.get(owner)
         if known is not None:
-            known.heard_at = self.clock()
+            known.heard_at = max(known.heard_at, self.clock() - age_s)
         return known is not None
 
+    def refuse(self, owner: str, message: StartRuns, reason: str) -> None:
+        """Start none of the runs of an order."""
+        for item in message.runs:
+            task = TaskId(message.job_id, message.occurrence, message.step, item.index)
+            run_id = RunId(task, item.number)
+            if run_id not in self.runs:
+                self._tell_refused(owner, run_id, reason)
+
     def start(self, owner: str, message: StartRuns) -> None:
         """Start the runs that fit now and refuse the others."""
         now = self.clock()
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -304,6 +304,7 @@
   expectedMs @6 :UInt32;
   spreadLimit @7 :UInt32;
   runs @8 :List(RunNumber);
+  sentMs @9 :UInt64;
 }
 
 struct StopRuns {
@@ -313,12 +314,14 @@
 
 struct Renew {
   sequence @0 :UInt64;
+  sentMs @1 :UInt64;
 }
 
 struct WorkerState {
   heard @0 :UInt64;
   room @1 :Resources;
   usable @2 :Bool;
+  clockMs @3 :UInt64;
 }
 
 struct RunEvent {
--- /dev/null
+++ b/tests/fleet/test_links.py
@@ -0,0 +1,84 @@
+"""Orders that were held back on their way."""
+
+import pytest
+
+from marigoldkeel.fleet.links import MAX_ORDER_AGE_S, AgentLinks
+from marigoldkeel.fleet.messages import Attach, Renew, RunEvent, WorkerState
+from marigoldkeel.fleet.supervisors import OWNER_LEASE_S, StopOrder
+from tests.fleet.test_supervisors import OWNER, Agent, start_message
+
+
+# The agent's clock has nothing to do with that of its supervisor.
+CLOCK_OFFSET_S = 5000.0
+
+
+class Connection:
+    """An agent's end of a connection, which keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+        self.closed = False
+
+    def send(self, content) -> None:
+        self.sent.append(content)
+
+    def close_soon(self) -> None:
+        self.closed = True
+
+
+class LinkedAgent(Agent):
+    """An agent with the connection of one owner."""
+
+    def __init__(self):
+        super().__init__()
+        self.connection = Connection()
+        self.links = AgentLinks(self.supervisor, lambda: None, self.boot_time_s)
+        self.links.received(self.connection, Attach(1, OWNER))
+
+    def boot_time_s(self) -> float:
+        return self.clock.now + CLOCK_OFFSET_S
+
+    def receive(self, message, age_s: float) -> None:
+        """Take a message that was sent some time ago."""
+        message.sent_ms = round((self.boot_time_s() - age_s) * 1000)
+        self.links.received(self.connection, message)
+
+
+@pytest.mark.parametrize(
+    "age_s, starts",
+    [(0.0, 1), (MAX_ORDER_AGE_S - 0.01, 1), (MAX_ORDER_AGE_S + 0.01, 0), (6.0, 0)],
+)
+def test_order_that_was_held_back_starts_nothing(age_s, starts):
+    # A partition held orders back for six seconds, until other entries had repeated
+    # their jobs; tasks ran twice at a time.
+    agent = LinkedAgent()
+    agent.receive(start_message(0), age_s)
+    assert len(agent.supervisor.take_orders()) == starts
+    agent.links.deliver()
+    told = [item for item in agent.connection.sent if isinstance(item, RunEvent)]
+    assert len(told) == 1 - starts
+
+
+def test_order_of_an_owner_that_does_not_know_the_clock_starts_nothing():
+    agent = LinkedAgent()
+    message = start_message(0)
+    agent.links.received(agent.connection, message)
+    assert agent.supervisor.take_orders() == []
+
+
+def test_states_tell_the_clock_that_orders_are_measured_by():
+    agent = LinkedAgent()
+    (state,) = [item for item in agent.connection.sent if isinstance(item, WorkerState)]
+    assert state.clock_ms == round(agent.boot_time_s() * 1000)
+
+
+def test_renewal_that_was_held_back_renews_only_from_when_it_was_sent():
+    agent = LinkedAgent()
+    agent.receive(start_message(0), 0.0)
+    agent.supervisor.take_orders()
+    for _ in range(5):
+        agent.clock.now += OWNER_LEASE_S / 5 + 0.01
+        agent.supervisor.last_moment = agent.clock.now
+        agent.receive(Renew(2), 10.0)
+    agent.supervisor.tick()
+    assert [type(order) for order in agent.supervisor.take_orders()] == [StopOrder]
