Answer 504, not 503, to a job that comes again while its runs go on

Cause: found by reading. A caller whose connection was lost asks again; if its first attempt still had runs at this entry, the answer was 503, which promises that the job never runs.

Change: such a job is answered as unknown, and the caller asks again. The test failed first.

--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -138,11 +138,11 @@
             self.urgent_at[job.queue.service] = self.clock()
         owned = OwnedJob(job, answer)
         self._forecast(owned)
-        reason = self._hopeless(owned)
-        if reason:
-            self.observe(job, JobState.NOT_RUN, 0.0)
-            self._log(owned, "refused", reason)
-            answer(JobAnswer(JobState.NOT_RUN, reason, RETRY_AFTER_S))
+        refusal = self._refusal(owned)
+        if refusal is not None:
+            self.observe(job, refusal.state, 0.0)
+            self._log(owned, "refused", refusal.reason)
+            answer(refusal)
             return None
         self.jobs[job.job_id] = owned
         self.waiting[job.job_id] = owned
@@ -273,11 +273,18 @@
             max(0.0, job.patience_s - job.queue.timeout_s),
         ]
 
+    def _refusal(self, owned: OwnedJob) -> JobAnswer | None:
+        """Return the answer to a job that has just arrived and cannot be served."""
+        if owned.job.job_id in self.jobs:
+            # Not "not run": runs of the earlier attempt may go on.
+            reason = "an earlier attempt is in progress"
+            return JobAnswer(JobState.UNKNOWN, reason)
+        reason = self._hopeless(owned)
+        return JobAnswer(JobState.NOT_RUN, reason, RETRY_AFTER_S) if reason else None
+
     def _hopeless(self, owned: OwnedJob) -> str:
-        """Return why a job that has just arrived cannot be served, or ``""``."""
+        """Return why a job has no prospect from the start, or ``""``."""
         job = owned.job
-        if job.job_id in self.jobs:
-            return "the job is in progress"
         run_s = owned.chain_s / self.forecaster.fastest
         if self.clock() + run_s + OVERHEAD_S > self.closes_at:
             return "the entry stops before it can end"
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -222,6 +222,18 @@
         entry.scheduler.schedule()
         assert len(entry.starts()) == 1
 
+    @pytest.mark.parametrize("left", [False, True])
+    def test_job_that_comes_again_while_it_runs_is_not_said_not_to_run(self, left):
+        entry = Entry({"w": 4})
+        entry.submit()
+        first = entry.scheduler.jobs["j"]
+        if left:
+            entry.scheduler.abandon(first, "left")
+            entry.answers.clear()
+        answers = []
+        assert entry.scheduler.submit(first.job, answers.append) is None
+        assert [answer.state for answer in answers] == [JobState.UNKNOWN]
+
     def test_job_with_a_run_on_its_way_is_not_refused(self):
         entry = Entry({"w": 1})
         entry.submit(steps=[Step(2, CORE, 0.1)])
