Name the runs of an order in one place, and drop what nothing uses

The refusal of a held-back order repeated the loop of its start, and a test a third copy; StartRuns.run_ids serves all three. Supervisor.ages_s, Resources.count_in and its constant had no use.

--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -104,6 +104,16 @@
     runs: list[RunNumber] = field(default_factory=list)
     sent_ms: int = 0
 
+    def run_ids(self) -> list[RunId]:
+        """Return the runs that are to be started."""
+        return [
+            RunId(
+                TaskId(self.job_id, self.occurrence, self.step, item.index),
+                item.number,
+            )
+            for item in self.runs
+        ]
+
 
 @message("stopRuns")
 @dataclass(slots=True)
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -323,21 +323,17 @@
 
     def refuse(self, owner: str, message: StartRuns, reason: str) -> None:
         """Start none of the runs of an order."""
-        for item in message.runs:
-            task = TaskId(message.job_id, message.occurrence, message.step, item.index)
-            run_id = RunId(task, item.number)
+        for run_id in message.run_ids():
             if run_id not in self.runs:
                 self._tell_refused(owner, run_id, reason)
 
     def start(self, owner: str, message: StartRuns) -> None:
         """Start the runs that fit now and refuse the others."""
         now = self.clock()
-        for item in message.runs:
-            task = TaskId(message.job_id, message.occurrence, message.step, item.index)
-            run_id = RunId(task, item.number)
+        for run_id in message.run_ids():
             if run_id in self.runs:
                 continue
-            reason = self._refusal(task, message)
+            reason = self._refusal(run_id.task, message)
             if reason:
                 self._tell_refused(owner, run_id, reason)
                 continue
@@ -435,12 +431,6 @@
             max(0, room.cpu_milli), max(0, room.memory_mb), max(0, room.accelerators)
         )
 
-    @property
-    def ages_s(self) -> list[float]:
-        """How long each run that has not ended has been here."""
-        now = self.clock()
-        return [now - run.ordered_at for run in self.runs.values()]
-
     def take_orders(self) -> list[StartOrder | StopOrder]:
         """Return the orders to carry out and forget them."""
         orders, self.orders = self.orders, []
--- a/marigoldkeel/fleet/work.py
+++ b/marigoldkeel/fleet/work.py
@@ -39,22 +39,6 @@
             and self.accelerators <= room.accelerators
         )
 
-    def count_in(self, room: "Resources") -> int:
-        """Return how many tasks of this size ``room`` holds."""
-        counts = [
-            have // need
-            for have, need in (
-                (room.cpu_milli, self.cpu_milli),
-                (room.memory_mb, self.memory_mb),
-                (room.accelerators, self.accelerators),
-            )
-            if need > 0
-        ]
-        return max(0, min(counts)) if counts else MAX_TASKS_WITHOUT_DEMAND
-
-
-# A task that asks for nothing still costs its worker an order.
-MAX_TASKS_WITHOUT_DEMAND = 64
 
 NO_RESOURCES = Resources()
 
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -22,7 +22,6 @@
     RunEnd,
     RunId,
     Step,
-    TaskId,
 )
 
 
@@ -80,18 +79,10 @@
     def starts(self) -> list[tuple[str, RunId]]:
         """Return the runs that were ordered and forget them."""
         runs = [
-            (
-                worker,
-                RunId(
-                    TaskId(
-                        message.job_id, message.occurrence, message.step, item.index
-                    ),
-                    item.number,
-                ),
-            )
+            (worker, run_id)
             for worker, message in self.sent
             if isinstance(message, StartRuns)
-            for item in message.runs
+            for run_id in message.run_ids()
         ]
         self.sent = [item for item in self.sent if isinstance(item[1], StopRuns)]
         return runs
