--- a/marigoldkeel/attempts.py
+++ b/marigoldkeel/attempts.py
@@ -56,6 +56,8 @@
 INVALID_STATUSES = (400, 401, 403, 413)
 CONFLICT_STATUS = 409
 CANCEL_STEP = "cancel"
+# Named in the answers of an entry that has no configuration yet.
+UNCONFIGURED_STEP = "read configuration"
 DEFAULT_CANCEL_WAIT_S = 1.0
 DEFAULT_CANCEL_DEADLINE_S = 10.0
 
@@ -270,6 +272,8 @@
             # The attempt may still run, exactly as if it had no answer, so it
             # forbids a fresh id and is reported to the dispatcher.
             self.unanswered += 1
+            if reply.step == UNCONFIGURED_STEP:
+                self._next_entry()
             return self._attempt(now, self._backoff())
         return self._not_run(reply, now)
 
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from marigoldkeel.admissions import QUOTA_STEP, Admissions, CallerRequest
+from marigoldkeel.attempts import UNCONFIGURED_STEP
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.cancellations import DEFAULT_WAIT_MS, unsettled
 from marigoldkeel.daemons import DRAIN_TICK_S, Daemon
@@ -144,7 +145,8 @@
     async def _answer(self, request: Request, kind: str, is_job: bool) -> Response:
         submission = request.headers.get("marigoldkeel-submission", "")
         if not self.board.configuration.ready:
-            answer = refusal("no configuration is known yet", 0, "admit")
+            # Another entry may have taken the id, and nothing here can tell.
+            answer = unsettled("no configuration is known yet", UNCONFIGURED_STEP)
             answer.retry_after_ms = NOT_READY_RETRY_MS
             return to_response(answer, submission, is_job)
         try:
@@ -177,7 +179,7 @@
         """Pass a cancellation to the members of the submission's partition."""
         text_id = request.arguments["submission"]
         if not self.board.configuration.ready:
-            answer = unsettled("no configuration is known yet", "cancel")
+            answer = unsettled("no configuration is known yet", UNCONFIGURED_STEP)
             return to_response(answer, text_id, is_job=True)
         try:
             submission_id = parse_submission_id(text_id)
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -211,3 +211,16 @@
             for _ in range(40):
                 await session.call("stock-check", {"work_ms": 1})
         assert all(runner.starts for runner in system.runners)
+
+
+async def test_entry_without_configuration_does_not_say_that_an_id_has_not_run():
+    """Another entry may have taken the id; only a claim can rule that out."""
+    async with LocalSystem.open(agents=3, entries=2, partitions=4) as system:
+        submission = {"Marigoldkeel-Submission": str(mint_submission_id())}
+        status, answer, _ = await post(system, "/v1/jobs", submission, b"[1]")
+        assert (status, answer["outcome"]) == (200, "complete")
+        configuration = system.entries[0].board.configuration
+        system.entries[0].board.configuration = type(configuration)()
+        status, answer, _ = await post(system, "/v1/jobs", submission, b"[1]")
+        assert (status, answer["outcome"]) == (504, "unknown")
+        assert answer["retry_after_ms"] > 0
--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -114,3 +114,27 @@
     table.observe(PeerState(Member("a", "a@1")), now)
     assert not table.is_suspected("a@1", now)
     assert table.is_unreachable("a@1", now) is unreachable
+
+
+@pytest.mark.parametrize(
+    ("checked_at", "heard_at", "now", "suspected"),
+    [
+        # It keeps up, and the peer is silent.
+        ([9.0, 9.3, 9.6, 9.9], 5.0, 10.0, True),
+        # It stood still from 5 to 10, with the peer's heartbeats unread.
+        ([5.0, 10.0], 4.9, 10.0, False),
+        # It is late at every look.
+        ([5.0, 6.5, 8.0, 9.5], 5.0, 9.5, False),
+        # Silent for long before it stood still.
+        ([3.5, 4.0, 9.0], 0.0, 9.0, True),
+    ],
+)
+def test_no_peer_is_suspected_because_this_process_stood_still(
+    checked_at, heard_at, now, suspected
+):
+    """Guards against jobs failed as lost at agents that were alive."""
+    table = PeerTable(suspect_after_s=3.0)
+    table.observe(PeerState(Member("a", "a@1")), heard_at)
+    for moment in checked_at:
+        table.excuse_own_delay(moment, interval_s=0.3)
+    assert table.is_suspected("a@1", now) == suspected
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -17,6 +17,7 @@
     Session,
 )
 from marigoldkeel.attempts import (
+    UNCONFIGURED_STEP,
     Attempt,
     AttemptPlan,
     EntryAnswer,
@@ -39,9 +40,11 @@
     "later": EntryAnswer(Outcome.NOT_RUN, retry_after_s=3.0),
     "much_later": EntryAnswer(Outcome.NOT_RUN, retry_after_s=60.0),
     "unknown": EntryAnswer(Outcome.UNKNOWN),
+    "unconfigured": EntryAnswer(Outcome.UNKNOWN, step=UNCONFIGURED_STEP),
     "conflict": EntryAnswer(Outcome.NOT_RUN, conflict=True),
     "invalid": EntryAnswer(Outcome.NOT_RUN, invalid=True),
 }
+UNANSWERED = ("lost", "short", "unknown", "unconfigured")
 KEPT = mint_submission_id()
 
 
@@ -83,6 +86,7 @@
         ("not_run", {"submission_id": KEPT}, "a00", Refused),
         ("invalid", {}, "a00", InvalidInput),
         ("lost invalid", {}, "a00 b01", OutcomeUnknown),
+        ("unconfigured complete", {}, "a00 b01", "r"),
         ("lost conflict", {}, "a00 b01", Conflict),
         ("lost failed", {}, "a00 b01", JobFailed),
         ("lost not_run", {"seconds": 6}, "a00 b01", OutcomeUnknown),
@@ -121,7 +125,7 @@
     for name, (_, number, unanswered) in zip(script, attempts, strict=False):
         assert unanswered == open_attempts[number]
         assert not any(open_attempts[earlier] for earlier in range(number))
-        open_attempts[number] += name in ("lost", "short", "unknown")
+        open_attempts[number] += name in UNANSWERED
     if isinstance(getattr(step, "error", None), (Refused, InvalidInput)):
         assert isinstance(step.error, Conflict) or not any(open_attempts.values())
 
