Soak the real programs; survive connections reset before they are accepted

The soak runs entries and agents as processes, with stand-ins and faults from outside: proxies that delay, hold back, silence and reset links, signals, a store and workers that misbehave, changes of the configuration, in overlapping series. Nine checks from what callers and workers see.

A peer that was killed while connecting had reset its connection before accept; the socket has no remote address then, and the error ended the whole daemon. Such a connection is now closed and logged.

--- a/emulator/addresses.py
+++ b/emulator/addresses.py
@@ -8,7 +8,7 @@
 LISTEN_PORTS = (12_000, 32_000)
 
 
-def free_address() -> str:
+def free_address(host: str = HOST) -> str:
     """Return a loopback address whose port was free just now.
 
     The port is below those of outgoing connections, so that none of these takes it
@@ -17,7 +17,7 @@
     while True:
         port = random.randrange(*LISTEN_PORTS)
         try:
-            with socket.create_server((HOST, port)):
-                return f"{HOST}:{port}"
+            with socket.create_server((host, port)):
+                return f"{host}:{port}"
         except OSError:
             continue
--- /dev/null
+++ b/emulator/proxies.py
@@ -0,0 +1,144 @@
+"""A loopback proxy that delays, holds back, silences and resets connections."""
+
+import socket
+import struct
+
+import anyio
+from anyio.abc import TaskGroup
+
+
+READ_BYTES = 65_536
+# Makes closing a socket reset its connection instead of ending it in order.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class ProxiedConnection:
+    """One connection through a proxy, with what is done to it.
+
+    :ivar delay_s: Added to each chunk of bytes, in both directions.
+    """
+
+    def __init__(self, near: anyio.abc.SocketStream, far: anyio.abc.SocketStream):
+        self.near = near
+        self.far = far
+        self.delay_s = 0.0
+        self.passing = {"towards": anyio.Event(), "back": anyio.Event()}
+        for event in self.passing.values():
+            event.set()
+
+    def hold(self, *directions: str) -> None:
+        """Hold the bytes of the directions back until `release`."""
+        for direction in directions:
+            if self.passing[direction].is_set():
+                self.passing[direction] = anyio.Event()
+
+    def release(self) -> None:
+        """Let all bytes pass, also those that were held back."""
+        for event in self.passing.values():
+            event.set()
+
+    def reset(self) -> None:
+        """Reset both ends."""
+        for stream in (self.near, self.far):
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.release()
+
+    async def run(self) -> None:
+        """Copy bytes until one end closes."""
+        async with self.near, self.far, anyio.create_task_group() as group:
+            group.start_soon(self._copy, self.near, self.far, "towards", group)
+            group.start_soon(self._copy, self.far, self.near, "back", group)
+
+    async def _copy(self, source, sink, direction: str, group: TaskGroup) -> None:
+        try:
+            while True:
+                data = await source.receive(READ_BYTES)
+                if self.delay_s:
+                    await anyio.sleep(self.delay_s)
+                await self.passing[direction].wait()
+                await sink.send(data)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+            group.cancel_scope.cancel()
+
+
+class Proxy:
+    """Passes TCP connections on to ``target``.
+
+    Usage::
+
+        proxy = Proxy("127.0.0.1:7000", "127.0.0.1:8000")
+        await group.start(proxy.serve)
+        proxy.hold("towards")
+
+    :ivar silent: New connections are taken but not passed on, as behind a partition.
+    """
+
+    def __init__(self, address: str, target: str):
+        self.address = address
+        self.target = target
+        self.silent = False
+        self.held: tuple[str, ...] = ()
+        self.delay_s = 0.0
+        self.restored = anyio.Event()
+        self.connections: set[ProxiedConnection] = set()
+
+    async def serve(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        """Take connections until cancelled."""
+        host, port = self.address.split(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        async with listener:
+            task_status.started()
+            await listener.serve(self._accept)
+
+    def hold(self, *directions: str) -> None:
+        """Hold back the bytes of the directions, on new connections as well."""
+        self.held = directions
+        for connection in self.connections:
+            connection.hold(*directions)
+
+    def delay(self, seconds: float) -> None:
+        """Delay all bytes."""
+        self.delay_s = seconds
+        for connection in self.connections:
+            connection.delay_s = seconds
+
+    def silence(self) -> None:
+        """Pass nothing on either way, and let new connections hang."""
+        self.silent = True
+        self.hold("towards", "back")
+
+    def reset(self) -> None:
+        """Reset the connections that there are."""
+        for connection in list(self.connections):
+            connection.reset()
+
+    def restore(self) -> None:
+        """End all faults; what was held back arrives now."""
+        self.silent = False
+        self.held = ()
+        self.delay(0.0)
+        for connection in self.connections:
+            connection.release()
+        self.restored.set()
+        self.restored = anyio.Event()
+
+    async def _accept(self, near: anyio.abc.SocketStream) -> None:
+        while self.silent:
+            await self.restored.wait()
+        host, port = self.target.split(":")
+        try:
+            far = await anyio.connect_tcp(host, int(port))
+        except OSError:
+            await anyio.aclose_forcefully(near)
+            return
+        connection = ProxiedConnection(near, far)
+        connection.delay_s = self.delay_s
+        connection.hold(*self.held)
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self.connections.discard(connection)
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -71,7 +71,7 @@
         self.own = Member(
             settings.name,
             mint_incarnation(settings.name),
-            settings.listen,
+            settings.advertise or settings.listen,
             settings.domain,
         )
         self.stopping = anyio.Event()
--- a/marigoldkeel/fleet/settings.py
+++ b/marigoldkeel/fleet/settings.py
@@ -30,6 +30,7 @@
     """What an entry or agent of a fleet needs to know to start.
 
     :ivar listen: Address for messages between daemons.
+    :ivar advertise: Address at which others reach ``listen``, if it differs.
     :ivar seeds: Addresses of entries, which may be out of date.
     :ivar grace_s: Time from a planned stop to the end of the process, in seconds.
     :ivar callers: Set for an entry.
@@ -39,6 +40,7 @@
     name: Name
     domain: DomainName
     listen: str
+    advertise: str = ""
     store: StoreSettings
     seeds: list[str] = []
     metrics: str = ""
@@ -53,6 +55,8 @@
         :raises InvalidInput: Naming the key and the reason.
         """
         addresses = {"listen": self.listen}
+        if self.advertise:
+            addresses["advertise"] = self.advertise
         if self.metrics:
             addresses["metrics"] = self.metrics
         if self.callers is not None:
--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -460,7 +460,13 @@
     local_host, local_port = server.extra(anyio.abc.SocketAttribute.local_address)[:2]
 
     async def accept(stream: ByteStream) -> None:
-        remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
+        try:
+            remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
+        except anyio.TypedAttributeLookupError:
+            # A socket that its peer has reset before this has no peer any more.
+            logger.info("a connection was reset before it was accepted")
+            await anyio.aclose_forcefully(stream)
+            return
         peer = f"{remote[0]}:{remote[1]}"
         # asyncio leaves this to the application for sockets made with protocol 0.
         raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,74 @@
+"""Runs the soak: ``python -m soak --seeds 1-50``."""
+
+import logging
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import anyio
+import defopt
+from loguru import logger
+
+from soak.runs import run_seed
+
+
+def soak(
+    *,
+    seeds: str = "1",
+    seconds: float = 10.0,
+    entries: int = 3,
+    workers: int = 4,
+    jobs: int = 1,
+    keep: str = "",
+) -> int:
+    """Run seeds and print what each found; exit with 1 if any found something.
+
+    :param seeds: One seed or a range such as ``1-50``.
+    :param seconds: How long faults begin in each run.
+    :param entries: Entries of the installation.
+    :param workers: Workers of the installation.
+    :param jobs: Seeds that run at the same time.
+    :param keep: Folder for the logs of seeds that found something.
+    """
+    first, _, last = seeds.partition("-")
+    numbers = range(int(first), int(last or first) + 1)
+    if len(numbers) == 1:
+        return _run_here(numbers[0], seconds, entries, workers, keep)
+
+    def run_apart(seed: int) -> int:
+        command = [sys.executable, "-m", "soak", "--seeds", str(seed)]
+        command += ["--seconds", str(seconds), "--entries", str(entries)]
+        command += ["--workers", str(workers), "--keep", keep]
+        result = subprocess.run(command, capture_output=True, text=True)
+        print(result.stdout + result.stderr[-2000:], end="", flush=True)
+        return result.returncode
+
+    with ThreadPoolExecutor(jobs) as pool:
+        codes = list(pool.map(run_apart, numbers))
+    failed = [seed for seed, code in zip(numbers, codes, strict=True) if code]
+    print(f"{len(numbers)} seeds, {len(failed)} with findings: {failed}")
+    return int(bool(failed))
+
+
+def _run_here(seed: int, seconds: float, entries: int, workers: int, keep: str) -> int:
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(temporary)
+        if keep:
+            folder = Path(keep) / f"seed-{seed}"
+            folder.mkdir(parents=True, exist_ok=True)
+        # The stand-ins' own lines say nothing of the programs.
+        logging.disable(logging.CRITICAL)
+        logger.disable("marigoldkeel")
+        report = anyio.run(run_seed, seed, folder, seconds, entries, workers)
+        print(f"seed {seed}: {report.jobs} jobs, {report.outcomes}")
+        for text in report.found:
+            print(f"seed {seed}: {text}")
+        if report.found:
+            print(f"seed {seed}: faults: {', '.join(report.faults)}")
+    return int(bool(report.found))
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(soak))
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,183 @@
+"""Callers that hand in jobs, ask again as the platform's clients do, and note all."""
+
+import random
+from dataclasses import dataclass, field
+
+import anyio
+import httpcore
+import msgspec
+
+from soak.installations import Installation, callers_url
+from soak.programs import Program
+
+
+# As on the platform: a caller without an answer asks again after this.
+RETRANSMIT_S = 1.3
+MAX_ATTEMPTS = 3
+# Statuses after which the job may have run, so the caller asks again.
+ASK_AGAIN = (502, 504)
+# Outcomes of an attempt besides HTTP statuses.
+NOT_CONNECTED, LOST, SILENT = "not connected", "lost", "silent"
+# What a caller waits longer than it says.
+ANSWER_SLACK_S = 1.5
+JOBS_PER_S = 25.0
+PROBE_S = 0.15
+# Seconds of work of one task; some are far longer than the rest.
+WORK_MS = (30, 60, 120, 300, 900)
+HOPELESS_SHARE = 0.02
+
+
+@dataclass
+class Attempt:
+    """One request for a job: when it was sent, answered, and how it ended."""
+
+    entry: Program
+    sent_at: float
+    ended_at: float = float("inf")
+    outcome: int | str = ""
+    state: str = ""
+
+
+@dataclass
+class SentJob:
+    """A job as its caller sees it."""
+
+    job_id: str
+    tasks: int
+    hopeless: bool
+    patience_s: float
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+@dataclass
+class Probe:
+    """Whether an entry knew a queue at some moment."""
+
+    entry: Program
+    prefix: str
+    sent_at: float
+    ended_at: float
+    known: bool
+    pid: int
+
+
+class Callers:
+    """Sends jobs to all entries until stopped."""
+
+    def __init__(self, installation: Installation, rng: random.Random):
+        self.installation = installation
+        self.random = rng
+        self.jobs: list[SentJob] = []
+        self.probes: list[Probe] = []
+        self.stopping = False
+        self.pool = httpcore.AsyncConnectionPool(max_connections=None)
+
+    async def run(self) -> None:
+        """Send jobs and probes; return when the last job has its answer."""
+        async with self.pool:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._probe_forever)
+                while not self.stopping:
+                    group.start_soon(self._hand_in, self._make_job())
+                    await anyio.sleep(self.random.expovariate(JOBS_PER_S))
+
+    def _make_job(self) -> SentJob:
+        job = SentJob(
+            f"{self.random.getrandbits(64):016x}",
+            self.random.randint(1, 5),
+            self.random.random() < HOPELESS_SHARE,
+            self.random.choice((1.5, 3.0, 5.0)),
+        )
+        self.jobs.append(job)
+        return job
+
+    async def _hand_in(self, job: SentJob) -> None:
+        content = job_content(job, self.random.choice(WORK_MS))
+        for _ in range(MAX_ATTEMPTS):
+            attempt = await self._ask(job, content)
+            again = isinstance(attempt.outcome, str) or attempt.outcome in ASK_AGAIN
+            if not again or self.stopping:
+                return
+            await anyio.sleep(RETRANSMIT_S)
+
+    async def wait_until_serves(self, entry: Program) -> None:
+        """Hand jobs in to one entry until it has done one."""
+        while True:
+            job = SentJob(f"{self.random.getrandbits(64):016x}", 1, False, 1.0)
+            self.jobs.append(job)
+            attempt = await self._ask(job, job_content(job, WORK_MS[0]), entry)
+            if attempt.state == "done":
+                return
+            await anyio.sleep(PROBE_S)
+
+    async def _ask(
+        self, job: SentJob, content: dict, entry: Program | None = None
+    ) -> Attempt:
+        entry = entry or self.random.choice(self.installation.entries)
+        attempt = Attempt(entry, anyio.current_time())
+        job.attempts.append(attempt)
+        patience_ms = round(job.patience_s * 1000)
+        attempt.outcome, body = await self._request(
+            attempt.entry,
+            "POST",
+            f"/stock/{job.job_id}",
+            job.patience_s + ANSWER_SLACK_S,
+            msgspec.json.encode(content),
+            {"marigoldkeel-deadline-ms": str(patience_ms)},
+        )
+        attempt.ended_at = anyio.current_time()
+        if attempt.outcome == 200:
+            attempt.state = msgspec.json.decode(body).get("state", "")
+        return attempt
+
+    async def _request(
+        self,
+        entry: Program,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int | str, bytes]:
+        url, host = callers_url(entry, path)
+        try:
+            with anyio.fail_after(timeout_s):
+                response = await self.pool.request(
+                    method, url, headers={**host, **(headers or {})}, content=body
+                )
+            return response.status, response.content
+        except TimeoutError:
+            return SILENT, b""
+        except httpcore.ConnectError:
+            return NOT_CONNECTED, b""
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return LOST, b""
+
+    async def probe(self, entry: Program, prefix: str) -> Probe | None:
+        """Ask an entry for a queue; None if it did not say whether it knows it."""
+        sent_at = anyio.current_time()
+        pid = entry.popen.pid
+        status, _ = await self._request(entry, "GET", prefix, 1.0)
+        if status not in (200, 404):
+            return None
+        found = Probe(entry, prefix, sent_at, anyio.current_time(), status == 200, pid)
+        self.probes.append(found)
+        return found
+
+    async def _probe_forever(self) -> None:
+        while not self.stopping:
+            known = {p for c in self.installation.changes for p in c.prefixes}
+            for entry in self.installation.entries:
+                await self.probe(entry, self.random.choice(sorted(known)))
+            await anyio.sleep(PROBE_S)
+
+
+def job_content(job: SentJob, work_ms: int) -> dict:
+    """Return a job as the platform's clients send it."""
+    task = {"work_ms": work_ms, "cpu": 1000, "fails": job.hopeless}
+    step = {"count": job.tasks, "cpu": 1000, "mem_mb": 64, "estimate_ms": work_ms}
+    return {
+        "spec": msgspec.json.encode(task).decode(),
+        "steps": [step],
+        "best_effort": True,
+    }
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,225 @@
+"""The promises, checked from what callers, workers and the operator saw.
+
+Each check returns what it finds as lines of text; none means that the promise held.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from emulator.sites import route
+from marigoldkeel.fleet.work import RunEnd, TaskId
+from soak.callers import (
+    ANSWER_SLACK_S,
+    LOST,
+    NOT_CONNECTED,
+    SILENT,
+    Callers,
+    Probe,
+    SentJob,
+)
+from soak.installations import GRACE_S, Installation
+
+
+# What a caller may be told of a job.
+KNOWN_STATUSES = (200, 503, 504)
+NOT_RUN_STATUSES = (429, 503)
+MAX_ATTEMPTS = route("", "")["max_attempts"]
+# The platform's bounds: a worker that leaves gets nothing after the first, and no entry
+# falls back to an older configuration later than the second after it showed a newer.
+DRAIN_S = 2.0
+ROLLBACK_S = 0.25
+# A request that is cut off by a planned stop this soon after it was sent need not have
+# been read yet.
+LOSS_SLACK_S = 0.2
+# Disturbances in which a process may lose its connections or give no answer.
+VIOLENT = {"killed", "paused"}
+# What an entry may need to notice that it was paused, and to answer.
+PAUSE_SLACK_S = 1.0
+
+
+@dataclass(slots=True)
+class Span:
+    """One run at a worker on the soak's clock."""
+
+    worker: str
+    began_at: float
+    ended_at: float
+    end: RunEnd | None
+
+
+@dataclass
+class Record:
+    """All that was seen in one run."""
+
+    installation: Installation
+    callers: Callers
+    spans: dict[TaskId, list[Span]]
+
+    @classmethod
+    def from_run(cls, installation: Installation, callers: Callers) -> "Record":
+        """Collect the runs of all workers."""
+        spans: dict[TaskId, list[Span]] = {}
+        for runner in installation.runners:
+            worker = runner.worker
+            worker.advance(runner.now)
+            ends = {run: (moment, end) for moment, run, end in worker.ends}
+            for moment, run in worker.starts:
+                ended_s, end = ends.get(run, (float("inf"), None))
+                span = Span(
+                    worker.name,
+                    runner.began_at + moment,
+                    runner.began_at + ended_s,
+                    end,
+                )
+                spans.setdefault(run.task, []).append(span)
+        return cls(installation, callers, spans)
+
+    def starts_of(self, job: SentJob) -> list[Span]:
+        """Return the runs of a job's tasks."""
+        return [
+            span
+            for index in range(job.tasks)
+            for span in self.spans.get(TaskId(job.job_id, 0, 0, index), [])
+        ]
+
+
+Check = Callable[[Record], Iterator[str]]
+checks: dict[str, Check] = {}
+
+
+def check(function: Check) -> Check:
+    """Register a check under the name of its function."""
+    checks[function.__name__] = function
+    return function
+
+
+def violations(record: Record) -> list[str]:
+    """Return what all checks find."""
+    return [f"{name}: {text}" for name, run in checks.items() for text in run(record)]
+
+
+@check
+def no_task_runs_twice_at_once(record: Record) -> Iterator[str]:
+    for task, spans in record.spans.items():
+        ordered = sorted(spans, key=lambda span: span.began_at)
+        for earlier, later in zip(ordered, ordered[1:], strict=False):
+            if later.began_at < earlier.ended_at - 1e-6:
+                overlap_s = earlier.ended_at - later.began_at
+                yield (
+                    f"{task.job_id}.{task.index} began at {later.worker} "
+                    f"{overlap_s:.3f} s before its end at {earlier.worker}"
+                )
+
+
+@check
+def no_worker_is_overfull(record: Record) -> Iterator[str]:
+    for runner in record.installation.runners:
+        worker = runner.worker
+        if worker.most_used > worker.capacity.cpu_milli:
+            yield f"{worker.name} held {worker.most_used} of its capacity"
+
+
+@check
+def refused_jobs_never_start(record: Record) -> Iterator[str]:
+    for job in record.callers.jobs:
+        outcomes = [attempt.outcome for attempt in job.attempts]
+        sent = [outcome for outcome in outcomes if outcome != NOT_CONNECTED]
+        if sent and all(outcome in NOT_RUN_STATUSES for outcome in sent):
+            for span in record.starts_of(job):
+                yield f"{job.job_id} was refused and began at {span.worker}"
+
+
+@check
+def answers_are_whole_and_true(record: Record) -> Iterator[str]:
+    for job in record.callers.jobs:
+        for attempt in job.attempts:
+            outcome = attempt.outcome
+            if isinstance(outcome, int) and outcome not in KNOWN_STATUSES:
+                yield f"{job.job_id} was answered {outcome} by {attempt.entry.name}"
+            if outcome != 200:
+                continue
+            ends = [
+                [
+                    span.end
+                    for span in record.spans.get(TaskId(job.job_id, 0, 0, index), [])
+                    if span.ended_at <= attempt.ended_at
+                ]
+                for index in range(job.tasks)
+            ]
+            done = all(RunEnd.DONE in task for task in ends)
+            failed = any(task.count(RunEnd.FAILED) >= MAX_ATTEMPTS for task in ends)
+            if attempt.state not in ("done", "failed"):
+                yield f"{job.job_id} ended with state {attempt.state!r}"
+            if attempt.state == "done" and not done:
+                yield f"{job.job_id} was said to be done with {ends}"
+            if attempt.state == "failed" and not failed:
+                yield f"{job.job_id} was said to have failed with {ends}"
+
+
+@check
+def entries_that_run_give_an_answer(record: Record) -> Iterator[str]:
+    for job in record.callers.jobs:
+        for attempt in job.attempts:
+            until = attempt.ended_at
+            if attempt.outcome not in (SILENT, LOST):
+                continue
+            entry, since = attempt.entry, attempt.sent_at - PAUSE_SLACK_S
+            if entry.was(VIOLENT, since, until):
+                continue
+            is_lost = attempt.outcome == LOST
+            if is_lost and not entry.was({"stopped"}, since, until):
+                yield f"{job.job_id}: {entry.name} broke the connection off"
+            elif is_lost and until - attempt.sent_at > LOSS_SLACK_S:
+                yield f"{job.job_id}: the planned stop of {entry.name} cut it off"
+            elif is_lost:
+                continue
+            else:
+                late_s = job.patience_s + ANSWER_SLACK_S
+                yield f"{job.job_id}: no answer of {entry.name} in {late_s} s"
+
+
+@check
+def planned_stops_end_in_time(record: Record) -> Iterator[str]:
+    for program in record.installation.programs:
+        for code in program.bad_exits:
+            yield f"{program.name}: exit code {code} at a planned stop of {GRACE_S} s"
+
+
+@check
+def leaving_workers_get_nothing_new(record: Record) -> Iterator[str]:
+    for name, since, until in record.installation.leaving:
+        for task, spans in record.spans.items():
+            for span in spans:
+                if span.worker == name and since + DRAIN_S < span.began_at < until:
+                    late_s = span.began_at - since
+                    yield f"{task.job_id} began at {name} {late_s:.2f} s after its word"
+
+
+@check
+def configurations_never_go_back(record: Record) -> Iterator[str]:
+    by_process: dict[tuple[str, int], list[Probe]] = {}
+    for probe in record.callers.probes:
+        by_process.setdefault((probe.entry.name, probe.pid), []).append(probe)
+    for (name, _), probes in by_process.items():
+        shown, shown_at = 0, 0.0
+        for probe in sorted(probes, key=lambda item: item.sent_at):
+            versions = [
+                change.version
+                for change in record.installation.changes
+                if (probe.prefix in change.prefixes) == probe.known
+            ]
+            is_later = probe.sent_at > shown_at + ROLLBACK_S
+            if not versions or (is_later and max(versions) < shown):
+                yield f"{name} showed {probe.prefix} as before version {shown}"
+            elif versions and min(versions) > shown:
+                shown, shown_at = min(versions), probe.ended_at
+
+
+@check
+def no_unexpected_error_is_logged(record: Record) -> Iterator[str]:
+    for program in record.installation.programs:
+        lines = program.log_path.read_text(errors="replace").splitlines()
+        for number, line in enumerate(lines, 1):
+            if "Traceback" in line or "unexpected error" in line:
+                yield f"{program.name}, line {number} of its log: {line[:120]}"
+                break
--- /dev/null
+++ b/soak/installations.py
@@ -0,0 +1,188 @@
+"""The stand-ins and processes of one soak run."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from emulator.addresses import HOST, free_address
+from emulator.proxies import Proxy
+from emulator.runners import RunnerEmulator
+from emulator.sites import QUEUE_HOST, route
+from emulator.stores import StoreEmulator
+from emulator.workers import EmulatedWorker
+from marigoldkeel.fleet.work import Resources
+from marigoldkeel.platform.plans import PLAN_KEY
+from marigoldkeel.servers import serve_http
+from soak.programs import Program
+
+
+REPORT_S = 0.5
+# As on the platform: the time from SIGTERM to SIGKILL.
+GRACE_S = 6.0
+STORE_TIMEOUT_S = 0.5
+LEASE_CHECK_S = 0.2
+CORES = (4, 6, 8)
+
+
+@dataclass
+class PlanChange:
+    """A configuration that the operator wrote: its queues by prefix, and when."""
+
+    version: int
+    prefixes: set[str]
+    written_at: float
+
+
+@dataclass
+class Installation:
+    """Entries and agents as processes with all that they speak to.
+
+    Usage::
+
+        async with Installation.open(folder, entries=3, workers=4) as installation:
+            installation.entries[0].kill()
+    """
+
+    folder: Path
+    group: TaskGroup
+    host: str = HOST
+    store: StoreEmulator = field(default_factory=StoreEmulator)
+    store_address: str = ""
+    entries: list[Program] = field(default_factory=list)
+    agents: list[Program] = field(default_factory=list)
+    runners: list[RunnerEmulator] = field(default_factory=list)
+    changes: list[PlanChange] = field(default_factory=list)
+    leaving: list[tuple[str, float, float]] = field(default_factory=list)
+
+    @classmethod
+    @asynccontextmanager
+    async def open(
+        cls, folder: Path, entries: int, workers: int, host: str = HOST
+    ) -> AsyncIterator["Installation"]:
+        """Start everything; end every process that was started at the end.
+
+        :param host: Loopback address of all processes, so that several runs at once
+            take no ports from each other.
+        """
+        async with anyio.create_task_group() as group:
+            self = cls(folder, group, host)
+            try:
+                self.store_address = await group.start(
+                    serve_http, self.store.application, self.host, 0
+                )
+                group.start_soon(self._expire_forever)
+                self.configure({"/stock/"})
+                for number in range(entries):
+                    await self._add_entry(number)
+                for number in range(workers):
+                    await self._add_worker(number)
+                yield self
+            finally:
+                for program in self.programs:
+                    program.kill()
+                group.cancel_scope.cancel()
+
+    @property
+    def programs(self) -> list[Program]:
+        """All processes."""
+        return self.entries + self.agents
+
+    @property
+    def proxies(self) -> list[Proxy]:
+        """All links between processes and stand-ins."""
+        return [proxy for item in self.programs for proxy in item.links.values()]
+
+    def configure(self, prefixes: set[str]) -> None:
+        """Let the operator write a configuration with these queues."""
+        version = 2 + (self.changes[-1].version if self.changes else 0)
+        routes = [
+            route(prefix.strip("/"), prefix, timeout_ms=5000)
+            for prefix in sorted(prefixes)
+        ]
+        content = {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": "service", "admission_check": False}],
+            "limits": {},
+        }
+        self.store.put(PLAN_KEY, msgspec.json.encode(content))
+        change = PlanChange(version, set(prefixes), anyio.current_time())
+        self.changes.append(change)
+
+    def restore(self) -> None:
+        """End the faults of all links, of the store and of the workers."""
+        for proxy in self.proxies:
+            proxy.restore()
+        store = self.store
+        store.refusing, store.silent, store.delay_s, store.lose_answers = 0, False, 0, 0
+        for runner in self.runners:
+            runner.mute, runner.lost_answers = False, 0
+            runner.worker.failing = runner.worker.hanging = False
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await anyio.sleep(LEASE_CHECK_S)
+            self.store.expire()
+
+    async def _proxy(self, program: Program, name: str, target: str) -> str:
+        proxy = Proxy(free_address(self.host), target)
+        await self.group.start(proxy.serve)
+        program.links[name] = proxy
+        return proxy.address
+
+    async def _make(self, name: str, domain: str) -> Program:
+        program = Program(name, {}, self.folder)
+        listen = free_address(self.host)
+        program.settings.update(
+            name=name,
+            domain=domain,
+            listen=listen,
+            advertise=await self._proxy(program, "peers", listen),
+            metrics=free_address(self.host),
+            seeds=[entry.settings["advertise"] for entry in self.entries],
+            grace_s=GRACE_S,
+            store={
+                "kind": "platform",
+                "url": await self._proxy(program, "store", self.store_address),
+                "timeout_s": STORE_TIMEOUT_S,
+            },
+        )
+        return program
+
+    async def _add_entry(self, number: int) -> None:
+        entry = await self._make(f"entry-{number}", "abc"[number % 3])
+        entry.settings["callers"] = {
+            "address": free_address(self.host),
+            "readiness": free_address(self.host),
+        }
+        self.entries.append(entry)
+        entry.launch()
+
+    async def _add_worker(self, number: int) -> None:
+        domain = "abc"[number % 3]
+        agent = await self._make(f"agent-{number}", domain)
+        capacity = Resources(1000 * CORES[number % 3], 65_536)
+        runner = RunnerEmulator(
+            EmulatedWorker(f"i-{number}", "service", domain, capacity)
+        )
+        address = await self.group.start(serve_http, runner.application, self.host, 0)
+        agent.settings["worker"] = {
+            "address": await self._proxy(agent, "worker", address),
+            "reports": free_address(self.host),
+            "service": "service",
+        }
+        self.agents.append(agent)
+        self.runners.append(runner)
+        agent.launch()
+        reports = agent.settings["worker"]["reports"]
+        self.group.start_soon(runner.report_forever, reports, REPORT_S)
+
+
+def callers_url(entry: Program, path: str) -> tuple[str, dict[str, str]]:
+    """Return the URL of a path at an entry, and the header that names the host."""
+    return f"http://{entry.settings['callers']['address']}{path}", {"host": QUEUE_HOST}
--- /dev/null
+++ b/soak/programs.py
@@ -0,0 +1,121 @@
+"""The processes under test and their links."""
+
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import tomli_w
+
+from emulator.proxies import Proxy
+
+
+EXIT_POLL_S = 0.02
+# A process that has not ended this long after its grace is killed.
+EXIT_MARGIN_S = 3.0
+
+
+@dataclass
+class Disturbance:
+    """A time in which a process did not run or was not to be relied on."""
+
+    kind: str
+    began_at: float
+    ended_at: float = float("inf")
+
+
+@dataclass
+class Program:
+    """An entry or agent as a process, and the proxies of its links by name.
+
+    :ivar disturbances: When it was killed, paused or stopped, on the soak's clock.
+    :ivar bad_exits: Exit codes of planned stops other than what is due.
+    """
+
+    name: str
+    settings: dict[str, Any]
+    folder: Path
+    links: dict[str, Proxy] = field(default_factory=dict)
+    popen: subprocess.Popen | None = None
+    disturbances: list[Disturbance] = field(default_factory=list)
+    bad_exits: list[str] = field(default_factory=list)
+    busy: bool = False
+    launched_at: float = 0.0
+    launches: int = 0
+
+    @property
+    def age_s(self) -> float:
+        """How long ago the process was started."""
+        return anyio.current_time() - self.launched_at
+
+    @property
+    def log_path(self) -> Path:
+        """The file that the process writes its log to."""
+        return self.folder / f"{self.name}.log"
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the process has come so far that it handles signals itself."""
+        return self.log_path.read_text().count("started as") >= self.launches
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process runs, paused or not."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def launch(self) -> None:
+        """Start the process."""
+        self.launches += 1
+        self.launched_at = anyio.current_time()
+        path = self.folder / f"{self.name}.toml"
+        path.write_text(tomli_w.dumps(self.settings))
+        with self.log_path.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "marigoldkeel", "serve", str(path)],
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process if it runs."""
+        if self.alive:
+            self.popen.send_signal(number)
+
+    def begin(self, kind: str) -> Disturbance:
+        """Note the begin of a disturbance."""
+        disturbance = Disturbance(kind, anyio.current_time())
+        self.disturbances.append(disturbance)
+        return disturbance
+
+    def was(self, kinds: set[str], since: float, until: float) -> bool:
+        """Whether the process was disturbed at some time between two moments."""
+        return any(
+            item.kind in kinds and item.began_at < until and item.ended_at > since
+            for item in self.disturbances
+        )
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop the process as planned and note how it ended.
+
+        One that is still starting has nothing to finish, so the signal just ends it.
+        """
+        allowed = (0,) if self.has_started else (0, -signal.SIGTERM)
+        self.signal(signal.SIGTERM)
+        with anyio.move_on_after(grace_s + EXIT_MARGIN_S):
+            while self.alive:
+                await anyio.sleep(EXIT_POLL_S)
+        code = self.popen.poll()
+        if code is None:
+            self.kill()
+        if code not in allowed:
+            self.bad_exits.append("none in time" if code is None else str(code))
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.alive:
+            self.popen.kill()
+        if self.popen is not None:
+            self.popen.wait()
--- /dev/null
+++ b/soak/runs.py
@@ -0,0 +1,109 @@
+"""One seeded run of the soak: traffic, faults, recovery and the checks."""
+
+import random
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+
+from soak.callers import Callers
+from soak.checks import Record, violations
+from soak.faults import faults
+from soak.installations import Installation
+
+
+START_LIMIT_S = 30.0
+FAULT_GAPS_S = (0.05, 0.3, 0.8, 1.5)
+# The platform's bounds: after the last fault a configuration is in force everywhere
+# within the first, and jobs are served again within the second.
+CONFIGURATION_S = 2.0
+RECOVERY_S = 12.0
+# What a loop on a busy machine may be late by, on top of the bounds.
+MACHINE_SLACK_S = 3.0
+
+
+@dataclass
+class Report:
+    """What came of one run."""
+
+    seed: int
+    faults: list[str] = field(default_factory=list)
+    found: list[str] = field(default_factory=list)
+    jobs: int = 0
+    outcomes: dict[str, int] = field(default_factory=dict)
+
+
+async def run_seed(
+    seed: int, folder: Path, seconds: float = 10.0, entries: int = 3, workers: int = 4
+) -> Report:
+    """Run one seed and return what was found.
+
+    :param folder: Where the settings and logs of the processes go.
+    :param seconds: How long faults begin.
+    """
+    report, rng = Report(seed), random.Random(seed)
+    host = f"127.1.{seed // 200 % 200}.{seed % 200 + 1}"
+    async with Installation.open(folder, entries, workers, host) as installation:
+        callers = Callers(installation, random.Random(f"callers {seed}"))
+        with anyio.move_on_after(START_LIMIT_S) as limit:
+            await _wait_until_served(callers)
+        if limit.cancelled_caught:
+            report.found.append("started: no entry served within the limit")
+            return report
+        async with anyio.create_task_group() as group:
+            group.start_soon(callers.run)
+            await _disturb(installation, rng, seconds, report)
+            installation.restore()
+            report.found += await _recover(installation, callers)
+            callers.stopping = True
+        record = Record.from_run(installation, callers)
+        report.found += violations(record)
+    report.jobs = len(callers.jobs)
+    for job in callers.jobs:
+        for attempt in job.attempts:
+            name = str(attempt.state or attempt.outcome)
+            report.outcomes[name] = report.outcomes.get(name, 0) + 1
+    return report
+
+
+async def _wait_until_served(callers: Callers) -> None:
+    """Wait until every entry has served a job."""
+    async with anyio.create_task_group() as group:
+        for entry in callers.installation.entries:
+            group.start_soon(callers.wait_until_serves, entry)
+
+
+async def _disturb(
+    installation: Installation, rng: random.Random, seconds: float, report: Report
+) -> None:
+    """Let faults begin for a while, overlapping, and wait until all have ended."""
+    ends_at = anyio.current_time() + seconds
+    began_at = anyio.current_time()
+    async with anyio.create_task_group() as group:
+        while anyio.current_time() < ends_at:
+            await anyio.sleep(rng.choice(FAULT_GAPS_S))
+            name = rng.choice(sorted(faults))
+            at_s = anyio.current_time() - began_at
+            report.faults.append(f"{at_s:.2f} {name}")
+            group.start_soon(faults[name], installation, random.Random(rng.random()))
+
+
+async def _recover(installation: Installation, callers: Callers) -> list[str]:
+    """Check that the newest configuration is in force and jobs are served again."""
+    found = []
+    with anyio.move_on_after(RECOVERY_S + MACHINE_SLACK_S) as limit:
+        await _wait_until_served(callers)
+    if limit.cancelled_caught:
+        found.append(f"recovery: not every entry served within {RECOVERY_S} s")
+    last = installation.changes[-1]
+    with anyio.move_on_after(CONFIGURATION_S + MACHINE_SLACK_S) as limit:
+        for entry in installation.entries:
+            for prefix in {p for c in installation.changes for p in c.prefixes}:
+                while True:
+                    probe = await callers.probe(entry, prefix)
+                    if probe is not None and probe.known == (prefix in last.prefixes):
+                        break
+                    await anyio.sleep(0.05)
+    if limit.cancelled_caught:
+        found.append(f"configuration: version {last.version} is not in force")
+    return found
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -1,6 +1,7 @@
 """Guards against lost, mismatched or unbounded messages between processes."""
 
 import socket
+import struct
 
 import anyio
 import pytest
@@ -143,3 +144,22 @@
     async with PeerPool.open() as peers:
         with pytest.raises(PeerUnavailable):
             await peers.request(address, Claim(), 5)
+
+
+@pytest.mark.anyio
+async def test_connections_that_are_reset_before_they_are_accepted_end_nothing():
+    """Guards against a daemon that ended because a peer was killed while connecting."""
+    async with anyio.create_task_group() as group:
+        address = await group.start(
+            serve_peers, "127.0.0.1:0", echo_generation, Counters()
+        )
+        for _ in range(20):
+            # The kernel completes the connection while this event loop is held up.
+            with socket.create_connection(parse_address(address)) as connection:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+        async with PeerPool.open() as pool:
+            reply = await pool.request(address, Claim(1, 5, b"i", b"d"), 5.0)
+        assert reply.generation == 5
+        group.cancel_scope.cancel()
