Leave out rows of a look that cannot be read; forecast Retry-After; one DirectoryController

Cause: one malformed row made the whole look unreadable, and its worker unusable for as long as the row was listed. Rows that name no run are left out and logged; the others hold. A caller that is refused for want of room is asked back at its forecast turn, 1 to 10 s, instead of always after 1 s. Both daemons make their directory's controller in one place, and what nothing read of it is gone.

Ruled out (tried and reverted): counting only kept jobs as work ahead when refusing.

--- a/emulator/proxies.py
+++ b/emulator/proxies.py
@@ -2,9 +2,9 @@
 
 import socket
 import struct
+from contextlib import suppress
 
 import anyio
-from anyio.abc import TaskGroup
 
 
 READ_BYTES = 65_536
@@ -22,6 +22,7 @@
         self.near = near
         self.far = far
         self.delay_s = 0.0
+        self.scope = anyio.CancelScope()
         self.passing = {"towards": anyio.Event(), "back": anyio.Event()}
         for event in self.passing.values():
             event.set()
@@ -41,16 +42,19 @@
         """Reset both ends."""
         for stream in (self.near, self.far):
             raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.release()
+            # An end that has just closed by itself needs no reset.
+            with suppress(OSError):
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.scope.cancel()
 
     async def run(self) -> None:
         """Copy bytes until one end closes."""
         async with self.near, self.far, anyio.create_task_group() as group:
-            group.start_soon(self._copy, self.near, self.far, "towards", group)
-            group.start_soon(self._copy, self.far, self.near, "back", group)
+            self.scope = group.cancel_scope
+            group.start_soon(self._copy, self.near, self.far, "towards")
+            group.start_soon(self._copy, self.far, self.near, "back")
 
-    async def _copy(self, source, sink, direction: str, group: TaskGroup) -> None:
+    async def _copy(self, source, sink, direction: str) -> None:
         try:
             while True:
                 data = await source.receive(READ_BYTES)
@@ -59,7 +63,7 @@
                 await self.passing[direction].wait()
                 await sink.send(data)
         except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
-            group.cancel_scope.cancel()
+            self.scope.cancel()
 
 
 class Proxy:
--- a/emulator/runners.py
+++ b/emulator/runners.py
@@ -28,6 +28,7 @@
     ``cpu`` of one task, and ``fails``.
 
     :ivar mute: Give no answers.
+    :ivar odd_rows: Put in front of both lists of a look, as by another writer.
     :ivar lost_answers: Carry out this many next orders without an answer.
     """
 
@@ -35,6 +36,7 @@
     clock_ms: int = 1000
     mute: bool = False
     lost_answers: int = 0
+    odd_rows: list = field(default_factory=list)
     sequence: int = 0
     reports: list[int] = field(default_factory=list)
 
@@ -113,7 +115,12 @@
             ]
             for row in look.ended
         ]
-        return await self._answer({"running": running, "finished": finished})
+        return await self._answer(
+            {
+                "running": [*self.odd_rows, *running],
+                "finished": [*self.odd_rows, *finished],
+            }
+        )
 
     def report(self) -> dict:
         """Return the next report."""
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -152,6 +152,22 @@
         """Return the listener of the connections that are made to this daemon."""
         return None
 
+    def make_controller(self, group: TaskGroup, **callbacks) -> DirectoryController:
+        """Return the controller of the directory.
+
+        :param callbacks: What it asks of the daemon; see `DirectoryController`.
+        """
+        return DirectoryController(
+            self.directory,
+            self.store,
+            self.peers,
+            group,
+            self.settings.seeds,
+            self.is_agent,
+            self.clock,
+            **callbacks,
+        )
+
     def assemble(self, group: TaskGroup) -> None:
         """Make the parts; the peers are open."""
         raise NotImplementedError
@@ -238,14 +254,8 @@
             self.store, self.peers, self.plan_key, self.decode_plan
         )
         self.directory = Directory(self.own, self.links.add, self.links.remove)
-        self.controller = DirectoryController(
-            self.directory,
-            self.store,
-            self.peers,
+        self.controller = self.make_controller(
             group,
-            self.settings.seeds,
-            self.is_agent,
-            self.clock,
             plan_version=lambda: self.follower.version,
             is_alive=self._is_connected,
         )
@@ -339,15 +349,8 @@
             self.supervisor, self.client, self.links.deliver, group
         )
         self.directory = Directory(self.own)
-        self.controller = DirectoryController(
-            self.directory,
-            self.store,
-            self.peers,
-            group,
-            self.settings.seeds,
-            self.is_agent,
-            self.clock,
-            is_found=lambda: bool(self.links.links),
+        self.controller = self.make_controller(
+            group, is_found=lambda: bool(self.links.links)
         )
 
     def start(self, group: TaskGroup) -> None:
--- a/marigoldkeel/fleet/directory.py
+++ b/marigoldkeel/fleet/directory.py
@@ -178,7 +178,6 @@
         self.is_alive = is_alive
         self.is_found = is_found
         self.leaving = False
-        self.registered = False
         self.store_up: bool | None = None
 
     async def run_forever(self) -> None:
@@ -223,7 +222,6 @@
         await self.store.put_leased(
             record_key(own.name), msgspec.json.encode(record), lease
         )
-        self.registered = True
 
     async def _renew(self, lease: int) -> None:
         """Renew a lease until it has ended or others do not find this daemon."""
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -58,7 +58,10 @@
 # How long after the caller's patience its runs may go on. A caller whose connection
 # was lost unseen asks again 1.3 s later, and by then they have to be gone.
 PATIENCE_GRACE_S = 0.3
+# When a refused caller may return, unless a later turn is forecast for it.
 RETRY_AFTER_S = 1.0
+# No forecast reaches further, as loads change within seconds.
+MAX_RETRY_AFTER_S = 10.0
 # Jobs of the queues of this priority come before all others.
 URGENT_PRIORITY = 0
 # A worker is put aside when this many of its last ten runs failed or stood still. Tasks
@@ -536,8 +539,12 @@
             self.jobs.pop(owned.job.job_id, None)
 
     def _refuse(self, owned: OwnedJob, reason: str, wait_s: float) -> None:
-        answer = JobAnswer(JobState.NOT_RUN, reason, RETRY_AFTER_S)
         wait_ms = round(wait_s * 1000) if wait_s < float("inf") else None
+        retry_after_s = RETRY_AFTER_S
+        if wait_ms is not None:
+            # Callers come back in the order of their turns, when there is room.
+            retry_after_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
+        answer = JobAnswer(JobState.NOT_RUN, reason, retry_after_s)
         self._finish(owned, answer, forecast_wait_ms=wait_ms)
 
     def _finish(self, owned: OwnedJob, answer: JobAnswer, **inputs) -> None:
--- a/marigoldkeel/platform/workers.py
+++ b/marigoldkeel/platform/workers.py
@@ -1,7 +1,8 @@
 """The runner beside an agent: the orders it takes and the reports it sends."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from typing import Any
 
 import msgspec
 from loguru import logger
@@ -57,8 +58,8 @@
 
     clock_ms: int
     born: int = 0
-    running: list[list] = []
-    finished: list[list] = []
+    running: list[Any] = []
+    finished: list[Any] = []
 
 
 def task_name(task: TaskId) -> str:
@@ -145,8 +146,8 @@
         self._note_clock(answer.clock_ms)
         return Look(
             answer.born,
-            [self._run_row(row) for row in answer.running],
-            [self._end_row(row) for row in answer.finished],
+            list(self._rows(answer.running, parse_run)),
+            list(self._rows(answer.finished, parse_end)),
         )
 
     async def aclose(self) -> None:
@@ -172,24 +173,34 @@
         except MarigoldkeelError:
             return f"HTTP {reply.status}"
 
-    def _run_row(self, row: list) -> RunRow:
-        try:
-            name, number, _, percent = row[:4]
-            return RunRow(RunId(parse_task_name(name), int(number)), int(percent))
-        except (ValueError, TypeError):
-            raise ProtocolError(
-                f"row {row!r} not readable", "look", self.client.address
-            ) from None
+    def _rows(self, rows: list[Any], parse: Callable[[list], Any]) -> Iterator[Any]:
+        """Return the rows that can be read; the others name no run."""
+        for row in rows:
+            try:
+                yield parse(row)
+            except (ValueError, TypeError, ProtocolError) as error:
+                logger.bind(peer=self.client.address).info(
+                    "row {!r} of a look left out: {}", row, error
+                )
 
-    def _end_row(self, row: list) -> EndRow:
-        try:
-            number, name, run, how = row[:4]
-            end = ENDS.get(how, RunEnd.LAPSED)
-            return EndRow(int(number), RunId(parse_task_name(name), int(run)), end)
-        except (ValueError, TypeError):
-            raise ProtocolError(
-                f"row {row!r} not readable", "look", self.client.address
-            ) from None
+
+def parse_run(row: list) -> RunRow:
+    """Return a row of the runs that are present.
+
+    :raises ValueError, TypeError, ProtocolError: If it is not readable.
+    """
+    name, number, _, percent = row[:4]
+    return RunRow(RunId(parse_task_name(name), int(number)), int(percent))
+
+
+def parse_end(row: list) -> EndRow:
+    """Return a row of the ends.
+
+    :raises ValueError, TypeError, ProtocolError: If it is not readable.
+    """
+    number, name, run, how = row[:4]
+    end = ENDS.get(how, RunEnd.LAPSED)
+    return EndRow(int(number), RunId(parse_task_name(name), int(run)), end)
 
 
 class _Capacity(msgspec.Struct):
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -12,7 +12,11 @@
     WorkerState,
 )
 from marigoldkeel.fleet.plans import Queue
-from marigoldkeel.fleet.schedulers import UNINFORMED_S, Scheduler
+from marigoldkeel.fleet.schedulers import (
+    MAX_RETRY_AFTER_S,
+    UNINFORMED_S,
+    Scheduler,
+)
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import (
     JobAnswer,
@@ -193,6 +197,18 @@
         assert "a" not in refused and len(refused) >= 4
         assert all(entry.answers[name].retry_after_s > 0 for name in refused)
 
+    def test_refused_callers_are_asked_back_in_the_order_of_their_turns(self):
+        entry = Entry({"w": 1})
+        entry.submit("a", steps=[Step(1, CORE, 10.0)])
+        entry.state("w", 0)
+        for number in range(30):
+            entry.submit(f"{number:02}", steps=[Step(1, CORE, 1.0)])
+        entry.pass_time(0.01)
+        answers = [entry.answers[name] for name in sorted(entry.answers)]
+        waits_s = [answer.retry_after_s for answer in answers]
+        assert waits_s == sorted(waits_s)
+        assert waits_s[0] < 6.0 < waits_s[-1] == MAX_RETRY_AFTER_S
+
     def test_job_without_room_is_refused_within_a_quarter_of_its_objective(self):
         entry = Entry({"w": 1})
         entry.submit("a", steps=[Step(1, CORE, 10.0)])
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -57,6 +57,22 @@
         assert (await client.look(0.5, 0.0, row.number)).ended == []
 
 
+@pytest.mark.parametrize(
+    "row",
+    [None, 7, [], ["x"], ["a.b", 1, "", 0], [1, "00000000000000aa.0.0.0", "x", 5, 0]],
+)
+async def test_rows_that_cannot_be_read_hide_no_others(row):
+    # One such row made whole looks unreadable, and the worker unusable.
+    async with opened() as (runner, client):
+        runner.odd_rows = [row]
+        run = make_run()
+        await client.start(run, 0.5, 0.3)
+        look = await client.look(0.5, 0.0, 0)
+        assert [item.run_id for item in look.running] == [run.run_id]
+        look = await client.look(0.5, 1.0, 0)
+        assert [item.run_id for item in look.ended] == [run.run_id]
+
+
 async def test_stopped_run_is_refused_when_its_order_arrives_late():
     async with opened() as (_, client):
         run = make_run()
