--- a/soak/installations.py
+++ b/soak/installations.py
@@ -71,8 +71,7 @@
         """
         async with anyio.create_task_group() as group:
             self = cls(folder, group, host)
-            for old in folder.glob("*.log"):
-                old.unlink()
+            self.remove_logs()
             try:
                 self.store_address = await group.start(
                     serve_http, self.store.application, self.host, 0
@@ -99,6 +98,11 @@
         """All links between processes and stand-ins."""
         return [proxy for item in self.programs for proxy in item.links.values()]
 
+    def remove_logs(self) -> None:
+        """Remove the logs of an earlier run in the same folder."""
+        for old in self.folder.glob("*.log"):
+            old.unlink()
+
     def configure(self, prefixes: set[str]) -> None:
         """Let the operator write a configuration with these queues."""
         version = 2 + (self.changes[-1].version if self.changes else 0)
