--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,12 +62,14 @@
         logging.disable(logging.CRITICAL)
         logger.disable("marigoldkeel")
         report = anyio.run(run_seed, seed, folder, seconds, entries, workers)
-        print(f"seed {seed}: {report.jobs} jobs, {report.outcomes}")
-        for text in report.found:
+        lag_ms = round(report.lag_s * 1000)
+        print(f"seed {seed}: {report.jobs} jobs, {report.outcomes}, lag {lag_ms} ms")
+        findings = report.found + report.late
+        for text in findings:
             print(f"seed {seed}: {text}")
-        if report.found:
+        if findings:
             print(f"seed {seed}: faults: {', '.join(report.faults)}")
-    return int(bool(report.found))
+    return int(bool(findings))
 
 
 if __name__ == "__main__":
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,6 +1,7 @@
 """The promises, checked from what callers, workers and the operator saw.
 
 Each check returns what it finds as lines of text; none means that the promise held.
+Timed checks hold only where the soak's own loop keeps up, as the stand-ins run in it.
 """
 
 from collections.abc import Callable, Iterator
@@ -85,17 +86,24 @@
 
 Check = Callable[[Record], Iterator[str]]
 checks: dict[str, Check] = {}
+timed_checks: dict[str, Check] = {}
 
 
 def check(function: Check) -> Check:
-    """Register a check under the name of its function."""
+    """Register a check that holds at any speed, under the name of its function."""
     checks[function.__name__] = function
     return function
 
 
-def violations(record: Record) -> list[str]:
-    """Return what all checks find."""
-    return [f"{name}: {text}" for name, run in checks.items() for text in run(record)]
+def timed_check(function: Check) -> Check:
+    """Register a check with a bound in seconds, under the name of its function."""
+    timed_checks[function.__name__] = function
+    return function
+
+
+def findings(record: Record, registry: dict[str, Check]) -> list[str]:
+    """Return what the checks of a registry find."""
+    return [f"{name}: {text}" for name, run in registry.items() for text in run(record)]
 
 
 @check
@@ -156,7 +164,7 @@
                 yield f"{job.job_id} was said to have failed with {ends}"
 
 
-@check
+@timed_check
 def entries_that_run_give_an_answer(record: Record) -> Iterator[str]:
     for job in record.callers.jobs:
         for attempt in job.attempts:
@@ -178,14 +186,14 @@
                 yield f"{job.job_id}: no answer of {entry.name} in {late_s} s"
 
 
-@check
+@timed_check
 def planned_stops_end_in_time(record: Record) -> Iterator[str]:
     for program in record.installation.programs:
         for code in program.bad_exits:
             yield f"{program.name}: exit code {code} at a planned stop of {GRACE_S} s"
 
 
-@check
+@timed_check
 def leaving_workers_get_nothing_new(record: Record) -> Iterator[str]:
     for name, since, until in record.installation.leaving:
         for task, spans in record.spans.items():
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -7,7 +7,7 @@
 import anyio
 
 from soak.callers import Callers
-from soak.checks import Record, violations
+from soak.checks import Record, checks, findings, timed_checks
 from soak.faults import faults
 from soak.installations import Installation
 
@@ -20,15 +20,24 @@
 RECOVERY_S = 12.0
 # What a loop on a busy machine may be late by, on top of the bounds.
 MACHINE_SLACK_S = 3.0
+LAG_TICK_S = 0.01
 
 
 @dataclass
 class Report:
-    """What came of one run."""
+    """What came of one run.
+
+    :ivar found: Promises broken that hold at any speed.
+    :ivar late: Promises broken that have a bound in seconds.
+    :ivar lag_s: By how much the soak's own loop was late at most, since the stand-ins
+        are as late.
+    """
 
     seed: int
     faults: list[str] = field(default_factory=list)
     found: list[str] = field(default_factory=list)
+    late: list[str] = field(default_factory=list)
+    lag_s: float = 0.0
     jobs: int = 0
     outcomes: dict[str, int] = field(default_factory=dict)
 
@@ -48,16 +57,20 @@
         with anyio.move_on_after(START_LIMIT_S) as limit:
             await _wait_until_served(callers)
         if limit.cancelled_caught:
-            report.found.append("started: no entry served within the limit")
+            report.late.append("started: no entry served within the limit")
             return report
-        async with anyio.create_task_group() as group:
-            group.start_soon(callers.run)
-            await _disturb(installation, rng, seconds, report)
-            installation.restore()
-            report.found += await _recover(installation, callers)
-            callers.stopping = True
+        async with anyio.create_task_group() as watch:
+            watch.start_soon(_watch_lag, report)
+            async with anyio.create_task_group() as group:
+                group.start_soon(callers.run)
+                await _disturb(installation, rng, seconds, report)
+                installation.restore()
+                report.late += await _recover(installation, callers)
+                callers.stopping = True
+            watch.cancel_scope.cancel()
         record = Record.from_run(installation, callers)
-        report.found += violations(record)
+        report.found += findings(record, checks)
+        report.late += findings(record, timed_checks)
     report.jobs = len(callers.jobs)
     for job in callers.jobs:
         for attempt in job.attempts:
@@ -66,6 +79,14 @@
     return report
 
 
+async def _watch_lag(report: Report) -> None:
+    """Note by how much this loop is late."""
+    while True:
+        due_at = anyio.current_time() + LAG_TICK_S
+        await anyio.sleep(LAG_TICK_S)
+        report.lag_s = max(report.lag_s, anyio.current_time() - due_at)
+
+
 async def _wait_until_served(callers: Callers) -> None:
     """Wait until every entry has served a job."""
     async with anyio.create_task_group() as group:
