Count a connection that is gone when it is accepted as lost

The earlier fix took only the case in which the socket is still there without a peer. Both, and an error of the socket itself, now count as a lost connection. The test fails without it for two of its three errors.

--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -441,6 +441,23 @@
         connection.send(content)
 
 
+def prepare_accepted(stream: ByteStream) -> str:
+    """Set an accepted connection up and return its peer's address.
+
+    :raises PeerLost: If the peer has reset it before it was accepted.
+    """
+    try:
+        remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
+        # asyncio leaves this to the application for sockets made with protocol 0.
+        raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except (anyio.TypedAttributeLookupError, AttributeError, OSError) as error:
+        # Which of these it is depends on how far the event loop has come in closing it:
+        # the socket has no peer, or there is no socket any more.
+        raise PeerLost(f"reset before it was accepted: {error}", "accept") from error
+    return f"{remote[0]}:{remote[1]}"
+
+
 async def serve_peers(
     address: str,
     handler: Handler,
@@ -461,16 +478,11 @@
 
     async def accept(stream: ByteStream) -> None:
         try:
-            remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
-        except anyio.TypedAttributeLookupError:
-            # A socket that its peer has reset before this has no peer any more.
-            logger.info("a connection was reset before it was accepted")
+            peer = prepare_accepted(stream)
+        except PeerLost as error:
+            logger.info("connection not used: {}", error)
             await anyio.aclose_forcefully(stream)
             return
-        peer = f"{remote[0]}:{remote[1]}"
-        # asyncio leaves this to the application for sockets made with protocol 0.
-        raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         await Connection(stream, peer, handler, counters, listener).run()
 
     async with server:
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -30,6 +30,7 @@
     Counters,
     PeerPool,
     parse_address,
+    prepare_accepted,
     serve_peers,
 )
 
@@ -163,3 +164,22 @@
             reply = await pool.request(address, Claim(1, 5, b"i", b"d"), 5.0)
         assert reply.generation == 5
         group.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        anyio.TypedAttributeLookupError("no peer"),
+        AttributeError("no socket"),
+        OSError("not connected"),
+    ],
+)
+def test_connection_that_is_closing_when_it_is_accepted_counts_as_lost(error):
+    """Guards against a daemon that ended because the socket was gone already."""
+
+    class Stream:
+        def extra(self, attribute):
+            raise error
+
+    with pytest.raises(PeerLost):
+        prepare_accepted(Stream())
