Let no job of the cancelled wave end by its own deadline

The trace: the 1,000 jobs were handed in over more than 45 s by one loop, whose passes were up to 2.2 s late, and each ended "failed: the deadline passed" after its default 30 s, which is true and allowed, before its cancellation was sent (0 sent, 1,632 offers). The cancellations wait 60 s for a slow machine; the jobs did not. Ruled out: claims without an acknowledgement, which made it red before (none now). Change: the jobs are handed in with the longest deadline.

--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from marigoldkeel.attempts import MAX_DEADLINE_S
 from marigoldkeel.commands import cancel as cancel_command
 from marigoldkeel.configuration import Configuration, TeamPolicy
 from marigoldkeel.demo import LocalSystem
@@ -59,10 +60,10 @@
         agent.executor.wake.set()
 
 
-async def submit(session, submission_id, tasks, outcomes):
+async def submit(session, submission_id, tasks, outcomes, **options):
     try:
         result = await session.submit(
-            "cut-list", tasks, submission_id=submission_id, unanswered=0
+            "cut-list", tasks, submission_id=submission_id, unanswered=0, **options
         )
         outcomes.append(result.results)
     except MarigoldkeelError as error:
@@ -201,6 +202,11 @@
 async def test_wave_of_cancellations_starts_none_of_the_cancelled_tasks():
     outcomes, cancelled = [], []
 
+    async def hand_in(session, submission_id):
+        tasks = [1] * (1 + submission_id.int % 5)
+        # No job may end by its own deadline, also on a slow machine.
+        await submit(session, submission_id, tasks, outcomes, deadline_s=MAX_DEADLINE_S)
+
     async def cancel(session, submission_id):
         # Waits for every task to be returned, also on a slow machine.
         cancelled.append(await session.cancel(submission_id, wait_s=60, deadline_s=60))
@@ -220,8 +226,7 @@
             ]
             wave = [(session, mint_submission_id()) for session in sessions * 25]
             for session, submission_id in wave:
-                tasks = [1] * (1 + submission_id.int % 5)
-                group.start_soon(submit, session, submission_id, tasks, outcomes)
+                group.start_soon(hand_in, session, submission_id)
             await until(lambda: jobs_started(system) + len(outcomes) >= len(wave))
             for session, submission_id in wave:
                 group.start_soon(cancel, session, submission_id)
