Hand out no address of the emulator twice

The settings it kept show agent-1's metrics and agent-2's listener on one port: addresses are drawn at random and the first was not listened on yet. Ruled out: another run on the address (each has its own), an earlier process (the agent had never run).

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,13 @@
 """The soak's checks catch what they are for, and a short seeded run keeps them."""
 
+import random
 from pathlib import Path
 from types import SimpleNamespace
 
 import anyio
 import pytest
 
+from emulator.addresses import free_address
 from marigoldkeel.fleet.work import RunEnd, TaskId
 from soak.callers import LOST, NOT_CONNECTED, SILENT, Attempt, Probe, SentJob
 from soak.checks import (
@@ -172,3 +174,11 @@
     report = anyio.run(run_seed, seed, tmp_path, SHORT_S)
     assert report.found == [], report.faults
     assert report.jobs
+
+
+def test_no_address_is_handed_out_twice(monkeypatch):
+    ports = iter([15_000, 15_000, 15_001])
+    monkeypatch.setattr(random, "randrange", lambda *bounds: next(ports))
+    host = "127.1.99.1"
+    addresses = [free_address(host), free_address(host)]
+    assert addresses == [f"{host}:15000", f"{host}:15001"]
