Place a returned task on another agent than the one that gave it back

An agent whose last target is leaving gives its queued tasks back at once. Its peers know its kinds and its load by a heartbeat of up to 1 s ago, so the primary pushed the task to it again after 50 ms, found it the less loaded of two again, and after the third return failed a job of which other tasks had run.

Change: a task that was given back goes to an agent that has not given back a task of this job since its last heartbeat, as long as there is one. The load this answers: a runner that leaves while wide jobs run.

Test: test_task_goes_to_another_agent_than_the_one_that_returned_it, before: pushed to b, b, b and refused; after: b, then c, complete.

--- a/marigoldkeel/dispatch.py
+++ b/marigoldkeel/dispatch.py
@@ -94,6 +94,25 @@
     return sorted(sample, key=lambda state: state.load)[:count]
 
 
+def without_returners(
+    agents: list[PeerState], returned_at: dict[str, float]
+) -> list[PeerState]:
+    """Leave out agents that gave back a task after what is known of them.
+
+    An agent whose last target is leaving gives its tasks back at once, and may be
+    the least loaded one by a heartbeat that is up to a second old.
+
+    :param returned_at: When each incarnation last gave a task of the job back.
+    :return: All of ``agents`` if each of them gave a task back.
+    """
+    others = [
+        agent
+        for agent in agents
+        if agent.heard_at > returned_at.get(agent.member.incarnation, float("-inf"))
+    ]
+    return others or agents
+
+
 @policy("random")
 class RandomPush(PlacementPolicy):
     """Pushes each task to an agent chosen at random."""
--- a/marigoldkeel/jobs.py
+++ b/marigoldkeel/jobs.py
@@ -21,6 +21,7 @@
     once, and from then on no task is handed out. ``first_answer`` replaces it for
     the attempt that made the job, if that attempt knows more. ``offers`` maps the
     incarnations of agents that were offered or pushed tasks to their addresses,
+    ``returned_at`` maps those that gave a task back unstarted to when they last did,
     and ``held`` counts the tasks that are granted and have not ended.
     """
 
@@ -34,6 +35,7 @@
         "holders",
         "placements",
         "offers",
+        "returned_at",
         "held",
         "grants",
         "recorded",
@@ -60,6 +62,7 @@
         self.holders: dict[int, str] = {}
         self.placements = [0] * count
         self.offers: dict[str, str] = {}
+        self.returned_at: dict[str, float] = {}
         self.held = 0
         self.grants: dict[tuple[str, int], list[int]] = {}
         self.recorded: set[tuple[str, int]] = set()
@@ -144,6 +147,7 @@
                 continue
             if self._end_task(index, result, now):
                 returned.append(index)
+                self.returned_at[holder] = now
         return returned
 
     def _end_task(self, index: int, result: TaskResult, now: float) -> bool:
@@ -235,6 +239,7 @@
             self.submission.payloads = []
             self.results = []
             self.holders = {}
+            self.returned_at = {}
             self.grants = {}
             self.recorded = set()
             self.done.set()
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -7,7 +7,7 @@
 
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.claims import ClaimRegister, Verdict
-from marigoldkeel.dispatch import Placement, PlacementPolicy
+from marigoldkeel.dispatch import Placement, PlacementPolicy, without_returners
 from marigoldkeel.exceptions import (
     InvalidInput,
     MarigoldkeelError,
@@ -248,6 +248,7 @@
             await anyio.sleep(PLACEMENT_RETRY_S)
         else:
             return set()
+        agents = without_returners(agents, job.returned_at)
         self.policy.probe_ratio = self.board.setting("probe_ratio", kind=kind)
         placement = self.policy.place(indexes, agents, self.board.random)
         self._carry_out(job, placement, agents)
--- a/tests/test_primaries.py
+++ b/tests/test_primaries.py
@@ -1,4 +1,4 @@
-"""Guards against a planned stop that cuts a request whose claim is being asked for."""
+"""Guards what a primary answers when other members are leaving or know more than it."""
 
 import anyio
 import pytest
@@ -6,9 +6,10 @@
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.claims import ClaimRegister, Verdict
 from marigoldkeel.dispatch import make_policy
+from marigoldkeel.heartbeats import PeerState
 from marigoldkeel.identifiers import mint_submission_id, partition_of
-from marigoldkeel.messages import Claimed, Submit
-from marigoldkeel.models import Member, Outcome, PartitionRecord
+from marigoldkeel.messages import Claimed, Ran, Submit, TaskResult
+from marigoldkeel.models import Member, Outcome, PartitionRecord, TaskState
 from marigoldkeel.primaries import PrimaryController
 
 
@@ -66,3 +67,56 @@
     # No agent serves the kind, so the deadline ends the job without a start.
     assert answers[0].outcome is Outcome.NOT_RUN
     assert "deadline" in answers[0].message
+
+
+class Agents:
+    """Accepts claims, and runs pushed tasks except on agents without a target."""
+
+    def __init__(self, without_target):
+        self.without_target = without_target
+        self.pushes = []
+
+    async def request(self, address, message, timeout_s):
+        if not hasattr(message, "tasks"):
+            return Claimed(Verdict.ACCEPTED, message.generation)
+        self.pushes.append(address)
+        index = message.tasks[0].index
+        if address in self.without_target:
+            return Ran([TaskResult(index, TaskState.NOT_STARTED, b"", "no target")])
+        return Ran([TaskResult(index, TaskState.SUCCEEDED, b"1")])
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("without_target", [["b"], ["b", "c"]])
+async def test_task_goes_to_another_agent_than_the_one_that_returned_it(without_target):
+    """Guards against a job that fails because heartbeats are a second old.
+
+    An agent whose last target is leaving returns its tasks. It is the least loaded
+    one by its last heartbeat, so each of them would be pushed to it three times
+    before the next one.
+    """
+    board = Blackboard(Member("a", "a@1", "a"))
+    board.partitions.partition_count = 1
+    standby = Member("b", "b@1", "b", "elsewhere")
+    board.partitions.apply(PartitionRecord(0, 1, board.member, standby))
+    register = board.registers[0] = ClaimRegister.as_primary(0, 1)
+    register.open()
+    for load, name in enumerate("bcd"):
+        member = Member(name, f"{name}@1", name)
+        board.peers.observe(
+            PeerState(member, 10 * load, 4, kinds=["quote"]), board.clock()
+        )
+    agents = Agents(without_target)
+    message = Submit(
+        0, 1, mint_submission_id().bytes, "team", "quote", 1, 20_000, 0, 1, b"[1]"
+    )
+    with anyio.fail_after(HANG_LIMIT_S):
+        async with anyio.create_task_group() as group:
+            primary = PrimaryController(
+                board, agents, make_policy("least_loaded"), group
+            )
+            answer = await primary.submit(message)
+    assert (answer.outcome, agents.pushes) == (
+        Outcome.COMPLETE,
+        [*without_target, "bcd"[len(without_target)]],
+    )
