--- a/marigoldkeel/__main__.py
+++ b/marigoldkeel/__main__.py
@@ -1,10 +1,14 @@
-"""Runs the command line with ``python -m marigoldkeel``."""
+"""Starts the program, installed or with ``python -m marigoldkeel``."""
 
 import signal
+import sys
 
 
+DAEMON_COMMANDS = ("serve", "entry", "agent")
+
 # The settings may change while a daemon is still starting, before it handles this.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+if sys.argv[1:2] and sys.argv[1] in DAEMON_COMMANDS:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 from marigoldkeel.commands import main  # noqa: E402
 
