--- a/marigoldkeel/claims.py
+++ b/marigoldkeel/claims.py
@@ -28,7 +28,6 @@
 from enum import Enum, IntEnum
 
 
-RETENTION_MS = 900_000
 MAX_FUTURE_MS = 60_000
 MINT_TIME_BYTES = 6
 
--- a/marigoldkeel/settings.py
+++ b/marigoldkeel/settings.py
@@ -42,7 +42,6 @@
     partitions: Annotated[int, Meta(ge=1, le=65_536)] = 16
     log_format: str = "text"
     log_level: str = "INFO"
-    event_log: str = ""
 
     @classmethod
     def from_toml(cls, path: str | Path) -> "Settings":
