Blame no target for the time in which the agent itself stood still

Its log: "this process was 3.12 s late; no peer is blamed", then 252 jobs "could not be placed: no target here serves this kind" and 461 cancellations fewer than offers. An agent excused its peers for its own standstill but not its targets, so it took them for silent after 3 s, gave their queued work back three times over, and the jobs were refused.

Change: the measure of the own delay is a class of its own (stalls.StallMeter), used for peers as before and for targets before the executor judges them.

Tests: test_target_is_not_lost_because_the_agent_stood_still (3 and 30 s), both failed before. The case "silent" of test_held_tasks_are_returned_when_their_target_is_lost made the clock jump by 3 s between two steps, which is what a standstill looks like; it now takes 30 steps of 0.1 s, and demands the same.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -180,9 +180,10 @@
 
     def step(self) -> None:
         """Start what can start now."""
+        now = self.board.clock()
+        self.targets.excuse_own_delay(now, HOUSEKEEPING_S)
         self._apply_configuration()
         self._answer_dropped()
-        now = self.board.clock()
         if now - self.reviewed_at >= HOUSEKEEPING_S:
             self.reviewed_at = now
             self.stragglers.review()
--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 
 from marigoldkeel.models import Member
+from marigoldkeel.stalls import StallMeter
 
 
 SUSPECT_AFTER_S = 3.0
@@ -58,22 +59,18 @@
         self.first_known: dict[str, float] = {}
         self.entries_heard: dict[str, float] = {}
         self.answered_at: dict[str, float] = {}
-        self.checked_at: float | None = None
+        self.stalls = StallMeter()
 
     def excuse_own_delay(self, now: float, interval_s: float) -> float:
         """Count no silence for the time in which this process itself stood still.
 
-        What peers sent in that time is yet to be read. Called before silences are
-        judged, at regular intervals.
+        Called before silences are judged, at regular intervals.
 
         :param interval_s: The time between two calls of a process that keeps up.
         :return: By how much the silences were shortened, in seconds.
         """
-        checked_at, self.checked_at = self.checked_at, now
-        if checked_at is None:
-            return 0.0
-        delay_s = now - checked_at - interval_s
-        if delay_s <= interval_s:
+        delay_s = self.stalls.measure(now, interval_s)
+        if not delay_s:
             return 0.0
         for state in self.states.values():
             state.heard_at = min(now, state.heard_at + delay_s)
