Let an entry that stood still suspect no agent for it

Only agents excused their peers for their own standstill.

Change: the membership controller, which entries and agents run, excuses the own delay at each tick, as failover goes on to do right before it judges.

Test: test_entry_that_stood_still_still_knows_its_agents (3.5 and 30 s), both failed before.

--- a/marigoldkeel/blackboard.py
+++ b/marigoldkeel/blackboard.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+from loguru import logger
+
 from marigoldkeel.claims import ClaimRegister
 from marigoldkeel.configuration import Configuration
 from marigoldkeel.ejection import OutlierDetector
@@ -126,6 +128,17 @@
             self.clock(),
         )
 
+    def excuse_own_delay(self, interval_s: float) -> None:
+        """Suspect no peer because this process stood still.
+
+        Called at regular intervals, also right before silences are judged.
+
+        :param interval_s: The time between two calls of a process that keeps up.
+        """
+        delay_s = self.peers.excuse_own_delay(self.clock(), interval_s)
+        if delay_s > 0:
+            logger.info("this process was {:.2f} s late; no peer is blamed", delay_s)
+
     def candidates(self, kind: str) -> list[PeerState]:
         """Return the live agents that may be sent work of a kind."""
         now = self.clock()
--- a/marigoldkeel/failover.py
+++ b/marigoldkeel/failover.py
@@ -90,7 +90,7 @@
         """Look for members to replace, partitions to create and old claims."""
         while True:
             await anyio.sleep(TICK_S)
-            self._excuse_own_delay()
+            self.board.excuse_own_delay(TICK_S)
             for partition, register in list(self.board.registers.items()):
                 if partition not in self.changing and self._needs_change(register):
                     self._begin(partition, self.replace)
@@ -99,12 +99,6 @@
             self._raise_low_water()
             self.primaries.reap()
 
-    def _excuse_own_delay(self) -> None:
-        """Suspect no peer because this process stood still."""
-        delay_s = self.board.peers.excuse_own_delay(self.board.clock(), TICK_S)
-        if delay_s > 0:
-            logger.info("this process was {:.2f} s late; no peer is blamed", delay_s)
-
     def _begin(self, partition: int, change) -> None:
         self.changing.add(partition)
         self.group.start_soon(self._guard, partition, change)
--- a/marigoldkeel/memberships.py
+++ b/marigoldkeel/memberships.py
@@ -52,6 +52,7 @@
     async def run_forever(self) -> None:
         """Send each contact a heartbeat when it is due."""
         while True:
+            self.board.excuse_own_delay(TICK_S)
             now = self.board.clock()
             self.board.peers.suspect_after_s = (
                 self.board.setting("suspect_after_ms") / 1000
--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -1,11 +1,12 @@
 """Guards against control traffic that grows with the fleet, and against silence."""
 
+import anyio
 import pytest
 
 from bench.spread import measure
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.heartbeats import FULL_INTERVAL_S, PeerState, PeerTable
-from marigoldkeel.memberships import MAX_LEARNED, MembershipController
+from marigoldkeel.memberships import MAX_LEARNED, TICK_S, MembershipController
 from marigoldkeel.messages import Heartbeat
 from marigoldkeel.models import Member
 
@@ -138,3 +139,19 @@
     for moment in checked_at:
         table.excuse_own_delay(moment, interval_s=0.3)
     assert table.is_suspected("a@1", now) == suspected
+
+
+@pytest.mark.parametrize("stall_s", [3.5, 30.0])
+async def test_entry_that_stood_still_still_knows_its_agents(stall_s):
+    """Guards against an entry that refuses all, as it takes the agents for lost."""
+    now = [0.0]
+    controller = make_controller(now)
+    peers = controller.board.peers
+    peers.observe(PeerState(Member("a", "a@1")), now[0])
+    async with anyio.create_task_group() as group:
+        group.start_soon(controller.run_forever)
+        await anyio.wait_all_tasks_blocked()
+        now[0] += stall_s
+        await anyio.sleep(2 * TICK_S)
+        group.cancel_scope.cancel()
+    assert len(peers.live(now[0])) == 1
