Excuse a process's own standstill in one place for peers and targets

Found in reading the change again: PeerTable and TargetTable each had excuse_own_delay with the same contract and the same measuring before their own shift. The base class silences.SilenceTable has it once, and each table says only how its silences are shortened.

Also: commands.py could still be run as a module, past the rule on SIGHUP in __main__, and nothing does so; the five plays with a hopeless job were played twice by their two tests, and are kept now; a comment says why the names of the daemons are repeated.

Behaviour and assertions are as before.

--- a/marigoldkeel/__main__.py
+++ b/marigoldkeel/__main__.py
@@ -4,6 +4,7 @@
 import sys
 
 
+# The keys of commands.DAEMONS, which takes too long to import.
 DAEMON_COMMANDS = ("serve", "entry", "agent")
 
 # The settings may change while a daemon is still starting, before it handles this.
--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -414,7 +414,3 @@
 def _report(error: Exception, code: int) -> int:
     print(f"marigoldkeel: {error}", file=sys.stderr)
     return code
-
-
-if __name__ == "__main__":
-    main()
--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 
 from marigoldkeel.models import Member
-from marigoldkeel.stalls import StallMeter
+from marigoldkeel.silences import SilenceTable
 
 
 SUSPECT_AFTER_S = 3.0
@@ -47,37 +47,26 @@
     heard_at: float = 0.0
 
 
-class PeerTable:
+class PeerTable(SilenceTable):
     """The peers heard from, at most ``max_peers`` of them."""
 
     def __init__(
         self, suspect_after_s: float = SUSPECT_AFTER_S, max_peers: int = MAX_PEERS
     ):
+        super().__init__()
         self.suspect_after_s = suspect_after_s
         self.max_peers = max_peers
         self.states: dict[str, PeerState] = {}
         self.first_known: dict[str, float] = {}
         self.entries_heard: dict[str, float] = {}
         self.answered_at: dict[str, float] = {}
-        self.stalls = StallMeter()
 
-    def excuse_own_delay(self, now: float, interval_s: float) -> float:
-        """Count no silence for the time in which this process itself stood still.
-
-        Called before silences are judged, at regular intervals.
-
-        :param interval_s: The time between two calls of a process that keeps up.
-        :return: By how much the silences were shortened, in seconds.
-        """
-        delay_s = self.stalls.measure(now, interval_s)
-        if not delay_s:
-            return 0.0
+    def shorten_silences(self, delay_s: float, now: float) -> None:
         for state in self.states.values():
             state.heard_at = min(now, state.heard_at + delay_s)
         for table in (self.first_known, self.entries_heard, self.answered_at):
             for name, since in table.items():
                 table[name] = min(now, since + delay_s)
-        return delay_s
 
     def observe(self, state: PeerState, now: float, must_keep: bool = False) -> bool:
         """Record a heartbeat.
--- a/marigoldkeel/targets.py
+++ b/marigoldkeel/targets.py
@@ -15,7 +15,7 @@
 from marigoldkeel.messages import TaskResult
 from marigoldkeel.models import TaskState
 from marigoldkeel.servers import MAX_BODY_BYTES, HttpApplication, Request, Response
-from marigoldkeel.stalls import StallMeter
+from marigoldkeel.silences import SilenceTable
 from marigoldkeel.transports import parse_address
 
 
@@ -51,7 +51,7 @@
     renewed_at: float = 0.0
 
 
-class TargetTable:
+class TargetTable(SilenceTable):
     """The targets of one agent and their busy slots. Times are in seconds.
 
     Usage::
@@ -64,25 +64,15 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.targets: dict[str, TargetInfo] = {}
         # Kept apart from the targets, so that exchanges in progress still count
         # when a target is withdrawn and announces itself again.
         self.busy: dict[str, int] = {}
-        self.stalls = StallMeter()
 
-    def excuse_own_delay(self, now: float, interval_s: float) -> float:
-        """Count no silence for the time in which this process itself stood still.
-
-        Called before silences are judged, at regular intervals.
-
-        :param interval_s: The time between two calls of a process that keeps up.
-        :return: By how much the silences were shortened, in seconds.
-        """
-        delay_s = self.stalls.measure(now, interval_s)
-        if delay_s:
-            for info in self.targets.values():
-                info.renewed_at = min(now, info.renewed_at + delay_s)
-        return delay_s
+    def shorten_silences(self, delay_s: float, now: float) -> None:
+        for info in self.targets.values():
+            info.renewed_at = min(now, info.renewed_at + delay_s)
 
     def announce(self, info: TargetInfo, now: float) -> None:
         """Add or renew a target."""
--- a/tests/fleet/test_plays.py
+++ b/tests/fleet/test_plays.py
@@ -1,5 +1,7 @@
 """Whole fleets in simulated time, with faults: the promises hold in each."""
 
+import functools
+
 import pytest
 
 from marigoldkeel.fleet.work import JobState, RunEnd
@@ -181,7 +183,9 @@
     assert all(played.answer is not None for played in play.jobs)
 
 
+@functools.cache
 def play_with_hopeless_job(seed):
+    """Return a play that has ended, which its tests only read."""
     play = make_fleet(seed)
     offer_mix(play, 0.5, 1.0, 6.0)
     hopeless = []
