Connect an entry to a bounded subset of the agents instead of all

Cause: every entry held a link to every agent, 5,600 on the large site, and each agent sent each change of its worker to 35 entries, nearly all of which had no run there.

Ruled out: sending states less often (owners would place by stale capacity, and the links still grow with the fleet); sampling agents for each job (a round trip before each start).

Change: `fleet/subsets.py` chooses 32 agents an entry, or as many as give each agent four entries on average, by rendezvous hashing, half of them in the entry's own failure domain. An agent without a usable worker for 2 s is backed up by another one. A job that needs a rack, a label or many workers adds these for 10 s; an agent's record in the directory describes its worker, so that entries know workers they are not connected to. An entry's share of the cores follows from the mean number of entries per agent.

--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -253,7 +253,12 @@
         """Create the state of a new process and start its periodic tasks."""
         loop = self.loop
         self.fleet = FleetView()
-        self.links = OwnerEndpoint(self.member, self.fleet, loop.clock)
+        self.links = OwnerEndpoint(
+            self.member,
+            self.fleet,
+            loop.clock,
+            lambda: sum(entry.alive for entry in self.simulation.entries),
+        )
         self.scheduler = Scheduler(
             self.fleet,
             self.domain,
@@ -261,15 +266,21 @@
             loop.clock,
             loop.wall_ms,
             seed=loop.random.randrange(1 << 30),
-            count_entries=lambda: sum(entry.alive for entry in self.simulation.entries),
+            entries_per_worker=self.links.entries_per_agent,
+            connect_workers=self.links.connect_workers,
             **self.simulation.options,
         )
         self.links.scheduler = self.scheduler
         self.links.group = self
         for agent in self.simulation.agents:
-            self.links.add(agent.member)
+            self.discover(agent)
         self.every(TICK_INTERVAL_S, self.links.step)
 
+    def discover(self, agent: SimulatedAgent) -> None:
+        """Add an agent with the description of its worker."""
+        self.links.add(agent.member)
+        self.links.describe(agent.name, agent.worker.facts)
+
     def start(self) -> None:
         super().start()
         self.initialize()
@@ -388,7 +399,7 @@
         agent = SimulatedAgent(self, worker)
         self.agents.append(agent)
         for entry in self.entries:
-            entry.links.add(agent.member)
+            entry.discover(agent)
         return agent
 
     def add_entry(self, name: str, domain: str) -> SimulatedEntry:
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -213,14 +213,17 @@
         self.plan_key = plan_key
         self.decode_plan = decode_plan
         self.fleet = FleetView()
-        self.links = OwnerEndpoint(self.own_member, self.fleet, self.clock)
+        self.links = OwnerEndpoint(
+            self.own_member, self.fleet, self.clock, self._count_entries
+        )
         self.scheduler = Scheduler(
             self.fleet,
             settings.domain,
             self.links.send,
             self.clock,
             wall_clock_ms,
-            count_entries=self._count_entries,
+            entries_per_worker=self.links.entries_per_agent,
+            connect_workers=self.links.connect_workers,
         )
         self.links.scheduler = self.scheduler
         self.job_durations = JobDurations()
@@ -259,7 +262,9 @@
         self.follower = PlanFollower(
             self.store, self.peers, self.plan_key, self.decode_plan
         )
-        self.directory = Directory(self.own_member, self.links.add, self.links.remove)
+        self.directory = Directory(
+            self.own_member, self.links.add, self.links.remove, self.links.describe
+        )
         self.controller = self.make_controller(
             group,
             plan_version=lambda: self.follower.version,
@@ -358,7 +363,9 @@
         )
         self.directory = Directory(self.own_member)
         self.controller = self.make_controller(
-            group, is_discovered=lambda: bool(self.links.links)
+            group,
+            is_discovered=lambda: bool(self.links.links),
+            describe_worker=lambda: self.supervisor.facts,
         )
 
     def start(self, group: TaskGroup) -> None:
--- a/marigoldkeel/fleet/directory.py
+++ b/marigoldkeel/fleet/directory.py
@@ -15,7 +15,8 @@
 from loguru import logger
 
 from marigoldkeel.exceptions import MarigoldkeelError
-from marigoldkeel.fleet.messages import Announce
+from marigoldkeel.fleet.messages import Announce, WorkerFacts
+from marigoldkeel.fleet.work import Resources
 from marigoldkeel.models import Member
 from marigoldkeel.stores import LeasedStore
 from marigoldkeel.transports import PeerPool
@@ -37,14 +38,45 @@
 MAX_ANNOUNCED_AGENTS = 200
 
 
+class WorkerRecord(msgspec.Struct):
+    """The description of an agent's worker as it is written to the store."""
+
+    service: str
+    labels: list[str]
+    cpu_milli: int
+    memory_mb: int
+    accelerators: int
+
+    @classmethod
+    def from_facts(cls, facts: WorkerFacts) -> "WorkerRecord":
+        """Return the part of a worker's facts that rarely changes."""
+        capacity = facts.capacity
+        return cls(
+            facts.service,
+            facts.labels,
+            capacity.cpu_milli,
+            capacity.memory_mb,
+            capacity.accelerators,
+        )
+
+    def to_facts(self) -> WorkerFacts:
+        """Convert the description to `WorkerFacts` of an unknown boot."""
+        capacity = Resources(self.cpu_milli, self.memory_mb, self.accelerators)
+        return WorkerFacts(service=self.service, labels=self.labels, capacity=capacity)
+
+
 class DaemonRecord(msgspec.Struct):
-    """A daemon's record as it is written to the store."""
+    """A daemon's record as it is written to the store.
+
+    :ivar worker: The worker of an agent that has received its report.
+    """
 
     name: str
     incarnation: str
     address: str
     domain: str
     is_agent: bool
+    worker: WorkerRecord | None = None
 
     def to_member(self) -> Member:
         """Convert the record to a `Member`."""
@@ -72,6 +104,8 @@
     :param on_agent_added: Called with each agent that is new or whose incarnation,
         address or domain has changed.
     :param on_agent_removed: Called with the name of each agent that is removed.
+    :param on_worker_described: Called with an agent's name and the description of its
+        worker, each time that its record is read.
     """
 
     def __init__(
@@ -79,10 +113,14 @@
         own_member: Member,
         on_agent_added: Callable[[Member], None] = lambda member: None,
         on_agent_removed: Callable[[str], None] = lambda name: None,
+        on_worker_described: Callable[[str, WorkerFacts], None] = (
+            lambda name, facts: None
+        ),
     ):
         self.own_member = own_member
         self.on_agent_added = on_agent_added
         self.on_agent_removed = on_agent_removed
+        self.on_worker_described = on_worker_described
         self.daemons: dict[str, KnownDaemon] = {}
 
     def upsert(self, member: Member, is_agent: bool, now: float) -> KnownDaemon | None:
@@ -106,6 +144,8 @@
         daemon = self.upsert(record.to_member(), record.is_agent, now)
         if daemon is not None:
             daemon.stored = True
+            if record.worker is not None:
+                self.on_worker_described(record.name, record.worker.to_facts())
 
     def replace_stored(self, records: list[DaemonRecord], now: float) -> None:
         """Apply a full listing of the store; other daemons are marked as not stored."""
@@ -161,6 +201,7 @@
     :param plan_version: Returns the version of the plan that is in force here.
     :param is_alive: Returns whether the daemon of a name is connected.
     :param is_discovered: Returns whether other daemons have discovered this one.
+    :param describe_worker: Returns what is known of this daemon's worker.
     """
 
     def __init__(
@@ -175,6 +216,7 @@
         plan_version: Callable[[], int] = lambda: 0,
         is_alive: Callable[[str], bool] = lambda name: False,
         is_discovered: Callable[[], bool] = lambda: True,
+        describe_worker: Callable[[], WorkerFacts | None] = lambda: None,
     ):
         self.directory = directory
         self.store = store
@@ -186,6 +228,8 @@
         self.plan_version = plan_version
         self.is_alive = is_alive
         self.is_discovered = is_discovered
+        self.describe_worker = describe_worker
+        self.written_worker: WorkerRecord | None = None
         self.leaving = False
         self.store_reachable: bool | None = None
 
@@ -226,18 +270,25 @@
                 await anyio.sleep(retry_delay_s)
                 retry_delay_s = min(MAX_STORE_RETRY_DELAY_S, 1.5 * retry_delay_s)
 
+    def _worker_record(self) -> WorkerRecord | None:
+        facts = self.describe_worker()
+        return None if facts is None else WorkerRecord.from_facts(facts)
+
     async def _write_record(self, lease: int) -> None:
         own_member = self.directory.own_member
+        worker = self._worker_record()
         record = DaemonRecord(
             own_member.name,
             own_member.incarnation,
             own_member.address,
             own_member.domain,
             self.is_agent,
+            worker,
         )
         await self.store.put_with_lease(
             record_key(own_member.name), msgspec.json.encode(record), lease
         )
+        self.written_worker = worker
 
     async def _renew(self, lease: int) -> None:
         """Renew a lease until it has expired or other daemons cannot discover this one.
@@ -250,6 +301,9 @@
             if not await self.store.renew_lease(lease):
                 logger.info("lease of the directory record expired; registering again")
                 return
+            # An agent registers before it knows its worker.
+            if self._worker_record() not in (None, self.written_worker):
+                await self._write_record(lease)
             # A store may lose records without reporting an error.
             undiscovered_checks = 0 if self.is_discovered() else undiscovered_checks + 1
             if undiscovered_checks > 1:
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -1,7 +1,8 @@
 """Connections between the owners of jobs and the agents of workers.
 
-Each entry maintains one connection to each agent. Either end sends messages at any
-time; an owner with no other message to send renews its lease periodically.
+Each entry maintains one connection to each agent of its subset. Either end sends
+messages at any time; an owner with no other message to send renews its lease
+periodically.
 """
 
 from collections.abc import Callable
@@ -24,6 +25,11 @@
     WorkerState,
 )
 from marigoldkeel.fleet.schedulers import Scheduler
+from marigoldkeel.fleet.subsets import (
+    AgentSubset,
+    has_enough_workers,
+    workers_to_add,
+)
 from marigoldkeel.fleet.supervisors import (
     LEASE_MARGIN_S,
     MAX_CLOCK_DRIFT,
@@ -32,7 +38,7 @@
     Supervisor,
 )
 from marigoldkeel.fleet.views import FleetView
-from marigoldkeel.fleet.work import NO_RESOURCES, Resources
+from marigoldkeel.fleet.work import NO_RESOURCES, RepeatableJob, Resources
 from marigoldkeel.models import Member
 from marigoldkeel.transports import Connection, ConnectionListener, PeerPool
 
@@ -47,6 +53,16 @@
 # A connection on which a message is unacknowledged for this long is considered dead,
 # even if it has not been reset.
 ACKNOWLEDGE_TIMEOUT_S = 0.4
+# Interval between choices of the subset of agents; a new agent or a job that needs more
+# of them triggers one at once.
+SUBSET_INTERVAL_S = 0.5
+# An agent without a usable worker for this long is backed up by another one. Agents
+# that start together with the entry are usable before, after their workers' first
+# reports.
+MISSING_AFTER_S = 2.0
+# How long a link is kept that the subset no longer contains, so that an agent whose
+# worker comes and goes does not cause connections each time.
+UNWANTED_LINK_S = 10.0
 MIN_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.5
 # A change of the free CPU capacity by more than this fraction of the total is sent to
@@ -78,9 +94,13 @@
         at the latest; None while the agent is reachable or after that time.
     :ivar agent_clock_ms: The agent's clock as of the last `WorkerState`, which arrived
         at ``agent_clock_read_at``.
+    :ivar usable_at: When the agent last had a usable worker, or the link was created.
+    :ivar wanted_at: When the subset last contained the agent.
     """
 
     member: Member
+    usable_at: float
+    wanted_at: float
     connection: Connection | None = None
     connecting: bool = False
     sequence: int = 0
@@ -113,14 +133,27 @@
 
 
 class OwnerEndpoint(ConnectionListener):
-    """An entry's links to all agents that it knows."""
+    """An entry's links to its subset of the known agents.
+
+    :param count_entries: Returns how many entries share the fleet.
+    :ivar connected_racks: Racks whose workers were added for a job since the subset was
+        last chosen.
+    """
 
     def __init__(
-        self, own_member: Member, fleet: FleetView, clock: Callable[[], float]
+        self,
+        own_member: Member,
+        fleet: FleetView,
+        clock: Callable[[], float],
+        count_entries: Callable[[], int] = lambda: 1,
     ):
         self.own_member = own_member
         self.fleet = fleet
         self.clock = clock
+        self.count_entries = count_entries
+        self.subset = AgentSubset(own_member.name, own_member.domain)
+        self.choose_at = float("-inf")
+        self.connected_racks: set[str] = set()
         self.links: dict[str, AgentLink] = {}
         self.links_by_address: dict[str, AgentLink] = {}
         self.scheduler: Scheduler | None = None
@@ -128,25 +161,60 @@
         self.group: TaskGroup | None = None
 
     def add(self, member: Member) -> None:
-        """Add a link to an agent, or replace it if the agent's address has changed."""
+        """Add an agent, or replace its link if its address has changed."""
+        self.subset.add(member)
+        self.choose_at = float("-inf")
         link = self.links.get(member.name)
         if link is not None and link.member.address == member.address:
             link.member = member
-            return
-        if link is not None:
+        elif link is not None:
             self._discard(link)
-        self.links[member.name] = AgentLink(member)
-        self.links_by_address[member.address] = self.links[member.name]
+            self._create(member)
 
     def remove(self, name: str) -> None:
-        """Remove the link to an agent unless it may still have runs of this owner.
+        """Remove an agent; its link stays while it may still have runs of this owner.
 
         That is the case while it is connected and until ``runs_expire_at``.
         """
+        self.subset.remove(name)
+        self.fleet.described.pop(name, None)
         link = self.links.get(name)
         if link is not None and link.connection is None and link.runs_expire_at is None:
             self._discard(link)
 
+    def describe(self, name: str, facts: WorkerFacts) -> None:
+        """Record the description of a worker in its agent's directory record."""
+        self.fleet.described[name] = facts
+
+    def entries_per_agent(self) -> float:
+        """Return how many entries are connected to one agent on average."""
+        return self.subset.entries_per_agent(self.count_entries())
+
+    def connect_workers(self, job: RepeatableJob) -> bool:
+        """Connect to the workers that a job needs beside those of the subset.
+
+        :return: Whether some of them are not connected yet.
+        """
+        if len(self.links) >= len(self.subset.agents):
+            return False
+        views = [self.fleet.view(name) for name in self.links]
+        connected = [view.facts for view in views if view.facts is not None]
+        racks = {step.data_rack for step in job.steps} - {""} - self.connected_racks
+        if not racks and all(has_enough_workers(step, connected) for step in job.steps):
+            return False
+        self.connected_racks |= racks
+        known = self.fleet.known(job.queue.service)
+        ranks = self.subset.ranks
+        ranked = {
+            name: known[name] for name in sorted(known.keys() & ranks, key=ranks.get)
+        }
+        names = workers_to_add(job.steps, set(self.links), ranked)
+        if names:
+            self.subset.pin(names, self.clock())
+            self._choose_links(self.clock())
+            self.step_links()
+        return bool(names)
+
     @property
     def connected(self) -> int:
         """The number of connected agents."""
@@ -183,13 +251,57 @@
 
     def step(self) -> None:
         """Perform all work that is due now."""
+        self.step_links()
+        self.scheduler.tick()
+
+    def step_links(self) -> None:
+        """Choose the subset, and connect, renew or drop links that are due."""
         now = self.clock()
+        if now >= self.choose_at:
+            self.choose_at = now + SUBSET_INTERVAL_S
+            self.connected_racks.clear()
+            self._choose_links(now)
         for link in list(self.links.values()):
             if link.connection is None:
                 self._check_disconnected(link, now)
             else:
                 self._check_connected(link, now)
-        self.scheduler.tick()
+
+    def _choose_links(self, now: float) -> None:
+        """Create the links of the subset and discard those that it does not contain.
+
+        A link with runs of this owner, or that may still have some, is kept.
+        """
+        for link in self.links.values():
+            if self.fleet.view(link.member.name).ready:
+                link.usable_at = now
+        missing = {
+            name
+            for name, link in self.links.items()
+            if now - link.usable_at > MISSING_AFTER_S
+        }
+        chosen = self.subset.choose(self.count_entries(), missing, now)
+        for name in chosen:
+            if name in self.links:
+                self.links[name].wanted_at = now
+            else:
+                self._create(self.subset.agents[name])
+        for link in list(self.links.values()):
+            has_runs = bool(self.fleet.view(link.member.name).placed)
+            may_have_runs = link.connecting or link.runs_expire_at is not None
+            if (
+                now - link.wanted_at > UNWANTED_LINK_S
+                and not has_runs
+                and not may_have_runs
+            ):
+                if link.connection is not None:
+                    link.connection.close_after_flush()
+                self._discard(link)
+
+    def _create(self, member: Member) -> None:
+        now = self.clock()
+        self.links[member.name] = AgentLink(member, now, now)
+        self.links_by_address[member.address] = self.links[member.name]
 
     def _check_disconnected(self, link: AgentLink, now: float) -> None:
         if link.runs_expire_at is not None and now > link.runs_expire_at:
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -45,6 +45,7 @@
     count_outside_reserve,
     find_packing,
 )
+from marigoldkeel.fleet.subsets import is_suitable
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import (
     JobAnswer,
@@ -95,7 +96,9 @@
         sequence number.
     :param wall_ms: Returns the wall-clock time in milliseconds. Run numbers are derived
         from it, so that those of a later owner of the same job are higher.
-    :param count_entries: Returns how many entries share the fleet.
+    :param entries_per_worker: Returns how many entries share a worker on average.
+    :param connect_workers: Called for each new job, to connect to the workers that it
+        needs; returns whether some of them are not connected yet.
     :ivar workers_ready_at: When a service was last found to have ready workers.
     :ivar shutdown_at: When this entry shuts down; jobs that would end later are
         refused.
@@ -112,14 +115,16 @@
         wall_ms: Callable[[], int],
         seed: int | None = None,
         packing: str = "in_time",
-        count_entries: Callable[[], int] = lambda: 1,
+        entries_per_worker: Callable[[], float] = lambda: 1.0,
+        connect_workers: Callable[[RepeatableJob], bool] = lambda job: False,
     ):
         self.fleet = fleet
         self.domain = domain
         self.send = send
         self.clock = clock
         self.wall_ms = wall_ms
-        self.count_entries = count_entries
+        self.entries_per_worker = entries_per_worker
+        self.connect_workers = connect_workers
         self.workers_ready_at = clock()
         self.random = random.Random(seed)
         self.pack: PackingPolicy = find_packing(packing)
@@ -311,17 +316,13 @@
         if self.clock() + run_s + OVERHEAD_S > self.shutdown_at:
             return "the entry stops before it can end"
         service = job.queue.service
-        if not self._knows_workers(service):
+        if self.connect_workers(job) or not self._knows_workers(service):
             return ""
         if not self.fleet.ready(service):
             return "no worker is reachable"
-        known = self.fleet.known(service)
+        known = self.fleet.known(service).values()
         for step in job.steps:
-            if not any(
-                step.demand.fits(view.facts.capacity)
-                and (not step.label or step.label in view.facts.labels)
-                for view in known
-            ):
+            if not any(is_suitable(step, facts) for facts in known):
                 return "no worker is large enough"
         return ""
 
@@ -366,7 +367,7 @@
             for view in self.fleet.ready(service)
             if view.name not in self.detector.ejected
         )
-        return cpu_milli / 1000 / max(1, self.count_entries())
+        return cpu_milli / 1000 / self.entries_per_worker()
 
     def _waiting_in_order(self) -> list[OwnedJob]:
         """Return the waiting jobs in the order in which they are served.
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -67,10 +67,15 @@
 
 
 class FleetView:
-    """All workers known to an entry, by the name of their agent."""
+    """All workers known to an entry, by the name of their agent.
+
+    :ivar described: The description of each worker in its agent's directory record;
+        most of them belong to agents that this entry is not connected to.
+    """
 
     def __init__(self):
         self.workers: dict[str, WorkerView] = {}
+        self.described: dict[str, WorkerFacts] = {}
 
     def view(self, name: str) -> WorkerView:
         """Return the view of a worker, and create it if necessary."""
@@ -90,10 +95,18 @@
             if view.ready and view.facts.service == service
         ]
 
-    def known(self, service: str) -> list[WorkerView]:
-        """Return the workers of a service, including those that are unusable now."""
-        return [
-            view
+    def known(self, service: str) -> dict[str, WorkerFacts]:
+        """Return the workers of a service, including unusable and unconnected ones.
+
+        What an agent says on its own connection is newer than its directory record.
+        """
+        facts_by_name = self.described | {
+            view.name: view.facts
             for view in self.workers.values()
-            if view.facts is not None and view.facts.service == service
-        ]
+            if view.facts is not None
+        }
+        return {
+            name: facts
+            for name, facts in facts_by_name.items()
+            if facts.service == service
+        }
--- a/tests/fleet/loads.py
+++ b/tests/fleet/loads.py
@@ -12,18 +12,21 @@
 
 
 def make_fleet(
-    seed: int = 1, workers: int = 11, entries: int = 4, **options
+    seed: int = 1, workers: int = 11, entries: int = 4, domains: str = "abcd", **options
 ) -> FleetSimulation:
-    """Return a simulated fleet in which every fourth worker is slow."""
+    """Return a simulated fleet in which every fourth worker is slow.
+
+    :param domains: One letter for each failure domain.
+    """
     simulation = FleetSimulation(seed, options)
     for number in range(workers):
         cores = 24 if number % 3 == 2 else 16
         speed = 0.55 if number % 4 == 0 else 1.2
-        domain = "abcd"[number % 4]
+        domain = domains[number % len(domains)]
         capacity = Resources(cores * 1000, 65_536)
         simulation.add_worker(f"worker-{number}", domain, capacity, speed)
     for number in range(entries):
-        simulation.add_entry(f"entry-{number}", "abcd"[number])
+        simulation.add_entry(f"entry-{number}", domains[number % len(domains)])
     return simulation
 
 
