Announce entries in turn, and pass on only agents that are live

Cause: every entry announced itself to every other one twice a second, and hashed its whole directory for each announcement received: half a percent of a core for each other entry, so a fifth of a core with 35. Two faults were found on the way: entries whose directories differed refreshed each other's entry of an agent that had left, and a list from an entry that was behind replaced a newer incarnation by one at an old address.

Change: three entries or a tenth of them take their turn in each round, and a newer plan goes to all at once; the digest is computed when the agents change; lists of agents are sent to one entry every two seconds at most, contain stored or connected agents only, in parts if there are more than 200, and do not replace a stored or connected incarnation.

Ruled out: longer intervals for all (a plan would arrive later on small fleets).

--- a/marigoldkeel/fleet/directory.py
+++ b/marigoldkeel/fleet/directory.py
@@ -6,8 +6,9 @@
 """
 
 import hashlib
+import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 import msgspec
@@ -32,6 +33,13 @@
 # announcement.
 EXPIRE_AFTER_S = 10.0
 ANNOUNCE_INTERVAL_S = 0.5
+# Entries that an announcement is sent to at least, if there are as many.
+MIN_ANNOUNCED_ENTRIES = 3
+# Each entry is announced to within this time, half of the time after which it would
+# remove a daemon that is silent.
+ANNOUNCE_CYCLE_S = EXPIRE_AFTER_S / 2
+# Interval between lists of agents to one entry whose digest differs.
+LIST_INTERVAL_S = 2.0
 # Announcements discover daemons faster than this, so the store is polled rarely.
 WATCH_IDLE_TIMEOUT_S = 5.0
 # Bounds the size of an announcement that lists the known agents.
@@ -122,6 +130,7 @@
         self.on_agent_removed = on_agent_removed
         self.on_worker_described = on_worker_described
         self.daemons: dict[str, KnownDaemon] = {}
+        self.cached_digest: int | None = None
 
     def upsert(self, member: Member, is_agent: bool, now: float) -> KnownDaemon | None:
         """Add or refresh a daemon.
@@ -134,11 +143,25 @@
         if daemon is None or daemon.member != member:
             daemon = KnownDaemon(member, is_agent)
             self.daemons[member.name] = daemon
+            self.cached_digest = None
             if is_agent:
                 self.on_agent_added(member)
         daemon.refreshed_at = now
         return daemon
 
+    def upsert_reported(
+        self, member: Member, now: float, is_alive: Callable[[str], bool]
+    ) -> None:
+        """Add or refresh an agent that another entry knows.
+
+        The other entry may be behind, so it does not replace another incarnation that
+        is stored or connected.
+        """
+        daemon = self.daemons.get(member.name)
+        is_confirmed = daemon is not None and (daemon.stored or is_alive(member.name))
+        if not is_confirmed or daemon.member == member:
+            self.upsert(member, True, now)
+
     def upsert_stored(self, record: DaemonRecord, now: float) -> None:
         """Add or refresh a daemon from its record in the store."""
         daemon = self.upsert(record.to_member(), record.is_agent, now)
@@ -167,12 +190,21 @@
             is_expired = now - daemon.refreshed_at > EXPIRE_AFTER_S
             if is_expired and not daemon.stored and not is_alive(name):
                 del self.daemons[name]
+                self.cached_digest = None
                 if daemon.is_agent:
                     self.on_agent_removed(name)
 
-    def agents(self) -> list[Member]:
-        """Return the known agents."""
-        return [item.member for item in self.daemons.values() if item.is_agent]
+    def live_agents(self, is_alive: Callable[[str], bool]) -> list[Member]:
+        """Return the agents that are stored or connected.
+
+        Others are only remembered. Passing them on would keep an agent that has left in
+        the directories of all entries.
+        """
+        return [
+            item.member
+            for name, item in self.daemons.items()
+            if item.is_agent and (item.stored or is_alive(name))
+        ]
 
     def entries(self) -> list[KnownDaemon]:
         """Return the other entries."""
@@ -180,13 +212,46 @@
 
     def digest(self) -> int:
         """Return a hash of the names and addresses of all known agents."""
-        names = sorted(
-            f"{item.member.name} {item.member.address}"
-            for item in self.daemons.values()
-            if item.is_agent
-        )
-        digest = hashlib.blake2b("\n".join(names).encode(), digest_size=7).digest()
-        return int.from_bytes(digest, "big")
+        if self.cached_digest is None:
+            names = sorted(
+                f"{item.member.name} {item.member.address}"
+                for item in self.daemons.values()
+                if item.is_agent
+            )
+            digest = hashlib.blake2b("\n".join(names).encode(), digest_size=7).digest()
+            self.cached_digest = int.from_bytes(digest, "big")
+        return self.cached_digest
+
+
+@dataclass(slots=True)
+class AnnouncementRounds:
+    """Chooses the entries that this daemon announces itself to in each round.
+
+    Designed for dozens of entries, of which each would otherwise handle an announcement
+    of each other one in every round. The entries take turns.
+
+    :ivar waiting: The addresses whose turn comes before that of all others.
+    :ivar announced_version: The version of the plan in the last round.
+    """
+
+    waiting: list[str] = field(default_factory=list)
+    announced_version: int = 0
+
+    def next_round(self, addresses: set[str], plan_version: int) -> list[str]:
+        """Return the addresses of the next round.
+
+        A newer plan is announced to all entries at once.
+        """
+        has_news = plan_version > self.announced_version
+        self.announced_version = plan_version
+        if has_news:
+            return sorted(addresses)
+        rounds = ANNOUNCE_CYCLE_S / ANNOUNCE_INTERVAL_S
+        count = max(MIN_ANNOUNCED_ENTRIES, math.ceil(len(addresses) / rounds))
+        waiting = [address for address in self.waiting if address in addresses]
+        waiting += sorted(addresses - set(waiting))
+        self.waiting = waiting[count:]
+        return waiting[:count]
 
 
 def record_key(name: str) -> str:
@@ -230,6 +295,9 @@
         self.is_discovered = is_discovered
         self.describe_worker = describe_worker
         self.written_worker: WorkerRecord | None = None
+        self.rounds = AnnouncementRounds()
+        self.listed_at: dict[str, float] = {}
+        self.listed_agents = 0
         self.leaving = False
         self.store_reachable: bool | None = None
 
@@ -251,10 +319,13 @@
         if daemon is not None:
             daemon.plan_version = message.plan_version
         for member in message.known:
-            self.directory.upsert(member, True, now)
+            self.directory.upsert_reported(member, now, self.is_alive)
         differs = message.digest != self.directory.digest()
         if not message.is_agent and differs and not message.known:
-            self.group.start_soon(self._announce, message.member.address, True)
+            address = message.member.address
+            if now - self.listed_at.get(address, float("-inf")) >= LIST_INTERVAL_S:
+                self.listed_at[address] = now
+                self.group.start_soon(self._announce, address, True)
 
     async def _register_forever(self) -> None:
         retry_delay_s = STORE_RETRY_DELAY_S
@@ -339,13 +410,16 @@
     async def _announce_forever(self) -> None:
         while True:
             if not self.leaving:
-                for address in self._announce_addresses():
+                addresses = self.rounds.next_round(
+                    self._announce_addresses(), self.plan_version()
+                )
+                for address in addresses:
                     self.group.start_soon(self._announce, address, False)
             self.directory.expire(self.clock(), self.is_alive)
             await anyio.sleep(ANNOUNCE_INTERVAL_S)
 
     def _announce_addresses(self) -> set[str]:
-        """Return the addresses to which this daemon announces itself.
+        """Return the addresses to which this daemon announces itself in turn.
 
         An agent with connected entries does not announce itself.
         """
@@ -357,7 +431,7 @@
         return addresses - {self.directory.own_member.address}
 
     async def _announce(self, address: str, include_agents: bool) -> None:
-        known = self.directory.agents()[:MAX_ANNOUNCED_AGENTS] if include_agents else []
+        known = self._next_agents() if include_agents else []
         message = Announce(
             self.directory.own_member,
             self.is_agent,
@@ -371,6 +445,15 @@
         except MarigoldkeelError as error:
             logger.debug("announcement failed: {}", error)
 
+    def _next_agents(self) -> list[Member]:
+        """Return the next part of the live agents, or all of them if they are few."""
+        agents = self.directory.live_agents(self.is_alive)
+        if len(agents) <= MAX_ANNOUNCED_AGENTS:
+            return agents
+        start = self.listed_agents % len(agents)
+        self.listed_agents = start + MAX_ANNOUNCED_AGENTS
+        return (agents + agents)[start : start + MAX_ANNOUNCED_AGENTS]
+
     def _set_store_reachable(
         self, is_reachable: bool, error: Exception | str = ""
     ) -> None:
