Answer a rejected request "unknown" if an earlier attempt may have run

Cause: an invalid or too large submission was answered "not run" even when the caller stated that an earlier attempt with the id had no answer, and so was a rejected cancellation, which shows nothing about the submission. A caller that reads the outcome only would take work that has run for not run.

Ruled out: leaving it to our client, which already distrusts such answers; other clients need not.

Change: entries and primaries answer "unknown" to a rejected request unless it is a submission without unanswered attempts; the client ends then instead of retrying the same invalid request.

--- a/marigoldkeel/attempts.py
+++ b/marigoldkeel/attempts.py
@@ -288,6 +288,9 @@
             # The attempt may still run, just like one without an answer. It counts as
             # unanswered, so no new id is used and the dispatcher is told about it.
             self.unanswered += 1
+            if reply.invalid:
+                # The same request would be rejected again.
+                return self._outcome_unknown(*error_fields)
             if reply.step == UNCONFIGURED_STEP:
                 self._advance_entry()
             return self._next_attempt(now, self._backoff())
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -92,7 +92,7 @@
             await anyio.sleep(DRAIN_POLL_INTERVAL_S)
 
     def routes(self) -> HttpApplication:
-        application = HttpApplication(describe_rejection=not_run_fields)
+        application = HttpApplication(describe_rejection=rejection_fields)
 
         @application.route("POST", "/v1/jobs")
         async def submit_job(request: Request) -> Response:
@@ -161,7 +161,7 @@
             caller_request = self._validate(request, kind, is_job)
         except InvalidInput as error:
             answer = Answer(
-                Outcome.NOT_RUN,
+                rejection_outcome(request.method, request.headers),
                 b"",
                 error.message,
                 error.step,
@@ -414,10 +414,21 @@
             return TaskResult(0, TaskState.MAY_HAVE_RUN, b"", str(error))
 
 
-def not_run_fields(headers: dict[str, str]) -> dict[str, str]:
-    """Return the fields that mark a request that reached no endpoint as not run."""
+def rejection_outcome(method: str, headers: dict[str, str]) -> Outcome:
+    """Return what a rejected request shows about its submission.
+
+    Only a submission without unanswered attempts has certainly not run. A rejected
+    cancellation shows nothing.
+    """
+    unanswered = headers.get("marigoldkeel-unanswered", "0")
+    is_first = unanswered.isascii() and unanswered.isdigit() and int(unanswered) == 0
+    return Outcome.NOT_RUN if method == "POST" and is_first else Outcome.UNKNOWN
+
+
+def rejection_fields(method: str, headers: dict[str, str]) -> dict[str, str]:
+    """Return fields for the response to a request that reached no endpoint."""
     submission = headers.get("marigoldkeel-submission", "")
-    return {"submission": submission, "outcome": Outcome.NOT_RUN}
+    return {"submission": submission, "outcome": rejection_outcome(method, headers)}
 
 
 def parse_int_header(request: Request, name: str, default: int) -> int:
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -137,7 +137,9 @@
             payloads = parse_tasks(message.body, message.tasks)
         except InvalidInput as error:
             register.refuse(submission_id)
-            return Answer(Outcome.NOT_RUN, b"", error.message, error.step, invalid=True)
+            answer = refusal(error.message, message.unanswered, error.step)
+            answer.invalid, answer.retry_after_ms = True, 0
+            return answer
         submission = Submission(
             submission_id,
             message.partition,
--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -70,8 +70,8 @@
 class HttpApplication:
     """An ASGI application whose endpoints are registered by a decorator.
 
-    :param describe_rejection: Maps the headers of a request that is rejected before it
-        reaches an endpoint to fields that are added to the error response.
+    :param describe_rejection: Maps the method and headers of a request that is rejected
+        before it reaches an endpoint to fields that are added to the error response.
 
     Usage::
 
@@ -84,7 +84,9 @@
     def __init__(
         self,
         max_body_bytes: int = MAX_BODY_BYTES,
-        describe_rejection: Callable[[dict[str, str]], dict] = lambda headers: {},
+        describe_rejection: Callable[[str, dict[str, str]], dict] = (
+            lambda method, headers: {}
+        ),
     ):
         self.max_body_bytes = max_body_bytes
         self.describe_rejection = describe_rejection
@@ -114,20 +116,17 @@
     async def _respond(self, scope, receive) -> Response:
         client = scope.get("client") or ("", 0)
         peer = f"{client[0]}:{client[1]}"
-        headers = {
-            name.decode("latin-1").lower(): value.decode("latin-1")
-            for name, value in scope["headers"]
-        }
+        headers = decode_headers(scope)
         try:
             endpoint, path_parameters = self._match_route(
                 scope["method"], scope["path"]
             )
             if endpoint is None:
-                return self._reject(404, "no such resource", "route", peer, headers)
+                return self._reject(404, "no such resource", "route", peer, scope)
             body = await self._read_body(receive, peer)
             if body is None:
                 message = f"body exceeds {self.max_body_bytes} bytes"
-                return self._reject(413, message, "read body", peer, headers)
+                return self._reject(413, message, "read body", peer, scope)
             request = Request(
                 scope["method"],
                 scope["path"],
@@ -148,9 +147,10 @@
             return error_response(500, f"internal error: {error}", "http", peer)
 
     def _reject(
-        self, status: int, message: str, step: str, peer: str, headers: dict[str, str]
+        self, status: int, message: str, step: str, peer: str, scope: dict
     ) -> Response:
-        fields = self.describe_rejection(headers)
+        method, headers = scope["method"], decode_headers(scope)
+        fields = self.describe_rejection(method, headers)
         content = {"error": message, "step": step, "peer": peer, **fields}
         return Response.from_json(content, status)
 
@@ -205,6 +205,14 @@
     scope.cancel()
 
 
+def decode_headers(scope: dict) -> dict[str, str]:
+    """Return the headers of an ASGI request with their names in lower case."""
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in scope["headers"]
+    }
+
+
 def error_response(status: int, message: str, step: str, peer: str) -> Response:
     """Return an error response in JSON that names the step and the peer."""
     return Response.from_json({"error": message, "step": step, "peer": peer}, status)
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -96,6 +96,46 @@
         assert sum(len(runner.starts) for runner in system.runners) == 1
 
 
+async def test_bad_input_after_an_unanswered_attempt_is_not_answered_not_run():
+    # The attempt itself starts nothing, but the answer is about the submission, and the
+    # unanswered attempt may have run.
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        for path, headers, body, status, reason in BAD_INPUT:
+            for unanswered in ("1", "many"):
+                repeat = {**headers, "Marigoldkeel-Unanswered": unanswered}
+                answer = await post(system, path, repeat, body)
+                assert answer[1]["outcome"] == "unknown", (answer, repeat)
+                if unanswered == "1":
+                    # 503 and 504 are the statuses of "not run" and "unknown".
+                    assert answer[0] == {503: 504}.get(status, status)
+                    assert reason in answer[1]["error"]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "size", "status"),
+    [
+        ("DELETE", "/v1/jobs/ID", MAX_BODY_BYTES + 1, 413),
+        ("DELETE", "/v2/jobs/ID", 1, 404),
+        ("PUT", "/v1/jobs", 1, 404),
+    ],
+)
+async def test_rejected_cancellation_says_nothing_about_the_submission(
+    method, path, size, status
+):
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        async with httpcore.AsyncConnectionPool() as pool:
+            submission_id = str(mint_submission_id())
+            response = await pool.request(
+                method,
+                f"http://{system.entries[0].http_address}"
+                f"{path.replace('ID', submission_id)}",
+                headers={"Host": "entry", **JOB},
+                content=b"1" * size,
+            )
+        outcome = msgspec.json.decode(response.content)["outcome"]
+    assert (response.status, outcome) == (status, "unknown")
+
+
 async def test_resubmission_gets_the_same_answer_and_another_body_is_a_conflict():
     async with LocalSystem.open(agents=3, entries=2, partitions=4) as system:
         submission_id = mint_submission_id()
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -43,6 +43,7 @@
     "unconfigured": EntryAnswer(Outcome.UNKNOWN, step=UNCONFIGURED_STEP),
     "conflict": EntryAnswer(Outcome.NOT_RUN, conflict=True),
     "invalid": EntryAnswer(Outcome.NOT_RUN, invalid=True),
+    "rejected": EntryAnswer(Outcome.UNKNOWN, invalid=True),
 }
 UNANSWERED = ("lost", "short", "unknown", "unconfigured")
 CALLER_ID = mint_submission_id()
@@ -90,6 +91,7 @@
         ("not_run", {"submission_id": CALLER_ID}, "a00", Refused),
         ("invalid", {}, "a00", InvalidInput),
         ("lost invalid", {}, "a00 b01", OutcomeUnknown),
+        ("lost rejected", {}, "a00 b01", OutcomeUnknown),
         ("unconfigured complete", {}, "a00 b01", "r"),
         ("lost conflict", {}, "a00 b01", Conflict),
         ("lost failed", {}, "a00 b01", JobFailed),
