Let an unexpected error end one connection, job or loop, not the daemon

Cause: an exception that was not a MarigoldkeelError left a connection's reader, a background loop or a small task, and the task group ended the whole process.

Ruled out: restarting the process, as the platform does (all runs of the entry are lost).

Change: `guards` logs the error with its step and starts the loop again; a listener's error ends its connection only; an order that fails unexpectedly counts as unanswered; a job that cannot be placed because of an error is answered, "not run" if nothing started, and does not stop the others.

--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -290,7 +290,7 @@
         if not arguments:
             self.loop.call_later(0.0, action)
             return
-        link: AgentLink = arguments[0]
+        link: AgentLink = arguments[-1]
         self.loop.call_later(2 * NETWORK_LATENCY_S, lambda: self._connected(link))
 
     def _connected(self, link: AgentLink) -> None:
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -31,6 +31,7 @@
 from marigoldkeel.fleet.settings import FleetSettings
 from marigoldkeel.fleet.supervisors import Supervisor
 from marigoldkeel.fleet.views import FleetView
+from marigoldkeel.guards import repeat_guarded, run_guarded
 from marigoldkeel.identifiers import mint_incarnation, wall_clock_ms
 from marigoldkeel.messages import Pull
 from marigoldkeel.metrics import Metric, add_metrics_route
@@ -272,8 +273,11 @@
         )
 
     def start(self, group: TaskGroup) -> None:
-        group.start_soon(self.links.run_forever)
-        group.start_soon(self.follower.run_forever)
+        for step, loop in (
+            ("schedule", self.links.run_forever),
+            ("follow plan", self.follower.run_forever),
+        ):
+            group.start_soon(repeat_guarded, step, loop)
         group.start_soon(self.controller.run_forever)
 
     def _count_entries(self) -> int:
@@ -302,7 +306,11 @@
         """Forward the cancellation of a job to all other entries."""
         for daemon in self.directory.entries():
             self.group.start_soon(
-                self._send_cancellation, daemon.member.address, job_id
+                run_guarded,
+                "forward cancellation",
+                self._send_cancellation,
+                daemon.member.address,
+                job_id,
             )
 
     async def _send_cancellation(self, address: str, job_id: str) -> None:
@@ -369,8 +377,8 @@
         )
 
     def start(self, group: TaskGroup) -> None:
-        group.start_soon(self.driver.poll_forever)
-        group.start_soon(self.driver.tick_forever)
+        group.start_soon(repeat_guarded, "poll", self.driver.poll_forever)
+        group.start_soon(repeat_guarded, "tick", self.driver.tick_forever)
         group.start_soon(self.controller.run_forever)
 
     async def handle(self, message: Any, peer: str) -> Any:
--- a/marigoldkeel/fleet/directory.py
+++ b/marigoldkeel/fleet/directory.py
@@ -18,6 +18,7 @@
 from marigoldkeel.exceptions import MarigoldkeelError
 from marigoldkeel.fleet.messages import Announce, WorkerFacts
 from marigoldkeel.fleet.work import Resources
+from marigoldkeel.guards import repeat_guarded, run_guarded
 from marigoldkeel.models import Member
 from marigoldkeel.stores import LeasedStore
 from marigoldkeel.transports import PeerPool
@@ -304,10 +305,10 @@
     async def run_forever(self) -> None:
         """Run the registration, announcement and watch loops."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._register_forever)
-            group.start_soon(self._announce_forever)
+            group.start_soon(repeat_guarded, "register", self._register_until_leaving)
+            group.start_soon(repeat_guarded, "announce", self._announce_forever)
             if not self.is_agent:
-                group.start_soon(self._watch_forever)
+                group.start_soon(repeat_guarded, "watch directory", self._watch_forever)
 
     def receive(self, message: Announce) -> None:
         """Handle another daemon's announcement.
@@ -325,9 +326,9 @@
             address = message.member.address
             if now - self.listed_at.get(address, float("-inf")) >= LIST_INTERVAL_S:
                 self.listed_at[address] = now
-                self.group.start_soon(self._announce, address, True)
+                self._start_announcement(address, include_agents=True)
 
-    async def _register_forever(self) -> None:
+    async def _register_until_leaving(self) -> None:
         retry_delay_s = STORE_RETRY_DELAY_S
         while not self.leaving:
             try:
@@ -414,7 +415,7 @@
                     self._announce_addresses(), self.plan_version()
                 )
                 for address in addresses:
-                    self.group.start_soon(self._announce, address, False)
+                    self._start_announcement(address, include_agents=False)
             self.directory.expire(self.clock(), self.is_alive)
             await anyio.sleep(ANNOUNCE_INTERVAL_S)
 
@@ -430,6 +431,11 @@
             addresses |= set(self.seeds)
         return addresses - {self.directory.own_member.address}
 
+    def _start_announcement(self, address: str, include_agents: bool) -> None:
+        self.group.start_soon(
+            run_guarded, "announce", self._announce, address, include_agents
+        )
+
     async def _announce(self, address: str, include_agents: bool) -> None:
         known = self._next_agents() if include_agents else []
         message = Announce(
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -101,7 +101,10 @@
     async def _deliver_after_delay(self) -> None:
         await anyio.sleep(COALESCE_DELAY_S)
         self.delivery_pending = False
-        self.deliver()
+        try:
+            self.deliver()
+        except Exception:
+            logger.exception("unexpected error in step deliver")
 
     async def poll_forever(self) -> None:
         """Poll the worker until cancelled."""
@@ -157,7 +160,12 @@
             logger.info("could not extend the worker's lease: {}", error)
 
     async def _start(self, run: Run) -> None:
-        outcome, reason = await self._start_with_retries(run)
+        try:
+            outcome, reason = await self._start_with_retries(run)
+        except Exception as error:
+            # The order may have been sent, so it counts as unanswered.
+            logger.exception("unexpected error in step start run")
+            outcome, reason = StartOutcome.UNANSWERED, f"internal error: {error}"
         if outcome != StartOutcome.STARTED:
             # With UNANSWERED, the run may have started nevertheless.
             logger.bind(job=run.run_id.task.job_id).info(
@@ -195,7 +203,11 @@
         return StartOutcome.UNANSWERED, reason
 
     async def _stop(self, run: Run) -> None:
-        answered = await self.client.stop(run)
+        try:
+            answered = await self.client.stop(run)
+        except Exception:
+            logger.exception("unexpected error in step stop run")
+            answered = False
         if not answered:
             await anyio.sleep(RETRY_DELAY_S)
         self.supervisor.record_stop_outcome(run, answered)
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -39,6 +39,7 @@
 )
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import NO_RESOURCES, RepeatableJob, Resources
+from marigoldkeel.guards import run_guarded
 from marigoldkeel.models import Member
 from marigoldkeel.transports import Connection, ConnectionListener, PeerPool
 
@@ -309,7 +310,7 @@
             self.scheduler.handle_worker_lost(link.member.name, "agent not reachable")
         if not link.connecting and now >= link.retry_at:
             link.connecting = True
-            self.group.start_soon(self.connect, link)
+            self.group.start_soon(run_guarded, "connect", self.connect, link)
 
     def _check_connected(self, link: AgentLink, now: float) -> None:
         if link.unacknowledged_s(now) > ACKNOWLEDGE_TIMEOUT_S:
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -267,10 +267,13 @@
             service = owned.job.queue.service
             if service not in candidates_by_service:
                 candidates_by_service[service] = self._candidates(service)
-            for number in range(len(owned.job.steps)):
-                self._place_step(owned, number, candidates_by_service[service])
+            try:
+                for number in range(len(owned.job.steps)):
+                    self._place_step(owned, number, candidates_by_service[service])
+            except Exception as error:
+                self._drop_after_error(owned, error)
             if not owned.is_waiting:
-                del self.waiting[owned.job.job_id]
+                self.waiting.pop(owned.job.job_id, None)
 
     def _set_forecast(self, owned: OwnedJob) -> None:
         """Set a job's expected run times and its objective."""
@@ -605,6 +608,16 @@
         owned.answer(answer)
         self._close_if_finished(owned)
 
+    def _drop_after_error(self, owned: OwnedJob, error: Exception) -> None:
+        """End a job that cannot be placed because of an unexpected error.
+
+        Otherwise the error would recur at each attempt and stop all other jobs.
+        """
+        logger.bind(job=owned.job.job_id).exception("unexpected error in step place")
+        state = JobState.UNKNOWN if owned.has_started else JobState.NOT_RUN
+        reason = f"internal error: {error}"
+        self._finish(owned, JobAnswer(state, reason, RETRY_AFTER_S))
+
     def _stop_runs(self, owned: OwnedJob) -> None:
         running: dict[str, list[RunId]] = {}
         for task in owned.all_tasks():
--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -215,16 +215,14 @@
     async def run(self) -> None:
         """Send and receive until the connection ends."""
         try:
-            if self.listener is not None:
-                self.listener.connection_opened(self)
+            self._guard_listener("open connection", "connection_opened")
             async with anyio.create_task_group() as group:
                 group.start_soon(self._write)
                 await self._read(group)
                 group.cancel_scope.cancel()
         finally:
             self._fail_pending()
-            if self.listener is not None:
-                self.listener.connection_closed(self)
+            self._guard_listener("close connection", "connection_closed")
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self.stream)
 
@@ -318,8 +316,8 @@
                 self.counters.bytes_received += length + FRAME_LENGTH.size
                 for envelope in decode_frame(frame, self.peer):
                     self._dispatch(envelope, group)
-                if self.listener is not None:
-                    self.listener.frame_processed(self)
+                if not self._guard_listener("process frame", "frame_processed"):
+                    return
         except STREAM_ERRORS:
             if buffer:
                 logger.warning("connection with {} ended inside a frame", self.peer)
@@ -355,6 +353,22 @@
             logger.exception("unexpected error in step {} from {}", step, self.peer)
             raise ProtocolError(str(error), step, self.peer) from error
 
+    def _guard_listener(self, step: str, event: str) -> bool:
+        """Notify the listener of an event of this connection.
+
+        An unexpected error there would end all connections of the process.
+
+        :return: Whether there was no error.
+        """
+        if self.listener is None:
+            return True
+        try:
+            getattr(self.listener, event)(self)
+        except Exception:
+            logger.exception("unexpected error in step {} with {}", step, self.peer)
+            return False
+        return True
+
     def _resolve(self, pending: PendingRequest, content: Any) -> None:
         if isinstance(content, Error):
             cls = REMOTE_ERRORS.get(content.code, MarigoldkeelError)
