Execute no order that was accepted before a pause, and count suspension in owners' leases

Cause: an agent that was paused between accepting an order and sending it to the worker gave the run a fresh lease after the pause, while the owner had repeated the run elsewhere 1.16 s after the last message. In a machine that is suspended the steady clock stands still, so the leases of owners did not run out either.

Ruled out: the other places where a permission is used. The lease in an order is a time on the worker's clock, so the worker refuses an order that is sent late; a renewal counts from the time at which it was sent.

Change: a run keeps the time at which its owner sent the order, on the clock that includes suspension; the driver looks at it before each attempt, and owners' leases use that clock.

--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -352,7 +352,7 @@
     ):
         super().__init__(settings, store, settings_path)
         self.client = client
-        self.supervisor = Supervisor(self.clock)
+        self.supervisor = Supervisor(self.clock, boot_time_s)
         self.run_durations = RunDurations()
         self.supervisor.on_run_end = self.run_durations.observe
         self.serve_metrics(AGENT_METRICS, self.run_durations.histogram)
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -9,6 +9,7 @@
 
 from marigoldkeel.exceptions import MarigoldkeelError
 from marigoldkeel.fleet.supervisors import (
+    MAX_ORDER_AGE_S,
     WORKER_LEASE_S,
     Phase,
     Run,
@@ -190,6 +191,13 @@
         for attempt, timeout_s in enumerate(START_TIMEOUTS_S):
             if run.phase != Phase.STARTING:
                 break
+            age_s = self.supervisor.order_age_s(run)
+            if age_s > MAX_ORDER_AGE_S + sum(START_TIMEOUTS_S[:attempt]):
+                # This process was paused after it accepted the order.
+                reason = f"the order is {age_s:.2f} s old"
+                if attempt == 0:
+                    return StartOutcome.REFUSED, reason
+                break
             lease_s = lease_ends_at - clock()
             outcome, reason = await self.client.start(run, lease_s, timeout_s)
             if outcome == StartOutcome.STARTED:
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -31,8 +31,8 @@
     workers_to_add,
 )
 from marigoldkeel.fleet.supervisors import (
-    LEASE_MARGIN_S,
     MAX_CLOCK_DRIFT,
+    MAX_ORDER_AGE_S,
     OWNER_LEASE_S,
     WORKER_LEASE_S,
     Supervisor,
@@ -74,9 +74,6 @@
 # Messages are acknowledged within this time, since the owner drops the link after
 # ACKNOWLEDGE_TIMEOUT_S; the difference covers the tick and the network latency.
 ACKNOWLEDGE_INTERVAL_S = 0.2
-# Older start orders are refused: a network partition or a paused process may have
-# delayed them until the owner has repeated the runs elsewhere.
-MAX_ORDER_AGE_S = 3 * LEASE_MARGIN_S
 # Time from the last message to an unreachable agent until its worker has certainly
 # ended all runs of this owner: the agent stops them when the owner's lease expires, and
 # if the agent has failed too, the worker ends them when its own lease expires.
@@ -471,7 +468,7 @@
                 link.owner.incarnation, content, f"the order is {age_s:.2f} s old"
             )
         elif isinstance(content, StartRuns):
-            self.supervisor.start(link.owner.incarnation, content)
+            self.supervisor.start(link.owner.incarnation, content, age_s)
         elif isinstance(content, StopRuns):
             self.supervisor.stop(link.owner.incarnation, content.runs)
         else:
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -44,6 +44,9 @@
 # Maximum relative error of a worker's clock. A slow clock extends the worker's lease.
 MAX_CLOCK_DRIFT = 0.02
 LEASE_MARGIN_S = 0.05
+# Older start orders are not executed: a network partition or a pause of a process may
+# have delayed them until the owner has repeated the runs elsewhere.
+MAX_ORDER_AGE_S = 3 * LEASE_MARGIN_S
 # A poll result older than this no longer describes the worker's current state.
 MAX_POLL_AGE_S = 0.5
 # A run is stopped if its progress has not changed for this fraction of its expected run
@@ -92,6 +95,7 @@
     """A run that exists or may exist on the worker.
 
     :ivar demand: None if unknown; no further runs are started in that case.
+    :ivar sent_at: When the owner sent the order, on the clock that includes suspension.
     :ivar order_answered_at: When the worker answered the last order for this run; None
         while an order is outstanding.
     :ivar confirmed: Whether a poll has listed the run.
@@ -103,7 +107,7 @@
     owner: str
     demand: Resources | None
     phase: Phase
-    ordered_at: float
+    sent_at: float
     payload: str = ""
     expected_s: float = 0.0
     order_answered_at: float | None = None
@@ -119,7 +123,8 @@
 class Owner:
     """An entry that may own runs on this worker.
 
-    :ivar lease_renewed_at: When the owner sent the last message that renewed its lease.
+    :ivar lease_renewed_at: When the owner sent the last message that renewed its lease,
+        on the clock that includes suspension.
     """
 
     incarnation: str
@@ -178,6 +183,10 @@
 class Supervisor:
     """Tracks the runs and the free capacity of one worker.
 
+    :param clock: Returns monotonic seconds; measures what happens on this machine.
+    :param suspended_clock: Returns seconds of a clock that includes time in system
+        suspend; measures the leases and orders of owners on other machines.
+
     Usage::
 
         supervisor = Supervisor(clock=time.monotonic)
@@ -189,8 +198,13 @@
         for notification in supervisor.take_notifications(): ...
     """
 
-    def __init__(self, clock: Callable[[], float]):
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        suspended_clock: Callable[[], float] | None = None,
+    ):
         self.clock = clock
+        self.suspended_clock = suspended_clock or clock
         self.facts: WorkerFacts | None = None
         self.report_sequence = -1
         self.boot = 0
@@ -208,7 +222,7 @@
         self.last_demand = NO_RESOURCES
         self.orders: list[StartOrder | StopOrder] = []
         self.notifications: list[OwnerNotification] = []
-        self.last_tick_at = clock()
+        self.last_tick_at = self.suspended_clock()
         self.on_run_end: Callable[[RunEnd, float], None] = lambda end, run_s: None
 
     # Events from the worker
@@ -325,7 +339,7 @@
         for other in list(self.owners.values()):
             if other.name == message.owner.name and other.incarnation != owner:
                 self._remove_owner(other)
-        self.owners[owner] = Owner(owner, message.owner.name, self.clock())
+        self.owners[owner] = Owner(owner, message.owner.name, self.suspended_clock())
         held = {item.run: item.demand for item in message.held}
         for run in list(self.runs.values()):
             if run.owner == owner and run.run_id not in held:
@@ -343,7 +357,7 @@
         owner_state = self.owners.get(owner)
         if owner_state is not None:
             owner_state.lease_renewed_at = max(
-                owner_state.lease_renewed_at, self.clock() - age_s
+                owner_state.lease_renewed_at, self.suspended_clock() - age_s
             )
         return owner_state is not None
 
@@ -353,9 +367,12 @@
             if run_id not in self.runs:
                 self._notify_refused(owner, run_id, reason)
 
-    def start(self, owner: str, message: StartRuns) -> None:
-        """Start the runs for which there is capacity now and refuse the others."""
-        now = self.clock()
+    def start(self, owner: str, message: StartRuns, age_s: float = 0.0) -> None:
+        """Start the runs for which there is capacity now and refuse the others.
+
+        :param age_s: Time since the owner sent the message.
+        """
+        sent_at = self.suspended_clock() - age_s
         for run_id in message.run_ids():
             if run_id in self.runs:
                 continue
@@ -368,7 +385,7 @@
                 owner,
                 message.demand,
                 Phase.STARTING,
-                now,
+                sent_at,
                 message.payload,
                 message.expected_ms / 1000,
             )
@@ -385,11 +402,15 @@
             elif run.owner == owner:
                 self._stop(run, RunEnd.STOPPED)
 
+    def order_age_s(self, run: Run) -> float:
+        """Return the time since the owner ordered a run, including any suspension."""
+        return self.suspended_clock() - run.sent_at
+
     # Periodic work
 
     def tick(self) -> None:
         """Stop unclaimed runs, stalled runs, and runs whose owner's lease expired."""
-        now = self.clock()
+        now = self.suspended_clock()
         was_paused = now - self.last_tick_at > OWNER_LEASE_S / 2
         self.last_tick_at = now
         if was_paused:
@@ -400,6 +421,7 @@
             lease_expired = now - owner.lease_renewed_at > OWNER_LEASE_S
             if lease_expired and owner.incarnation in owners_with_runs:
                 self._remove_owner(owner)
+        now = self.clock()
         for run in list(self.runs.values()):
             if (
                 run.phase == Phase.FOUND
@@ -525,7 +547,8 @@
         if run is None:
             owner, demand = self.pending_claims.pop(row.run_id, ("", None))
             phase = Phase.RUNNING if owner else Phase.FOUND
-            run = Run(row.run_id, owner, demand, phase, now, order_answered_at=now)
+            sent_at = self.suspended_clock()
+            run = Run(row.run_id, owner, demand, phase, sent_at, order_answered_at=now)
             run.started_at = run.progressed_at = now
             self.runs[row.run_id] = run
         run.confirmed = True
--- a/tests/fleet/test_drivers.py
+++ b/tests/fleet/test_drivers.py
@@ -10,9 +10,11 @@
     Phase,
     Run,
     StartOutcome,
+    StopOrder,
+    Supervisor,
     WorkerPoll,
 )
-from tests.fleet.test_supervisors import Agent, run_id, start_message
+from tests.fleet.test_supervisors import FACTS, Agent, run_id, start_message
 
 
 pytestmark = pytest.mark.anyio
@@ -84,6 +86,74 @@
     assert set(client.leases_end_at) == {lease_ends_at}
 
 
+def make_suspendable_agent(suspensions: list[float]) -> Agent:
+    """Return an agent whose steady clock does not count the given suspensions."""
+    agent = Agent()
+    agent.supervisor = Supervisor(
+        agent.clock, lambda: agent.clock.now + sum(suspensions)
+    )
+    agent.supervisor.update_facts(FACTS, 1)
+    agent.poll()
+    agent.attach()
+    return agent
+
+
+@pytest.mark.parametrize("is_suspended", [False, True], ids=["paused", "suspended"])
+@pytest.mark.parametrize(
+    ("pause_s", "outcome"),
+    [(0.0, STARTED), (0.1, STARTED), (0.2, REFUSED), (3, REFUSED)],
+)
+async def test_order_accepted_before_a_pause_is_not_executed_after_it(
+    is_suspended, pause_s, outcome
+):
+    # The order got a fresh lease after the pause, while its owner had repeated the run
+    # on another worker.
+    suspensions = [0.0]
+    agent = make_suspendable_agent(suspensions)
+    client = ScriptedClient(agent, starts=[STARTED])
+    driver = WorkerDriver(agent.supervisor, client, lambda: None, None)
+    run = order_start(agent)
+    if is_suspended:
+        suspensions.append(pause_s)
+    else:
+        agent.clock.now += pause_s
+    assert (await driver._start_with_retries(run))[0] == outcome
+    assert len(client.leases_end_at) == (outcome == STARTED)
+
+
+async def test_order_is_not_repeated_after_a_pause():
+    agent = Agent()
+    client = ScriptedClient(agent, starts=[UNANSWERED, STARTED])
+    driver = WorkerDriver(agent.supervisor, client, lambda: None, None)
+    run = order_start(agent)
+    client_start = client.start
+
+    async def start(*arguments):
+        answer = await client_start(*arguments)
+        agent.clock.now += 1.0
+        return answer
+
+    client.start = start
+    assert (await driver._start_with_retries(run))[0] == UNANSWERED
+    assert len(client.leases_end_at) == 1
+
+
+@pytest.mark.parametrize("suspended_s", [0.0, 2.0])
+def test_lease_of_an_owner_ends_while_the_machine_is_suspended(suspended_s):
+    # The steady clock does not count this time, but the owner has repeated the run.
+    suspensions = [0.0]
+    agent = make_suspendable_agent(suspensions)
+    agent.start(0)
+    agent.poll(run_id(0))
+    agent.supervisor.tick()
+    suspensions.append(suspended_s)
+    for _ in range(2):
+        agent.clock.now += 0.05
+        agent.supervisor.tick()
+    orders = [type(order) for order in agent.supervisor.take_orders()]
+    assert orders == ([StopOrder] if suspended_s else [])
+
+
 async def test_start_is_not_repeated_for_a_run_that_is_being_stopped():
     agent = Agent()
     client = ScriptedClient(agent, starts=[UNANSWERED, STARTED])
