--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -279,11 +279,18 @@
             if now - link.usable_at > MISSING_AFTER_S
         }
         chosen = self.subset.choose(self.count_entries(), missing, now)
-        for name in chosen:
-            if name in self.links:
-                self.links[name].wanted_at = now
-            else:
-                self._create(self.subset.agents[name])
+        added = chosen - self.links.keys()
+        for name in chosen - added:
+            self.links[name].wanted_at = now
+        for name in added:
+            self._create(self.subset.agents[name])
+        if added:
+            logger.bind(
+                known=len(self.subset.agents),
+                links=len(self.links),
+                missing=len(missing),
+                needed_by_jobs=len(self.subset.pinned),
+            ).info("subset extended by {} agents", len(added))
         for link in list(self.links.values()):
             has_runs = bool(self.fleet.view(link.member.name).placed)
             may_have_runs = link.connecting or link.runs_expire_at is not None
--- a/marigoldkeel/fleet/metrics.py
+++ b/marigoldkeel/fleet/metrics.py
@@ -61,6 +61,14 @@
     )
 
 
+def agents_by_choice(entry) -> Samples:
+    """Return the number of agents that an entry knows and that it has chosen."""
+    links = entry.links
+    return labelled_samples(
+        "choice", {"known": len(links.subset.agents), "chosen": len(links.links)}
+    )
+
+
 def workers_by_state(entry) -> Samples:
     """Return the number of workers known to an entry, by state."""
     views = entry.fleet.workers.values()
@@ -115,7 +123,13 @@
         lambda entry: entry.in_progress,
     ),
     Metric(Gauge, "marigoldkeel_jobs", "Jobs owned by this entry.", jobs_by_phase),
-    Metric(Gauge, "marigoldkeel_workers", "Known workers.", workers_by_state),
+    Metric(Gauge, "marigoldkeel_workers", "Connected workers.", workers_by_state),
+    Metric(
+        Gauge,
+        "marigoldkeel_agents",
+        "Known agents, and those of them that this entry is or should be connected to.",
+        agents_by_choice,
+    ),
 )
 AGENT_METRICS = (
     *COMMON_METRICS,
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -18,6 +18,8 @@
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum
 
+from loguru import logger
+
 from marigoldkeel.fleet.messages import (
     Attach,
     Progress,
@@ -420,6 +422,13 @@
         for owner in list(self.owners.values()):
             lease_expired = now - owner.lease_renewed_at > OWNER_LEASE_S
             if lease_expired and owner.incarnation in owners_with_runs:
+                logger.bind(
+                    owner=owner.incarnation,
+                    silent_ms=round(1000 * (now - owner.lease_renewed_at)),
+                    runs=sum(
+                        run.owner == owner.incarnation for run in self.runs.values()
+                    ),
+                ).info("owner {} dropped: its lease has expired", owner.name)
                 self._remove_owner(owner)
         now = self.clock()
         for run in list(self.runs.values()):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -261,6 +261,7 @@
             [
                 'marigoldkeel_job_seconds_count{outcome="done",queue="stock"} 1.0',
                 'marigoldkeel_workers{state="ready"} 2',
+                'marigoldkeel_agents{choice="chosen"} 2',
                 "marigoldkeel_plan_version 2",
             ],
         ),
