--- a/bench/fleet_costs.py
+++ b/bench/fleet_costs.py
@@ -90,7 +90,7 @@
             callers.jobs.append(job)
             content = job_content(job, WORK_MS)
             content["steps"][0]["cpu"] = 500
-            group.start_soon(callers._send_attempt, job, content)
+            group.start_soon(callers.send_attempt, job, content)
             await anyio.sleep(1 / jobs_per_s)
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -95,7 +95,7 @@
     async def _submit(self, job: SentJob) -> None:
         content = job_content(job, self.random.choice(WORK_MS))
         for _ in range(MAX_ATTEMPTS):
-            attempt = await self._send_attempt(job, content)
+            attempt = await self.send_attempt(job, content)
             should_retry = (
                 isinstance(attempt.outcome, str) or attempt.outcome in RETRY_STATUSES
             )
@@ -108,12 +108,12 @@
         while True:
             job = SentJob(f"{self.random.getrandbits(64):016x}", 1, False, 1.0)
             self.jobs.append(job)
-            attempt = await self._send_attempt(job, job_content(job, WORK_MS[0]), entry)
+            attempt = await self.send_attempt(job, job_content(job, WORK_MS[0]), entry)
             if attempt.state == "done":
                 return
             await anyio.sleep(PROBE_INTERVAL_S)
 
-    async def _send_attempt(
+    async def send_attempt(
         self, job: SentJob, content: dict, entry: Program | None = None
     ) -> Attempt:
         entry = entry or self.random.choice(self.installation.entries)
