Wake an idle server once a second instead of ten times

Cause: uvicorn looks ten times a second whether it should exit, for each of the two or three servers of a daemon: a third of the wake-ups of an idle agent and entry.

Change: its loop only updates the date of the response headers; the servers are cancelled.

--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -18,6 +18,7 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 SHUTDOWN_TIMEOUT_S = 10
 LISTEN_BACKLOG = 2048
+TICK_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
@@ -224,6 +225,13 @@
         # The daemons handle signals themselves so that they drain before stopping.
         yield
 
+    async def main_loop(self) -> None:
+        # uvicorn looks ten times a second for a request to exit, which would be most of
+        # the wake-ups of an idle daemon. These servers are cancelled instead; only the
+        # date in the response headers has to be updated.
+        while not await self.on_tick(0):
+            await anyio.sleep(TICK_INTERVAL_S)
+
 
 async def serve_http(
     application: HttpApplication,
