Keep agents whose records expired in an outage of the store until they are back

Cause: an entry without a link to an agent forgot it as soon as the store reported its record as removed. After an outage in which all records expired, an entry of a large fleet knew its 32 connected agents only, took 35 entries to share them, and would have forecast a fifth of its cores until the records were written again. Found by reading.

Change: a daemon whose record is removed stays for 3 s; records are back within two.

Test: removal and listing, with and without return; it failed before.

--- a/marigoldkeel/fleet/directory.py
+++ b/marigoldkeel/fleet/directory.py
@@ -33,6 +33,9 @@
 # A daemon without a record in the store is removed this long after its last
 # announcement.
 EXPIRE_AFTER_S = 10.0
+# How long a daemon is kept whose record has been removed. After an outage of the store
+# all records may have expired, and the daemons write them again within two seconds.
+UNSTORED_GRACE_S = 3.0
 ANNOUNCE_INTERVAL_S = 0.5
 # Entries that an announcement is sent to at least, if there are as many.
 MIN_ANNOUNCED_ENTRIES = 3
@@ -174,16 +177,18 @@
     def replace_stored(self, records: list[DaemonRecord], now: float) -> None:
         """Apply a full listing of the store; other daemons are marked as not stored."""
         names = {record.name for record in records}
-        for daemon in self.daemons.values():
-            daemon.stored = daemon.stored and daemon.member.name in names
+        for name in self.daemons.keys() - names:
+            self.mark_not_stored(name, now)
         for record in records:
             self.upsert_stored(record, now)
 
-    def mark_not_stored(self, name: str) -> None:
-        """Mark a daemon as not stored."""
+    def mark_not_stored(self, name: str, now: float) -> None:
+        """Mark a daemon as not stored; it is removed later unless it is back."""
         daemon = self.daemons.get(name)
-        if daemon is not None:
+        if daemon is not None and daemon.stored:
             daemon.stored = False
+            kept_until = now + UNSTORED_GRACE_S
+            daemon.refreshed_at = max(daemon.refreshed_at, kept_until - EXPIRE_AFTER_S)
 
     def expire(self, now: float, is_alive: Callable[[str], bool]) -> None:
         """Remove daemons that are not stored, not connected and no longer announced."""
@@ -402,7 +407,8 @@
             RECORD_PREFIX, revision, WATCH_IDLE_TIMEOUT_S
         ):
             if change.data is None:
-                self.directory.mark_not_stored(change.key.removeprefix(RECORD_PREFIX))
+                name = change.key.removeprefix(RECORD_PREFIX)
+                self.directory.mark_not_stored(name, self.clock())
                 continue
             record = decode_record(change.data)
             if record is not None:
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -10,6 +10,7 @@
     EXPIRE_AFTER_S,
     LIST_INTERVAL_S,
     MAX_ANNOUNCED_AGENTS,
+    UNSTORED_GRACE_S,
     AnnouncementRounds,
     DaemonRecord,
     Directory,
@@ -112,7 +113,7 @@
     site = Controlled()
     site.directory.upsert_stored(make_record(0), 0.0)
     if not stored:
-        site.directory.mark_not_stored("agent-0")
+        site.directory.mark_not_stored("agent-0", 0.0)
     if connected:
         site.connected.add("agent-0")
     names = [member.name for member in site.controller._next_agents()]
@@ -138,6 +139,26 @@
     assert site.directory.daemons["agent-0"].member == (old if replaced else new)
 
 
+@pytest.mark.parametrize("way", ["removal", "listing"])
+@pytest.mark.parametrize("returns", [True, False])
+def test_agent_whose_record_expired_may_return_within_two_seconds(way, returns):
+    # After an outage of the store all records had expired. Agents without a link were
+    # forgotten at once, so an entry took its share of the cores for much too small.
+    site = Controlled()
+    site.directory.upsert_stored(make_record(0), 0.0)
+    site.now = 100.0
+    if way == "removal":
+        site.directory.mark_not_stored("agent-0", site.now)
+    else:
+        site.directory.replace_stored([], site.now)
+    site.directory.expire(site.now + 2.0, lambda name: False)
+    assert site.removed == []
+    if returns:
+        site.directory.upsert_stored(make_record(0), site.now + 2.0)
+    site.directory.expire(site.now + UNSTORED_GRACE_S + 0.1, lambda name: False)
+    assert site.removed == ([] if returns else ["agent-0"])
+
+
 def test_agent_that_nobody_lists_any_more_is_removed():
     site = Controlled()
     site.receive(make_agent(0))
