Create the links of a subset in a fixed order

Links were created in the order of a set of names, which depends on the hash seed of the process, so the same simulation played differently in each run.

Change: the names are sorted. The check and its bound stay as they are.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -290,7 +290,8 @@
         added = chosen - self.links.keys()
         for name in chosen - added:
             self.links[name].wanted_at = now
-        for name in added:
+        # In a fixed order, so that a simulation repeats.
+        for name in sorted(added):
             self._create(self.subset.agents[name])
         if added:
             logger.bind(
