Learn the speed of a new worker from its first comparisons

Of the late jobs nearly all arrive in the first second, before an entry knows which workers are slow: a comparison had a weight of 0.1 from the first one on.

Change: the first comparisons of a worker have the weights 0.5, 0.5, 0.33 and so on, down to 0.1. The check and its bound stay.

--- a/marigoldkeel/fleet/forecasts.py
+++ b/marigoldkeel/fleet/forecasts.py
@@ -13,9 +13,10 @@
 from dataclasses import dataclass, field
 
 
-# Learning rate for a comparison with tasks of the same step: a worker's speed is
-# learned after about ten of them.
+# Lowest learning rate for a comparison with tasks of the same step. The first
+# comparisons of a worker have larger weights.
 SIBLING_WEIGHT = 0.1
+MAX_SIBLING_WEIGHT = 0.5
 # Learning rate for a comparison with the job's forecast, the only one for a run without
 # siblings.
 FORECAST_WEIGHT = 0.015
@@ -78,10 +79,12 @@
 
     :ivar log_slowdown: For each worker the logarithm of its run time over the fleet's
         mean run time.
+    :ivar comparisons: How often each worker was compared with others.
     :ivar hints: The accuracy of each hint, by queue and position of the hint.
     """
 
     log_slowdown: dict[str, float] = field(default_factory=dict)
+    comparisons: dict[str, int] = field(default_factory=dict)
     hints: dict[tuple[str, int], HintAccuracy] = field(default_factory=dict)
 
     def critical_path_s(self, queue: str, hints_s: list[float]) -> float:
@@ -143,23 +146,31 @@
         if others:
             logs = [math.log(self.work_s(item)) for item in others]
             log_error = self._log_error(math.exp(sum(logs) / len(logs)), sample)
-            weight = (
-                OUTLIER_WEIGHT if abs(log_error) > OUTLIER_LOG_RATIO else SIBLING_WEIGHT
-            )
+            weight = self._sibling_weight(sample.worker)
+            if abs(log_error) > OUTLIER_LOG_RATIO:
+                weight = max(weight, OUTLIER_WEIGHT)
             self._adjust(sample.worker, log_error, weight)
             for item in others:
-                self._adjust(item.worker, -log_error / len(others), SIBLING_WEIGHT)
+                weight = self._sibling_weight(item.worker)
+                self._adjust(item.worker, -log_error / len(others), weight)
         self._normalize()
 
     def reset_speed(self, worker: str) -> None:
         """Discard the learned speed of a worker that has left or was replaced."""
         self.log_slowdown.pop(worker, None)
+        self.comparisons.pop(worker, None)
 
     def _log_error(self, expected_s: float, sample: Sample) -> float:
         limit = math.log(MAX_FACTOR)
         log_error = math.log(self.work_s(sample) / max(MIN_RUN_S, expected_s))
         return max(-limit, min(limit, log_error))
 
+    def _sibling_weight(self, worker: str) -> float:
+        """Count a comparison of a worker, and return the weight that it has."""
+        count = self.comparisons.get(worker, 0) + 1
+        self.comparisons[worker] = count
+        return max(SIBLING_WEIGHT, min(MAX_SIBLING_WEIGHT, 1 / count))
+
     def _adjust(self, worker: str, log_error: float, weight: float) -> None:
         self.log_slowdown[worker] = (
             self.log_slowdown.get(worker, 0.0) + weight * log_error
--- a/tests/fleet/test_forecasts.py
+++ b/tests/fleet/test_forecasts.py
@@ -42,6 +42,14 @@
         assert speed / forecaster.speed("slow") == pytest.approx(1.2 / 0.55, rel=0.2)
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_slow_worker_is_recognized_after_a_few_jobs(seed):
+    speeds = {"slow": 0.55, "x": 1.2, "y": 1.2, "z": 1.2}
+    forecaster = train_forecaster(speeds, 4, seed=seed)
+    slowest_fast = min(forecaster.speed(name) for name in "xyz")
+    assert slowest_fast / forecaster.speed("slow") > 1.6
+
+
 def test_estimates_that_are_always_too_low_are_corrected():
     forecaster = train_forecaster({"x": 1.0, "y": 1.0}, 250, bias=3.0)
     assert forecaster.critical_path_s("q", [1.0]) == pytest.approx(3.0, rel=0.3)
--- a/tests/fleet/test_plays.py
+++ b/tests/fleet/test_plays.py
@@ -231,6 +231,17 @@
     assert sum(shares) / len(shares) > 0.95
 
 
+def test_jobs_are_in_time_soon_after_the_entries_have_started():
+    """Covers the second in which the entries learn the speeds of the workers."""
+    shares = []
+    for seed in range(1, 9):
+        simulation = make_fleet(seed)
+        offer_mixed_load(simulation, 0.5, 1.0, 2.5)
+        simulation.run(6.0)
+        shares.append(share_in_time(simulation, NORMAL, since=1.5))
+    assert sum(shares) / len(shares) > 0.95
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_urgent_jobs_are_in_time_while_answers_to_orders_are_lost(seed):
     # One order in 18 gets no answer; jobs of eight tasks must tolerate that.
