Make the data classes msgspec structs

Cause: after a loss of power the worst windows last until the daemons have started, and about 0.36 s of processor time goes into imports, a sixth of it into the generation of 113 dataclasses (each compiles its methods from text).

Ruled out: stripping docstrings with -OO (no difference in six starts each); uvicorn and loguru import click, logging and multiprocessing whatever is used of them.

Change: the classes derive from msgspec.Struct, which creates them without compiling and has their constructors, comparisons and hashes in C. Fields, defaults and names stay; the status reports use msgspec.to_builtins, copies msgspec.structs.replace.

--- a/marigoldkeel/attempts.py
+++ b/marigoldkeel/attempts.py
@@ -4,10 +4,10 @@
 import re
 import uuid
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
+from msgspec import Struct, field
 
 from marigoldkeel.exceptions import (
     Conflict,
@@ -77,8 +77,7 @@
     may_have_run: list[int] = []
 
 
-@dataclass(slots=True)
-class EntryAnswer:
+class EntryAnswer(Struct):
     """The answer of an entry to one attempt."""
 
     outcome: Outcome
@@ -93,15 +92,13 @@
     may_have_run: list[int] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class NotSent:
+class NotSent(Struct):
     """No part of the request was sent, so the entry cannot have received it."""
 
     reason: str = ""
 
 
-@dataclass(slots=True)
-class NoAnswer:
+class NoAnswer(Struct):
     """The entry may have received the request, but no valid answer arrived."""
 
     reason: str = ""
@@ -153,8 +150,7 @@
     return 0.0
 
 
-@dataclass(slots=True)
-class Attempt:
+class Attempt(Struct):
     """The next action: send the submission to ``entry`` after ``delay_s`` seconds.
 
     ``unanswered`` is the number of earlier attempts with this id that have no
@@ -183,8 +179,7 @@
         ]
 
 
-@dataclass(slots=True)
-class Finished:
+class Finished(Struct):
     """The end of a submission: either a complete answer or an error to raise."""
 
     answer: EntryAnswer | None = None
--- a/marigoldkeel/audit.py
+++ b/marigoldkeel/audit.py
@@ -9,13 +9,13 @@
 import random
 import uuid
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
 from datetime import UTC, datetime
 from enum import StrEnum
 from typing import Any
 
 import anyio
 import msgspec
+from msgspec import Struct, field
 
 from marigoldkeel.configuration import (
     Configuration,
@@ -74,8 +74,7 @@
         return {*self.before, *self.after}
 
 
-@dataclass(slots=True)
-class VersionedConfiguration:
+class VersionedConfiguration(Struct):
     """The configuration at ``revision``, which is 0 if none has been stored yet."""
 
     revision: int
@@ -119,8 +118,7 @@
     audit_chunk: int = 0
 
 
-@dataclass(slots=True)
-class ChangeResult:
+class ChangeResult(Struct):
     """The result of a change.
 
     :ivar revision: The revision at which the change was accepted, otherwise 0.
@@ -145,8 +143,7 @@
     intervening_changes: list[AuditRecord] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class _StoredState:
+class _StoredState(Struct):
     """The stored configuration and the newest audit chunk."""
 
     current: VersionedConfiguration
@@ -155,8 +152,7 @@
     records: list[AuditRecord]
 
 
-@dataclass(slots=True)
-class _Transaction:
+class _Transaction(Struct):
     """A change prepared for one stored state, and the writes that commit it."""
 
     state: _StoredState
--- a/marigoldkeel/claims.py
+++ b/marigoldkeel/claims.py
@@ -26,9 +26,10 @@
     True
 """
 
-from dataclasses import dataclass
 from enum import Enum, IntEnum
 
+from msgspec import Struct
+
 
 # How far ahead of the local clock the mint time of an accepted id may be.
 MAX_CLOCK_SKEW_MS = 60_000
@@ -80,16 +81,14 @@
     STOPPED = "stopped"
 
 
-@dataclass(slots=True)
-class ClaimRecord:
+class ClaimRecord(Struct):
     """The claim of one submission id at one member."""
 
     digest: bytes
     state: ClaimState
 
 
-@dataclass(slots=True)
-class RegisterSnapshot:
+class RegisterSnapshot(Struct):
     """The complete state of a register, as transferred to a new standby."""
 
     low_water_ms: int
--- a/marigoldkeel/daemons.py
+++ b/marigoldkeel/daemons.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 from contextlib import AsyncExitStack
-from dataclasses import replace
 from typing import Any
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup, TaskStatus
 from loguru import logger
 
@@ -144,7 +144,9 @@
             serve_peers, self.settings.listen, self._handle, self.peers.counters
         )
         if not self.settings.advertise:
-            self.board.member = replace(self.board.member, address=bound)
+            self.board.member = msgspec.structs.replace(
+                self.board.member, address=bound
+            )
         host, port = parse_address(self.settings.http)
         self.http_address = await group.start(serve_http, self.routes(), host, port)
         for follower in self.followers:
--- a/marigoldkeel/demo.py
+++ b/marigoldkeel/demo.py
@@ -2,10 +2,10 @@
 
 import time
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 
 import anyio
 import msgspec
+from msgspec import Struct, field
 
 from marigoldkeel.agents import Agent
 from marigoldkeel.audit import ConfigurationStore
@@ -26,8 +26,7 @@
 READY_POLL_S = 0.05
 
 
-@dataclass(slots=True)
-class LocalSystem:
+class LocalSystem(Struct):
     """A store stand-in, entries, agents and runners on one event loop.
 
     Usage::
@@ -150,8 +149,7 @@
         return AsyncSession(addresses, team, **options)
 
 
-@dataclass(slots=True)
-class Timing:
+class Timing(Struct):
     """The response times of one kind of request, in seconds."""
 
     kind: str
--- a/marigoldkeel/dispatch.py
+++ b/marigoldkeel/dispatch.py
@@ -3,7 +3,8 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.heartbeats import PeerState
@@ -18,8 +19,7 @@
 TASKS_PER_OFFER = 8
 
 
-@dataclass(slots=True)
-class Placement:
+class Placement(Struct):
     """The agents chosen for the tasks of a job.
 
     ``probes`` maps agent incarnations to the number of tasks offered to each.
--- a/marigoldkeel/ejection.py
+++ b/marigoldkeel/ejection.py
@@ -4,7 +4,8 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 
 RESULT_WINDOW = 10
@@ -20,8 +21,7 @@
 NEUTRAL_WEIGHT = 0.5
 
 
-@dataclass(slots=True)
-class TargetHealth:
+class TargetHealth(Struct):
     """Health statistics of a target; ``slowness`` is 1.0 at average speed."""
 
     results: deque = field(default_factory=lambda: deque(maxlen=RESULT_WINDOW))
@@ -33,8 +33,7 @@
     reinstated_at: float = float("-inf")
 
 
-@dataclass(slots=True)
-class KindHealth:
+class KindHealth(Struct):
     """Failure streaks of a kind by target, the least recently updated target first."""
 
     streaks: dict[str, tuple[int, float]] = field(default_factory=dict)
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import hmac
-from dataclasses import asdict
 
 import anyio
 import msgspec
@@ -134,7 +133,7 @@
             **board_report(self.board),
             "http": self.http_address,
             "requests_in_progress": self.in_progress,
-            "messages": asdict(self.peers.counters),
+            "messages": msgspec.to_builtins(self.peers.counters),
         }
 
     async def _serve_submission(
--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -1,12 +1,12 @@
 """Runs tasks from the agent's queue in free slots of its targets."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
 from loguru import logger
+from msgspec import Struct, field
 
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.exceptions import MarigoldkeelError
@@ -39,8 +39,7 @@
 MAX_REMEMBERED_STARTS = 100_000
 
 
-@dataclass(slots=True)
-class PushedTask:
+class PushedTask(Struct):
     """A task pushed by a primary or an entry, which waits for the result."""
 
     message: Run
@@ -55,8 +54,7 @@
         self.done.set()
 
 
-@dataclass(slots=True)
-class ProbedJob:
+class ProbedJob(Struct):
     """A job offered by a primary.
 
     ``pending`` is the last known number of its tasks that are not granted to any agent.
--- a/marigoldkeel/fleet/admission.py
+++ b/marigoldkeel/fleet/admission.py
@@ -6,7 +6,7 @@
 and the remaining jobs are not delayed too.
 """
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
 # An answer is late after the job's objective, and useless after this many times it.
@@ -18,8 +18,7 @@
 OVERHEAD_S = 0.01
 
 
-@dataclass(slots=True)
-class WaitForecast:
+class WaitForecast(Struct):
     """Times of a waiting job, in seconds.
 
     :ivar waited_s: Time since its arrival.
--- a/marigoldkeel/fleet/directory.py
+++ b/marigoldkeel/fleet/directory.py
@@ -8,12 +8,12 @@
 import hashlib
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
 from loguru import logger
+from msgspec import Struct, field
 
 from marigoldkeel.exceptions import MarigoldkeelError
 from marigoldkeel.fleet.messages import Announce, WorkerFacts
@@ -95,8 +95,7 @@
         return Member(self.name, self.incarnation, self.address, self.domain)
 
 
-@dataclass(slots=True)
-class KnownDaemon:
+class KnownDaemon(Struct):
     """A daemon in the directory.
 
     :ivar stored: Whether the store holds a record of the daemon.
@@ -229,8 +228,7 @@
         return self.cached_digest
 
 
-@dataclass(slots=True)
-class AnnouncementRounds:
+class AnnouncementRounds(Struct):
     """Chooses the entries that this daemon announces itself to in each round.
 
     Designed for dozens of entries, of which each would otherwise handle an announcement
--- a/marigoldkeel/fleet/forecasts.py
+++ b/marigoldkeel/fleet/forecasts.py
@@ -10,7 +10,8 @@
 """
 
 import math
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 
 # Lowest learning rate for a comparison with tasks of the same step. The first
@@ -37,16 +38,14 @@
 DEFAULT_CRITICAL_PATH_S = 0.3
 
 
-@dataclass(slots=True)
-class Sample:
+class Sample(Struct):
     """The run time of a task on a worker, measured or predicted from its progress."""
 
     worker: str
     run_s: float
 
 
-@dataclass(slots=True)
-class HintAccuracy:
+class HintAccuracy(Struct):
     """The observed accuracy of one kind of hint in one queue.
 
     :ivar observations: How many jobs were observed.
@@ -73,8 +72,7 @@
             )
 
 
-@dataclass(slots=True)
-class Forecaster:
+class Forecaster(Struct):
     """Forecasts job durations and worker speeds.
 
     :ivar log_slowdown: For each worker the logarithm of its run time over the fleet's
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -6,12 +6,12 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
+from msgspec import Struct, field
 
 from marigoldkeel.exceptions import MarigoldkeelError, PeerUnavailable
 from marigoldkeel.fleet.messages import (
@@ -85,8 +85,7 @@
 )
 
 
-@dataclass(slots=True)
-class AgentLink:
+class AgentLink(Struct):
     """An entry's connection to one agent.
 
     :ivar unacknowledged: Send times of the messages that no `WorkerState` of the agent
@@ -425,8 +424,7 @@
         self.scheduler.remove_worker(link.member.name, "agent replaced")
 
 
-@dataclass(slots=True)
-class OwnerLink:
+class OwnerLink(Struct):
     """An agent's connection to one owner, and what was last sent on it.
 
     :ivar last_sequence: The highest sequence number received from the owner.
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -5,9 +5,10 @@
 account and that the agent has renewed its lease.
 """
 
-from dataclasses import dataclass, field
 from enum import IntEnum
 
+from msgspec import Struct, field
+
 from marigoldkeel.fleet.work import NO_RESOURCES, Resources, RunEnd, RunId, TaskId
 from marigoldkeel.messages import message
 from marigoldkeel.models import Member
@@ -17,8 +18,7 @@
 
 
 @message("announce")
-@dataclass(slots=True)
-class Announce:
+class Announce(Struct):
     """Announces the sender to another daemon.
 
     :ivar is_agent: Whether the sender is an agent.
@@ -35,8 +35,7 @@
 
 
 @message("workerFacts")
-@dataclass(slots=True)
-class WorkerFacts:
+class WorkerFacts(Struct):
     """A worker's description of itself; sent to each owner when it changes.
 
     :ivar boot: Identifies one start of the worker; a higher value is later.
@@ -53,8 +52,7 @@
     leaves_in_ms: int = 0
 
 
-@dataclass(slots=True)
-class HeldRun:
+class HeldRun(Struct):
     """A run that its owner believes to be on the agent's worker."""
 
     run: RunId = NO_RUN
@@ -62,8 +60,7 @@
 
 
 @message("attach")
-@dataclass(slots=True)
-class Attach:
+class Attach(Struct):
     """First message on a link: identifies the owner and lists its runs on the worker.
 
     :ivar facts: The facts of the worker that the owner received last. They let a
@@ -76,8 +73,7 @@
     facts: WorkerFacts = field(default_factory=WorkerFacts)
 
 
-@dataclass(slots=True)
-class RunNumber:
+class RunNumber(Struct):
     """Identifies one run of a task of the step in `StartRuns`."""
 
     index: int = 0
@@ -85,8 +81,7 @@
 
 
 @message("startRuns")
-@dataclass(slots=True)
-class StartRuns:
+class StartRuns(Struct):
     """Asks the agent to start runs of one step. It starts each immediately or refuses.
 
     :ivar expected_ms: The run time on this worker as estimated by the owner.
@@ -118,8 +113,7 @@
 
 
 @message("stopRuns")
-@dataclass(slots=True)
-class StopRuns:
+class StopRuns(Struct):
     """Asks the agent to stop runs."""
 
     sequence: int = 0
@@ -127,8 +121,7 @@
 
 
 @message("renew")
-@dataclass(slots=True)
-class Renew:
+class Renew(Struct):
     """Renews the owner's lease; ``sent_ms`` is as in `StartRuns`."""
 
     sequence: int = 0
@@ -136,8 +129,7 @@
 
 
 @message("workerState")
-@dataclass(slots=True)
-class WorkerState:
+class WorkerState(Struct):
     """The state of an agent's worker, sent to one owner.
 
     :ivar heard: The highest sequence number of this owner's messages that the state
@@ -164,8 +156,7 @@
 
 
 @message("runEvent")
-@dataclass(slots=True)
-class RunEvent:
+class RunEvent(Struct):
     """Notifies the owner of a run that the run ended or was refused."""
 
     run: RunId = NO_RUN
@@ -175,8 +166,7 @@
     run_ms: int = 0
 
 
-@dataclass(slots=True)
-class RunProgress:
+class RunProgress(Struct):
     """Progress of a run in percent, reached ``elapsed_ms`` after its start."""
 
     run: RunId = NO_RUN
@@ -185,16 +175,14 @@
 
 
 @message("progress")
-@dataclass(slots=True)
-class Progress:
+class Progress(Struct):
     """Reports the progress of an owner's longer runs."""
 
     rows: list[RunProgress] = field(default_factory=list)
 
 
 @message("dropJob")
-@dataclass(slots=True)
-class DropJob:
+class DropJob(Struct):
     """Notifies an entry that the caller of a job has cancelled it."""
 
     job_id: str = ""
--- a/marigoldkeel/fleet/owned.py
+++ b/marigoldkeel/fleet/owned.py
@@ -1,9 +1,10 @@
 """The state of a job and of its tasks at the entry that owns it."""
 
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import Struct, field
+
 from marigoldkeel.fleet.forecasts import Sample
 from marigoldkeel.fleet.work import JobAnswer, RepeatableJob, RunId, Step, TaskId
 
@@ -21,8 +22,7 @@
     DONE = "done"
 
 
-@dataclass(slots=True)
-class TaskRecord:
+class TaskRecord(Struct):
     """The state of one task of an owned job.
 
     :ivar run: The run assigned to ``worker``; None unless placed.
--- a/marigoldkeel/fleet/packing.py
+++ b/marigoldkeel/fleet/packing.py
@@ -6,7 +6,8 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.fleet.work import NO_RESOURCES, Resources, Step
@@ -25,8 +26,7 @@
 REMOTE_FACTOR = 1.5
 
 
-@dataclass(slots=True)
-class Candidate:
+class Candidate(Struct):
     """A worker that tasks may be placed on.
 
     :ivar speed: Relative speed; the mean of the fleet is 1.
@@ -45,8 +45,7 @@
     is_probe: bool = False
 
 
-@dataclass(slots=True)
-class PlacementRequest:
+class PlacementRequest(Struct):
     """Tasks of one step that are to be placed now.
 
     :ivar count: How many tasks may be placed at most.
--- a/marigoldkeel/fleet/plans.py
+++ b/marigoldkeel/fleet/plans.py
@@ -1,10 +1,9 @@
 """The operators' plan: the queues and the services whose workers run their tasks."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 
-@dataclass(slots=True, frozen=True)
-class Advice:
+class Advice(Struct, frozen=True):
     """Parameters of requests to a service that advises on the choice of workers.
 
     All times are in seconds.
@@ -15,8 +14,7 @@
     valid_s: float
 
 
-@dataclass(slots=True, frozen=True)
-class Queue:
+class Queue(Struct, frozen=True):
     """A queue for one kind of job.
 
     :ivar host: Host name to which callers send its requests.
@@ -41,8 +39,7 @@
     advice: Advice | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class Service:
+class Service(Struct, frozen=True):
     """A pool of workers.
 
     :ivar enforces_capacity: Whether its workers refuse tasks that do not fit.
@@ -54,8 +51,7 @@
     standby: bool = False
 
 
-@dataclass(slots=True)
-class Plan:
+class Plan(Struct):
     """One version of the operators' plan."""
 
     version: int
--- a/marigoldkeel/fleet/subsets.py
+++ b/marigoldkeel/fleet/subsets.py
@@ -13,7 +13,8 @@
 import hashlib
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marigoldkeel.fleet.messages import WorkerFacts
 from marigoldkeel.fleet.work import Step
@@ -42,8 +43,7 @@
     return int.from_bytes(digest, "big")
 
 
-@dataclass(slots=True)
-class AgentSubset:
+class AgentSubset(Struct):
     """The agents known to an entry, and the choice among them.
 
     Usage::
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -15,10 +15,10 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from enum import Enum, StrEnum
 
 from loguru import logger
+from msgspec import Struct, field
 
 from marigoldkeel.fleet.messages import (
     Attach,
@@ -92,8 +92,7 @@
     UNANSWERED = "unanswered"
 
 
-@dataclass(slots=True)
-class Run:
+class Run(Struct):
     """A run that exists or may exist on the worker.
 
     :ivar demand: None if unknown; no further runs are started in that case.
@@ -121,8 +120,7 @@
     stop_reason: RunEnd = RunEnd.STOPPED
 
 
-@dataclass(slots=True)
-class Owner:
+class Owner(Struct):
     """An entry that may own runs on this worker.
 
     :ivar lease_renewed_at: When the owner sent the last message that renewed its lease,
@@ -134,16 +132,14 @@
     lease_renewed_at: float
 
 
-@dataclass(slots=True)
-class RunStatus:
+class RunStatus(Struct):
     """A run that the worker lists as running."""
 
     run_id: RunId
     percent: int
 
 
-@dataclass(slots=True)
-class RunEndRecord:
+class RunEndRecord(Struct):
     """The end of a run as listed by the worker; ``number`` increases within a boot."""
 
     number: int
@@ -151,8 +147,7 @@
     end: RunEnd
 
 
-@dataclass(slots=True)
-class WorkerPoll:
+class WorkerPoll(Struct):
     """The worker's response to one poll."""
 
     boot: int
@@ -160,22 +155,19 @@
     ended: list[RunEndRecord] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class StartOrder:
+class StartOrder(Struct):
     """Start a run on the worker."""
 
     run: Run
 
 
-@dataclass(slots=True)
-class StopOrder:
+class StopOrder(Struct):
     """Stop a run on the worker."""
 
     run: Run
 
 
-@dataclass(slots=True)
-class OwnerNotification:
+class OwnerNotification(Struct):
     """A message for an owner, which is identified by its incarnation."""
 
     owner: str
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -1,13 +1,12 @@
 """An entry's view of the workers, built from the messages of their agents."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from marigoldkeel.fleet.messages import HeldRun, WorkerFacts, WorkerState
 from marigoldkeel.fleet.work import NO_RESOURCES, Resources, RunId
 
 
-@dataclass(slots=True)
-class WorkerView:
+class WorkerView(Struct):
     """One worker, as last described by its agent.
 
     :ivar name: The name of its agent.
--- a/marigoldkeel/fleet/work.py
+++ b/marigoldkeel/fleet/work.py
@@ -6,14 +6,14 @@
 supervises and stops the runs on it for all owners.
 """
 
-from dataclasses import dataclass, field
 from enum import IntEnum
 
+from msgspec import Struct, field
+
 from marigoldkeel.fleet.plans import Queue
 
 
-@dataclass(slots=True, frozen=True)
-class Resources:
+class Resources(Struct, frozen=True):
     """Capacity of a worker, or the part of it that a task requires.
 
     :ivar cpu_milli: CPU in thousandths of a core.
@@ -74,8 +74,7 @@
     LOST = 7
 
 
-@dataclass(slots=True, frozen=True, order=True)
-class TaskId:
+class TaskId(Struct, frozen=True, order=True):
     """One task of a job.
 
     :ivar occurrence: Number of the repetition of a job that runs at set times; always
@@ -90,16 +89,14 @@
     index: int
 
 
-@dataclass(slots=True, frozen=True)
-class RunId:
+class RunId(Struct, frozen=True):
     """One run of a task. Later runs of a task have higher numbers."""
 
     task: TaskId
     number: int
 
 
-@dataclass(slots=True)
-class Step:
+class Step(Struct):
     """A group of identical tasks of a job.
 
     :ivar count: Number of tasks.
@@ -124,8 +121,7 @@
     unsupported: str = ""
 
 
-@dataclass(slots=True)
-class RepeatableJob:
+class RepeatableJob(Struct):
     """A job as received by an entry.
 
     :ivar payload: Input passed to every task.
@@ -160,8 +156,7 @@
     CANCELLED = 4
 
 
-@dataclass(slots=True)
-class JobAnswer:
+class JobAnswer(Struct):
     """The answer to a repeatable job.
 
     :ivar retry_after_s: For ``NOT_RUN``, the time after which a retry may succeed.
--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -17,7 +17,7 @@
     (False, True)
 """
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from marigoldkeel.liveness import LivenessTable
 from marigoldkeel.models import Member
@@ -35,8 +35,7 @@
 FULL_TABLE_INTERVAL_S = 300.0
 
 
-@dataclass(slots=True)
-class PeerState:
+class PeerState(Struct):
     """The state of a peer as of its last heartbeat.
 
     :ivar load: Number of queued and running tasks per slot.
--- a/marigoldkeel/limits.py
+++ b/marigoldkeel/limits.py
@@ -6,10 +6,11 @@
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass
 from enum import StrEnum
 from statistics import median
 
+from msgspec import Struct
+
 from marigoldkeel.models import Priority
 
 
@@ -111,8 +112,7 @@
     DEADLINE = "deadline cannot be met"
 
 
-@dataclass(slots=True, frozen=True)
-class AdmissionDecision:
+class AdmissionDecision(Struct, frozen=True):
     """The decision on a request, which is refused if ``reason`` is set.
 
     ``tasks_ahead`` counts the tasks in flight at the same or a higher priority.
--- a/marigoldkeel/messages.py
+++ b/marigoldkeel/messages.py
@@ -7,12 +7,12 @@
 
 import functools
 from collections.abc import Callable
-from dataclasses import dataclass, field, fields
 from enum import Enum
 from pathlib import Path
 from typing import Any, get_args, get_origin, get_type_hints
 
 import capnp
+from msgspec import Struct, field
 
 from marigoldkeel.exceptions import ProtocolError
 from marigoldkeel.models import Answer, Member
@@ -33,8 +33,7 @@
     Usage::
 
         @message("claim")
-        @dataclass(slots=True)
-        class Claim: ...
+        class Claim(Struct): ...
     """
 
     def register(cls: type) -> type:
@@ -46,8 +45,7 @@
 
 
 @message("error")
-@dataclass(slots=True)
-class Error:
+class Error(Struct):
     """Reply to a request that failed; ``code`` is the name of the exception class."""
 
     code: str = ""
@@ -57,8 +55,7 @@
 
 
 @message("submit")
-@dataclass(slots=True)
-class Submit:
+class Submit(Struct):
     """Asks a primary to run a submission; the reply is an `Answer`."""
 
     partition: int = 0
@@ -77,8 +74,7 @@
 
 
 @message("claim")
-@dataclass(slots=True)
-class Claim:
+class Claim(Struct):
     """Asks the standby to record a claim before any task of the submission starts."""
 
     partition: int = 0
@@ -88,8 +84,7 @@
 
 
 @message("claimed")
-@dataclass(slots=True)
-class Claimed:
+class Claimed(Struct):
     """Reply to `Claim`; ``verdict`` is a `claims.Verdict` value."""
 
     verdict: int = 0
@@ -97,8 +92,7 @@
 
 
 @message("probe")
-@dataclass(slots=True)
-class Probe:
+class Probe(Struct):
     """Offers an agent ``count`` tasks of a job, which it can request with `Take`."""
 
     partition: int = 0
@@ -111,8 +105,7 @@
     address: str = ""
 
 
-@dataclass(slots=True)
-class TaskResult:
+class TaskResult(Struct):
     """The result of one task; ``state`` is a `models.TaskState` value.
 
     ``run_ms`` is the run time at the target, without queueing.
@@ -126,8 +119,7 @@
 
 
 @message("take")
-@dataclass(slots=True)
-class Take:
+class Take(Struct):
     """Returns results of a job and requests up to ``want`` more of its tasks.
 
     The reply is a `Grant`. A repeated message with the same ``sequence`` gets the same
@@ -141,8 +133,7 @@
     results: list[TaskResult] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class TaskItem:
+class TaskItem(Struct):
     """One task that is assigned to an agent."""
 
     index: int = 0
@@ -150,8 +141,7 @@
 
 
 @message("grant")
-@dataclass(slots=True)
-class Grant:
+class Grant(Struct):
     """Tasks granted by a primary; ``left`` counts the tasks not granted yet."""
 
     partition: int = 0
@@ -161,8 +151,7 @@
 
 
 @message("run")
-@dataclass(slots=True)
-class Run:
+class Run(Struct):
     """Pushes tasks to an agent, which replies with `Ran` when all have ended.
 
     Generation 0 marks a read-only call, which needs no claim.
@@ -178,15 +167,13 @@
 
 
 @message("ran")
-@dataclass(slots=True)
-class Ran:
+class Ran(Struct):
     """Reply to `Run` with one result per task."""
 
     results: list[TaskResult] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class ClaimEntry:
+class ClaimEntry(Struct):
     """A claim in a state transfer."""
 
     submission_id: bytes = b""
@@ -195,8 +182,7 @@
 
 
 @message("transfer")
-@dataclass(slots=True)
-class Transfer:
+class Transfer(Struct):
     """Sends part of a partition's state to its new standby.
 
     ``record`` is the partition record as encoded in the store.
@@ -214,8 +200,7 @@
 
 
 @message("transferred")
-@dataclass(slots=True)
-class Transferred:
+class Transferred(Struct):
     """Reply to `Transfer`: whether the new standby accepted this part of the state."""
 
     accepted: bool = False
@@ -223,8 +208,7 @@
 
 
 @message("heartbeat")
-@dataclass(slots=True)
-class Heartbeat:
+class Heartbeat(Struct):
     """Informs a peer that the sender is alive, and of the sender's state.
 
     ``load`` is queued and running work divided by slots. ``wants_members`` asks the
@@ -243,8 +227,7 @@
 
 
 @message("heartbeatReply")
-@dataclass(slots=True)
-class HeartbeatReply:
+class HeartbeatReply(Struct):
     """Reply to `Heartbeat`: the receiver's state and the members that it knows.
 
     ``interval_ms`` is the time until the next heartbeat is due.
@@ -263,8 +246,7 @@
 
 
 @message("pull")
-@dataclass(slots=True)
-class Pull:
+class Pull(Struct):
     """Requests the ``"config"`` or ``"table"`` if newer than revision ``above``."""
 
     what: str = ""
@@ -272,8 +254,7 @@
 
 
 @message("pulled")
-@dataclass(slots=True)
-class Pulled:
+class Pulled(Struct):
     """Reply to `Pull`: all changes from ``above`` (exclusive) up to ``version``."""
 
     above: int = 0
@@ -282,16 +263,14 @@
 
 
 @message("cancel")
-@dataclass(slots=True)
-class Cancel:
+class Cancel(Struct):
     """Instructs an agent to discard the tasks of a job that have not started."""
 
     submission_id: bytes = b""
 
 
 @message("cancelJob")
-@dataclass(slots=True)
-class CancelJob:
+class CancelJob(Struct):
     """Asks a primary to cancel a submission; the reply is an `Answer`.
 
     Tasks that have not ended within ``wait_ms`` are reported as "may have run".
@@ -306,28 +285,24 @@
 
 
 @message("done")
-@dataclass(slots=True)
-class Done:
+class Done(Struct):
     """An empty reply."""
 
 
 @message("inspect")
-@dataclass(slots=True)
-class Inspect:
+class Inspect(Struct):
     """Requests the status report of a daemon; the reply is a `Report`."""
 
 
 @message("report")
-@dataclass(slots=True)
-class Report:
+class Report(Struct):
     """A status report as a JSON document."""
 
     document: bytes = b""
 
 
 @message("move")
-@dataclass(slots=True)
-class Move:
+class Move(Struct):
     """Asks the other member of a partition to replace the sender, which will stop."""
 
     partition: int = 0
@@ -353,15 +328,13 @@
     """
     hints = get_type_hints(cls)
     layout = []
-    for item in fields(cls):
-        hint = hints[item.name]
+    for attribute in cls.__struct_fields__:
+        hint = hints[attribute]
         is_list = get_origin(hint) is list
         inner = get_args(hint)[0] if is_list else hint
-        needs_conversion = hasattr(inner, "__dataclass_fields__") or issubclass(
-            inner, Enum
-        )
+        needs_conversion = issubclass(inner, Struct | Enum)
         nested = inner if needs_conversion else None
-        layout.append((item.name, _camel_case(item.name), nested, is_list))
+        layout.append((attribute, _camel_case(attribute), nested, is_list))
     return layout
 
 
@@ -395,8 +368,7 @@
     return cls(**values)
 
 
-@dataclass(slots=True)
-class Envelope:
+class Envelope(Struct):
     """A message with the id that matches a reply to its request.
 
     ``request_id`` is 0 for a message that is not answered.
--- a/marigoldkeel/models.py
+++ b/marigoldkeel/models.py
@@ -1,8 +1,9 @@
 """Data types shared by several modules."""
 
-from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
+from msgspec import Struct, field
+
 
 class Outcome(StrEnum):
     """The outcome of a job or call as reported to the caller; a closed set."""
@@ -32,8 +33,7 @@
     BATCH = 2
 
 
-@dataclass(slots=True, frozen=True)
-class Member:
+class Member(Struct, frozen=True):
     """One start of a daemon process.
 
     ``incarnation`` differs between two starts of the daemon ``name``.
@@ -45,8 +45,7 @@
     domain: str = ""
 
 
-@dataclass(slots=True, frozen=True)
-class PartitionRecord:
+class PartitionRecord(Struct, frozen=True):
     """The members of a partition in one generation.
 
     ``revision`` is the store revision of the record and not part of its stored value.
@@ -63,8 +62,7 @@
     reopened: bool = False
 
 
-@dataclass(slots=True)
-class Submission:
+class Submission(Struct):
     """A job or call as received by its primary. Times are in seconds."""
 
     submission_id: bytes
@@ -77,8 +75,7 @@
     payloads: list[bytes]
 
 
-@dataclass(slots=True)
-class Answer:
+class Answer(Struct):
     """The answer to one attempt of a submission.
 
     ``body`` is a JSON array of results if the outcome is complete. ``ran`` and
--- a/marigoldkeel/partitions.py
+++ b/marigoldkeel/partitions.py
@@ -17,7 +17,6 @@
 
 import hashlib
 from collections.abc import Iterable
-from dataclasses import replace
 
 import msgspec
 
@@ -37,7 +36,7 @@
 
 def encode_record(record: PartitionRecord) -> bytes:
     """Return the record as JSON for the store, without its revision."""
-    return msgspec.json.encode(replace(record, revision=0))
+    return msgspec.json.encode(msgspec.structs.replace(record, revision=0))
 
 
 def decode_record(data: bytes, revision: int = 0) -> PartitionRecord:
@@ -51,7 +50,7 @@
         raise ProtocolError(
             f"malformed partition record: {error}", step="decode partition record"
         ) from error
-    return replace(record, revision=revision)
+    return msgspec.structs.replace(record, revision=revision)
 
 
 class PartitionTable:
@@ -116,7 +115,7 @@
             self.members.setdefault(member.incarnation, member)
             member_partitions = self.partitions_of.setdefault(member.incarnation, set())
             member_partitions.add(record.partition)
-        self.records[record.partition] = replace(
+        self.records[record.partition] = msgspec.structs.replace(
             record,
             primary=self.members[record.primary.incarnation],
             standby=self.members[record.standby.incarnation],
--- a/marigoldkeel/queues.py
+++ b/marigoldkeel/queues.py
@@ -5,11 +5,12 @@
 
 from bisect import bisect_left, insort
 from collections import deque
-from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from itertools import count
 from typing import Any
 
+from msgspec import Struct, field
+
 from marigoldkeel.models import Priority
 
 
@@ -26,8 +27,7 @@
 MIN_COMPACTION_SIZE = 64
 
 
-@dataclass(slots=True)
-class WorkItem:
+class WorkItem(Struct):
     """Tasks of one submission that are queued at this agent.
 
     ``deadline`` and ``enqueued_at`` are monotonic seconds. ``count`` is the number
@@ -43,8 +43,7 @@
     source: Any = None
 
 
-@dataclass(slots=True, eq=False)
-class QueueEntry:
+class QueueEntry(Struct, eq=False):
     """A queued item.
 
     ``live`` is False once the item has been removed. ``indexed_as_long`` states which
@@ -62,8 +61,7 @@
         return self.item.enqueued_at, self.sequence
 
 
-@dataclass(slots=True)
-class LazyDeletionHeap:
+class LazyDeletionHeap(Struct):
     """A heap with lazy deletion.
 
     Removed entries stay in the heap until they reach the top or the heap is
--- a/marigoldkeel/runners.py
+++ b/marigoldkeel/runners.py
@@ -3,7 +3,6 @@
 import os
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import anyio
@@ -11,6 +10,7 @@
 import msgspec
 from anyio.abc import TaskStatus
 from loguru import logger
+from msgspec import Struct
 
 from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.servers import HttpApplication, Request, Response, serve_http
@@ -29,8 +29,7 @@
 WRONG_SUBMISSION = "00000000-0000-7000-8000-000000000000"
 
 
-@dataclass(slots=True)
-class TaskStart:
+class TaskStart(Struct):
     """The start of a task; ``time_s`` is the Unix time in seconds."""
 
     submission: str
--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -4,13 +4,13 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 
 import anyio
 import msgspec
 import uvicorn
 from anyio.abc import TaskStatus
 from loguru import logger
+from msgspec import Struct, field
 
 from marigoldkeel.exceptions import InvalidInput, MarigoldkeelError
 
@@ -21,8 +21,7 @@
 TICK_INTERVAL_S = 1.0
 
 
-@dataclass(slots=True)
-class Request:
+class Request(Struct):
     """An HTTP request with its complete body. Header names are lower case."""
 
     method: str
@@ -40,8 +39,7 @@
             pass
 
 
-@dataclass(slots=True)
-class Response:
+class Response(Struct):
     """An HTTP response; a streamed one has ``chunks`` instead of ``body``."""
 
     status: int = 200
--- a/marigoldkeel/sessions.py
+++ b/marigoldkeel/sessions.py
@@ -4,13 +4,13 @@
 import time
 import uuid
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import quote
 
 import anyio
 import httpcore
 import msgspec
+from msgspec import Struct, field
 
 from marigoldkeel.attempts import (
     BACKOFF_BASE_S,
@@ -44,8 +44,7 @@
 from marigoldkeel.models import Outcome
 
 
-@dataclass(slots=True)
-class JobResult:
+class JobResult(Struct):
     """The result of a complete job; ``results`` has one value per task, in order."""
 
     results: list[Any]
@@ -54,8 +53,7 @@
     elapsed_s: float
 
 
-@dataclass(slots=True)
-class CallResult:
+class CallResult(Struct):
     """The result of a complete call."""
 
     result: Any
@@ -64,8 +62,7 @@
     elapsed_s: float
 
 
-@dataclass(slots=True)
-class CancelResult:
+class CancelResult(Struct):
     """The outcome of a submission after its cancellation.
 
     ``not_run`` means that no task has run or will run, ``failed`` that the tasks
--- a/marigoldkeel/status.py
+++ b/marigoldkeel/status.py
@@ -1,6 +1,5 @@
 """Status reports of daemons."""
 
-from dataclasses import asdict
 from typing import Any
 
 import msgspec
@@ -12,13 +11,14 @@
     """Return the part of the report that entries and agents have in common."""
     now = board.clock()
     return {
-        "member": asdict(board.member),
+        "member": msgspec.to_builtins(board.member),
         "leaving": board.leaving,
         "config_revision": board.configuration.revision,
         "table_version": board.partitions.version,
         "partition_count": board.partitions.partition_count,
         "partitions": [
-            asdict(record) for _, record in sorted(board.partitions.records.items())
+            msgspec.to_builtins(record)
+            for _, record in sorted(board.partitions.records.items())
         ],
         "peers": [
             {
@@ -65,8 +65,10 @@
             }
             for register in board.registers.values()
         ],
-        "targets": [asdict(info) for info in agent.targets.targets.values()],
-        "messages": asdict(agent.peers.counters),
+        "targets": [
+            msgspec.to_builtins(info) for info in agent.targets.targets.values()
+        ],
+        "messages": msgspec.to_builtins(agent.peers.counters),
         "store_calls": dict(agent.store.counts),
     }
 
--- a/marigoldkeel/stores.py
+++ b/marigoldkeel/stores.py
@@ -7,7 +7,8 @@
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from marigoldkeel.exceptions import InvalidInput
 
@@ -17,8 +18,7 @@
 MAX_WRITES = 128
 
 
-@dataclass(slots=True, frozen=True)
-class StoredValue:
+class StoredValue(Struct, frozen=True):
     """A value and the store revision of its last change (``mod_revision`` in etcd)."""
 
     key: str
@@ -26,16 +26,14 @@
     revision: int
 
 
-@dataclass(slots=True)
-class Snapshot:
+class Snapshot(Struct):
     """The values under a prefix, ordered by key, as of one store revision."""
 
     values: list[StoredValue]
     revision: int
 
 
-@dataclass(slots=True)
-class Write:
+class Write(Struct):
     """A conditional write of one key.
 
     :ivar expected_revision: Revision that the key must have; 0 if it must not exist.
@@ -108,8 +106,7 @@
         await self.aclose()
 
 
-@dataclass(slots=True, frozen=True)
-class Change:
+class Change(Struct, frozen=True):
     """A write to a key, or its removal if ``data`` is None."""
 
     key: str
--- a/marigoldkeel/stragglers.py
+++ b/marigoldkeel/stragglers.py
@@ -2,9 +2,9 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from anyio.abc import TaskGroup
+from msgspec import Struct
 
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.models import Priority
@@ -12,8 +12,7 @@
 from marigoldkeel.targets import TargetAdapter, TargetInfo, TargetTable, TaskCall
 
 
-@dataclass(slots=True, eq=False)
-class RunningTask:
+class RunningTask(Struct, eq=False):
     """A task that runs on a target. Times are in seconds.
 
     ``is_straggler`` is set once the task has been detected as a straggler.
--- a/marigoldkeel/targets.py
+++ b/marigoldkeel/targets.py
@@ -3,13 +3,13 @@
 import time
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Annotated
 from urllib.parse import quote
 
 import anyio
 import httpcore
 import msgspec
+from msgspec import Struct, field
 
 from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.liveness import LivenessTable
@@ -35,8 +35,7 @@
 MAX_ERROR_TEXT_BYTES = 500
 
 
-@dataclass(slots=True)
-class TargetInfo:
+class TargetInfo(Struct):
     """The latest announcement of a target; ``renewed_at`` is in seconds.
 
     ``protocol`` is the name of a registered `TargetAdapter`.
@@ -153,8 +152,7 @@
             self.busy_slots[name] = count - 1
 
 
-@dataclass(slots=True)
-class TaskCall:
+class TaskCall(Struct):
     """One task to run on a target; it has to finish within ``timeout_s`` seconds."""
 
     submission_id: bytes
--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -8,12 +8,12 @@
 import struct
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
 from anyio.abc import ByteStream, TaskGroup, TaskStatus
 from loguru import logger
+from msgspec import Struct, field
 
 from marigoldkeel.exceptions import (
     InvalidInput,
@@ -123,8 +123,7 @@
         remaining_s -= step_s
 
 
-@dataclass(slots=True)
-class PendingRequest:
+class PendingRequest(Struct):
     """A request that has not been answered yet."""
 
     event: anyio.Event
@@ -133,8 +132,7 @@
     error: MarigoldkeelError | None = None
 
 
-@dataclass(slots=True)
-class Counters:
+class Counters(Struct):
     """Traffic counters of a connection or pool.
 
     ``by_type`` counts sent messages by type; ``frames_by_type`` counts sent frames
--- a/marigoldkeel/worker_standin.py
+++ b/marigoldkeel/worker_standin.py
@@ -1,11 +1,11 @@
 """A stand-in for a worker that runs tasks under leases, with fault injection."""
 
 import time
-from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
 import msgspec
+from msgspec import Struct, field
 
 from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.runners import Faults, RunnerStandin, TaskStart, _first_half
@@ -33,8 +33,7 @@
     refuse_control: bool = False
 
 
-@dataclass(slots=True)
-class GrantedLease:
+class GrantedLease(Struct):
     """A lease and the remaining work of its task, in seconds at speed 1."""
 
     request: LeaseRequest
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -4,8 +4,7 @@
 protocol broken, which the checker must report.
 """
 
-from dataclasses import replace
-
+import msgspec
 import pytest
 
 from marigoldkeel import failover
@@ -204,7 +203,9 @@
 
     def plan(record, survivor, candidates):
         (candidate,) = [each for each in candidates if each != survivor]
-        other = replace(candidate, name="d", address="d", incarnation="d@1")
+        other = msgspec.structs.replace(
+            candidate, name="d", address="d", incarnation="d@1"
+        )
         return PartitionRecord(
             record.partition, record.generation + 1, candidate, other, reopened=True
         )
