Answer "unknown" while an entry knows no partitions yet

Cause: an entry that has just started may have its configuration before the partition table. In between it answered a submission with no unanswered attempts "not run", although another entry may have accepted the id; without a configuration it already answers "unknown" for the same reason. The red tests of entry_stopped saw such an answer.

Change: one answer for an entry that is not ready, for all three cases; the client goes on at the next entry with the same id. Read-only calls need no partition and are not affected.

Figures: two of the three cases of the new test fail without the change.

--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -152,9 +152,7 @@
         """Validate, admit and run a submission."""
         raw_id = request.headers.get("marigoldkeel-submission", "")
         if not self.board.configuration.ready:
-            # Another entry may have accepted this id, which cannot be ruled out here.
-            answer = unknown_outcome("no configuration is known yet", UNCONFIGURED_STEP)
-            answer.retry_after_ms = NOT_READY_RETRY_MS
+            answer = not_ready_answer("no configuration is known yet")
             return to_response(answer, raw_id, is_job)
         try:
             caller_request = self._validate(request, kind, is_job)
@@ -227,16 +225,19 @@
     async def _admit_and_run(
         self, caller_request: CallerRequest, is_job: bool
     ) -> Answer:
+        needs_partition = is_job or not caller_request.read_only
+        if needs_partition and not self.board.partitions.count_confirmed:
+            return not_ready_answer("no partition is known yet")
         admission = self.admissions.admit(caller_request)
         if not admission.admitted:
             return self.admissions.refuse(admission, caller_request.unanswered)
         started_at = self.board.clock()
         answer = None
         try:
-            if caller_request.read_only and not is_job:
-                answer = await self._run_read_only(caller_request)
-            else:
+            if needs_partition:
                 answer = await self._forward_submission(caller_request)
+            else:
+                answer = await self._run_read_only(caller_request)
         finally:
             self.admissions.release(admission, caller_request, started_at, answer)
         return answer
@@ -309,9 +310,7 @@
         """Forward an admitted submission to its partition."""
         record = self._find_record(caller_request.submission_id)
         if record is None:
-            return refusal(
-                "the partition is not known yet", caller_request.unanswered, "route"
-            )
+            return not_ready_answer("the partition is not known yet")
         message = Submit(
             record.partition,
             record.generation,
@@ -413,6 +412,17 @@
             return TaskResult(0, TaskState.MAY_HAVE_RUN, b"", str(error))
 
 
+def not_ready_answer(message: str) -> Answer:
+    """Return the answer of an entry that has just started to a submission.
+
+    The outcome is not "not run", as another entry may have accepted the id, which only
+    the members of its partition can rule out.
+    """
+    answer = unknown_outcome(message, UNCONFIGURED_STEP)
+    answer.retry_after_ms = NOT_READY_RETRY_MS
+    return answer
+
+
 def rejection_outcome(method: str, headers: dict[str, str]) -> Outcome:
     """Return what a rejected request shows about its submission.
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -10,6 +10,7 @@
 from marigoldkeel.demo import LocalSystem
 from marigoldkeel.exceptions import Conflict, JobFailed, Refused
 from marigoldkeel.identifiers import mint_submission_id
+from marigoldkeel.partitions import PartitionTable
 from marigoldkeel.revisions import RevisionRegister
 from marigoldkeel.runners import Faults
 from marigoldkeel.servers import MAX_BODY_BYTES
@@ -58,6 +59,16 @@
 ]
 
 
+class EmptyTable(PartitionTable):
+    """Ignores the number of partitions and all records."""
+
+    def set_partition_count(self, partition_count):
+        pass
+
+    def apply(self, record):
+        return False
+
+
 class EmptyRegister(RevisionRegister):
     """The configuration of a daemon that receives none from the store or a peer."""
 
@@ -261,7 +272,27 @@
         assert all(runner.starts for runner in system.runners)
 
 
-async def test_entry_without_configuration_does_not_answer_not_run():
+def forget_configuration(board):
+    # This register rejects all revisions. Otherwise the entry could receive one from
+    # the store or a peer's heartbeat at any time.
+    board.configuration = EmptyRegister()
+
+
+def forget_partitions(board):
+    board.partitions = EmptyTable()
+
+
+def forget_records(board):
+    count = board.partitions.partition_count
+    board.partitions = EmptyTable()
+    board.partitions.partition_count = count
+    board.partitions.count_confirmed = True
+
+
+@pytest.mark.parametrize(
+    "forget", [forget_configuration, forget_partitions, forget_records]
+)
+async def test_entry_that_has_just_started_does_not_answer_not_run(forget):
     """Guards against a "not run" although another entry may have accepted the id.
 
     Only a claim can rule that out, so the answer must be "unknown".
@@ -270,9 +301,7 @@
         submission = {"Marigoldkeel-Submission": str(mint_submission_id())}
         status, answer, _ = await post(system, "/v1/jobs", submission, b"[1]")
         assert (status, answer["outcome"]) == (200, "complete")
-        # This register rejects all revisions. Otherwise the entry could receive one
-        # from the store or a peer's heartbeat at any time.
-        system.entries[0].board.configuration = EmptyRegister()
+        forget(system.entries[0].board)
         status, answer, _ = await post(system, "/v1/jobs", submission, b"[1]")
         assert (status, answer["outcome"]) == (504, "unknown")
         assert answer["retry_after_ms"] > 0
