Admit jobs at an entry that knows no agents yet

Cause: the limit of tasks in progress follows from the slots of the known agents. An entry that has just started knows none, so it took one request at a time and refused the others as overloaded, although the primaries that it forwards to could serve them.

Change: without known agents only max_inflight_tasks limits.

--- a/marigoldkeel/admissions.py
+++ b/marigoldkeel/admissions.py
@@ -67,10 +67,13 @@
             return
         self.refreshed_at = now
         entries = 1 + self.board.peers.count_unsuspected_entries(now)
-        queue_tasks = self.board.setting("queue_tasks_per_slot") + 1
         limit = self.board.setting("max_inflight_tasks")
-        fleet_tasks = queue_tasks * self._fleet_slots(now)
-        self.controller.max_in_flight = max(1, min(limit, fleet_tasks) // entries)
+        slots = self._fleet_slots(now)
+        if slots:
+            queue_tasks = self.board.setting("queue_tasks_per_slot") + 1
+            limit = min(limit, queue_tasks * slots)
+        # An entry that has just started knows no agents, and so nothing of their slots.
+        self.controller.max_in_flight = max(1, limit // entries)
         applied_key = (self.board.configuration.revision, entries)
         if applied_key != self.applied_key:
             self.applied_key = applied_key
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -305,3 +305,21 @@
         status, answer, _ = await post(system, "/v1/jobs", submission, b"[1]")
         assert (status, answer["outcome"]) == (504, "unknown")
         assert answer["retry_after_ms"] > 0
+
+
+async def test_entry_that_knows_no_agents_yet_admits_concurrent_jobs(monkeypatch):
+    """Guards against "overloaded" from an entry that has just started."""
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        peers = system.entries[0].board.peers
+        monkeypatch.setattr(peers, "live_agents", lambda now: [])
+        results = []
+
+        async def submit():
+            async with system.session("brusadelli", max_attempts=1) as session:
+                tasks = [{"work_ms": 50}] * 3
+                results.append(await session.submit("cut-list", tasks))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(4):
+                group.start_soon(submit)
+        assert len(results) == 4
