Judge each service's workers by when they were last ready themselves

Cause: the scheduler kept one time at which workers were last ready, for all services. While another service had traffic, a job of a service without any worker waited until its caller gave up, instead of being refused at once.

Ruled out: an effect on the present sites, which have one service each.

Change: one time for each service, at first the start of the entry.

--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -99,7 +99,7 @@
     :param entries_per_worker: Returns how many entries share a worker on average.
     :param connect_workers: Called for each new job, to connect to the workers that it
         needs; returns whether some of them are not connected yet.
-    :ivar workers_ready_at: When a service was last found to have ready workers.
+    :ivar workers_ready_at: When each service was last found to have ready workers.
     :ivar shutdown_at: When this entry shuts down; jobs that would end later are
         refused.
     :ivar on_answer: Called for each answer with the job, its state and the seconds
@@ -125,7 +125,8 @@
         self.wall_ms = wall_ms
         self.entries_per_worker = entries_per_worker
         self.connect_workers = connect_workers
-        self.workers_ready_at = clock()
+        self.started_at = clock()
+        self.workers_ready_at: dict[str, float] = {}
         self.random = random.Random(seed)
         self.pack: PackingPolicy = find_packing(packing)
         self.forecaster = Forecaster()
@@ -333,8 +334,9 @@
         """Return whether this entry has had time to discover a service's workers."""
         now = self.clock()
         if not self.fleet.ready(service):
-            return now - self.workers_ready_at > WORKER_DISCOVERY_S
-        self.workers_ready_at = now
+            ready_at = self.workers_ready_at.get(service, self.started_at)
+            return now - ready_at > WORKER_DISCOVERY_S
+        self.workers_ready_at[service] = now
         return True
 
     def _shed_load(self) -> None:
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -293,6 +293,15 @@
         entry.submit()
         assert entry.answers["j"].state == JobState.NOT_RUN
 
+    def test_workers_of_another_service_do_not_delay_the_refusal(self):
+        entry = Entry({"w": 4})
+        unserved = Queue("other", "host", "/o/", "other-service", 1, 3, 1.6, 0.06)
+        for number in range(4):
+            entry.advance_time(WORKER_DISCOVERY_S / 2)
+            entry.submit(str(number))
+        entry.submit("unserved", unserved)
+        assert entry.answers["unserved"].state == JobState.NOT_RUN
+
 
 def test_started_jobs_go_first_and_urgent_ones_next():
     entry = Entry({"w": 1})
