Report an outdated start as outdated in whatever words the worker refuses it

Cause: the platform's workers refuse a run whose number is too low with "old". The agent passed this word on, the owner compared it with "outdated", so after its wall clock was set back it repeated the run with numbers that were refused again, until the clock had caught up.

Change: the agent reports the outcome itself; the owner then raises its numbers.

--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -46,6 +46,7 @@
     find_packing,
 )
 from marigoldkeel.fleet.subsets import is_suitable
+from marigoldkeel.fleet.supervisors import StartOutcome
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import (
     JobAnswer,
@@ -199,7 +200,7 @@
             return
         if event.kind == RunEventKind.REFUSED:
             self._requeue(owned, task)
-            if event.reason == "outdated":
+            if event.reason == StartOutcome.OUTDATED:
                 self.last_run_number += RENUMBER_MS
         else:
             owned.has_run = True
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -310,7 +310,11 @@
             self._stop(run, RunEnd.STOPPED)
         else:
             self._remove(run)
-            self._notify_refused(run.owner, run.run_id, detail or outcome.value)
+            # The owner renumbers its runs when it reads that they are outdated, in
+            # whatever words the worker says so.
+            is_outdated = outcome == StartOutcome.OUTDATED
+            reason = outcome.value if is_outdated else detail or outcome.value
+            self._notify_refused(run.owner, run.run_id, reason)
 
     def record_stop_outcome(self, run: Run, answered: bool) -> None:
         """Apply the outcome of a `StopOrder`, which is repeated if unanswered."""
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -14,9 +14,11 @@
 from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.schedulers import (
     MAX_RETRY_AFTER_S,
+    RENUMBER_MS,
     WORKER_DISCOVERY_S,
     Scheduler,
 )
+from marigoldkeel.fleet.supervisors import StartOutcome
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import (
     JobAnswer,
@@ -186,6 +188,16 @@
     assert late.number > early.number
 
 
+def test_runs_get_higher_numbers_after_a_worker_found_them_outdated():
+    entry = Entry({"w": 4})
+    entry.submit()
+    ((_, first),) = entry.starts()
+    entry.refuse("w", first, StartOutcome.OUTDATED)
+    entry.advance_time(0.05)
+    ((_, second),) = entry.starts()
+    assert second.number >= first.number + RENUMBER_MS
+
+
 class TestRefusals:
     """Tests that NOT_RUN is answered in time, and only if no task has run."""
 
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -396,3 +396,13 @@
     assert isinstance(orders[0], StartOrder)
     assert agent.events() == [refused(run_id(0))]
     assert agent.supervisor.free_resources.cpu_milli == 4000
+
+
+@pytest.mark.parametrize("detail", ["", "old"])
+def test_outdated_start_is_reported_as_such_in_any_words_of_the_worker(detail):
+    """Guards against an owner that repeats a run with numbers that are refused."""
+    agent = Agent()
+    (order,) = agent.start(0, answer=None)
+    agent.supervisor.record_start_outcome(order.run, StartOutcome.OUTDATED, detail)
+    (notification,) = agent.supervisor.take_notifications()
+    assert notification.content.reason == StartOutcome.OUTDATED
