Refuse a limit below 1 in "config history"

Change: a limit below 1 is invalid input, with exit code 2 and the value in the message.

Figures: the new row of the table of commands fails before and passes now.

--- a/marigoldkeel/operators.py
+++ b/marigoldkeel/operators.py
@@ -131,8 +131,10 @@
 
     :param store: URL of the store.
     :param change: Print only the change with this id; exit with 1 if it is not found.
-    :param limit: Maximum number of changes to print.
+    :param limit: Maximum number of changes to print, at least 1.
     """
+    if limit < 1:
+        return print_invalid(f"--limit must be at least 1, not {limit}")
 
     async def print_history(configurations: ConfigurationStore) -> int:
         records = await configurations.history(limit, change or None)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -317,6 +317,7 @@
         ("exception remove e1", True, 0, "revision 4"),
         ("config history --limit 1", False, 0, "ann: peak load"),
         (f"config history --change {identifier}", False, 1, "no record of change"),
+        ("config history --limit 0", False, 2, "--limit must be at least 1"),
         ("config diff 1 4", False, 0, "kinds.quote.max_tasks: 150 -> 5"),
         ("config diff 1 9", False, 2, "does not cover"),
         ("config show", False, 0, "# revision: 4\n"),
