Stop an agent that finds no other to hand its partitions over to

Change: an agent that has known no agent that stays for 10 s logs how many partitions it still holds and stops. An agent that stops alone still hands all of them over.

--- a/marigoldkeel/failover.py
+++ b/marigoldkeel/failover.py
@@ -53,6 +53,9 @@
 CREATION_DELAY_S = 1.5
 MOVE_POLL_INTERVAL_S = 0.02
 LOW_WATER_INTERVAL_S = 10.0
+# How long a stopping agent waits for an agent to hand its partitions over to. An agent
+# that restarts is back within a few seconds.
+SUCCESSOR_TIMEOUT_S = 10.0
 
 
 class IncomingTransfer:
@@ -405,10 +408,21 @@
     async def hand_over(self) -> None:
         """Leave every partition, by asking its other member to replace this one.
 
-        As a standby, wait until the primary replaces it.
+        As a standby, wait until the primary replaces it. Gives up when no agent that
+        could be a member has been known for a while, because the whole fleet stops.
         """
         own = self.board.member.incarnation
+        successor_known_at = self.board.clock()
         while self.board.registers:
+            now = self.board.clock()
+            if self.board.peers.live_agents(now):
+                successor_known_at = now
+            elif now - successor_known_at > SUCCESSOR_TIMEOUT_S:
+                logger.warning(
+                    "{} partitions not handed over: no other agent stays",
+                    len(self.board.registers),
+                )
+                return
             for partition, register in list(self.board.registers.items()):
                 record = self.board.partitions.records[partition]
                 if own not in (record.primary.incarnation, record.standby.incarnation):
--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -4,7 +4,9 @@
 import pytest
 
 from bench.spread import simulate_fleet
+from marigoldkeel import failover
 from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.demo import LocalSystem
 from marigoldkeel.heartbeats import FULL_TABLE_INTERVAL_S, PeerState, PeerTable
 from marigoldkeel.memberships import (
     CHECK_INTERVAL_S,
@@ -13,6 +15,7 @@
 )
 from marigoldkeel.messages import Heartbeat
 from marigoldkeel.models import Member
+from marigoldkeel.transports import parse_address
 
 
 pytestmark = pytest.mark.anyio
@@ -157,3 +160,35 @@
         await anyio.sleep(2 * CHECK_INTERVAL_S)
         group.cancel_scope.cancel()
     assert len(peers.live_agents(now[0])) == 1
+
+
+async def wait_until_closed(address: str) -> None:
+    host, port = parse_address(address)
+    while True:
+        try:
+            stream = await anyio.connect_tcp(host, port)
+        except OSError:
+            return
+        await stream.aclose()
+        await anyio.sleep(0.05)
+
+
+async def test_agents_that_all_stop_at_once_do_not_wait_for_a_successor(monkeypatch):
+    """Guards against a planned stop of the fleet that takes five minutes."""
+    monkeypatch.setattr(failover, "SUCCESSOR_TIMEOUT_S", 1.0)
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        for agent in system.agents:
+            agent.stop()
+        # Peers learn within a second that an agent is leaving.
+        with anyio.fail_after(10.0):
+            for agent in system.agents:
+                await wait_until_closed(agent.http_address)
+
+
+async def test_agent_that_stops_alone_hands_its_partitions_over():
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        stopping = system.agents[0]
+        stopping.stop()
+        with anyio.fail_after(10.0):
+            await wait_until_closed(stopping.http_address)
+        assert not stopping.board.registers
