Count suspension of the machine in the deadlines of jobs that start at most once

Cause: the daemons of this path measure with the monotonic clock, which stands still while the machine is suspended. An agent that resumed after a minute found a queued task's deadline of 10 s not reached and started it, long after its caller had been answered. The agents of repeatable jobs count it already.

Ruled out: that resuming makes all peers and targets look silent: the pause is excluded from their silence as before (LivenessTable), and timers that wait are not affected.

Change: the default clock of a blackboard is CLOCK_BOOTTIME; boot_time_s moves from the fleet's daemons to clocks.py.

--- a/marigoldkeel/blackboard.py
+++ b/marigoldkeel/blackboard.py
@@ -1,7 +1,6 @@
 """The state of one daemon, shared by its controllers."""
 
 import random
-import time
 from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -9,6 +8,7 @@
 from loguru import logger
 
 from marigoldkeel.claims import ClaimRegister
+from marigoldkeel.clocks import boot_time_s
 from marigoldkeel.configuration import Configuration
 from marigoldkeel.ejection import OutlierDetector
 from marigoldkeel.heartbeats import PeerState, PeerTable
@@ -28,7 +28,7 @@
     """The state of one daemon, which its controllers read and write.
 
     :param member: The name, incarnation and address of this process.
-    :param clock: Returns the monotonic time in seconds.
+    :param clock: Returns seconds, including time in system suspend.
     :param wall_ms: Returns the wall-clock time in milliseconds, for mint times only.
     """
 
@@ -57,7 +57,7 @@
     def __init__(
         self,
         member: Member,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_time_s,
         wall_ms: Callable[[], int] = wall_clock_ms,
         seed: int | None = None,
         is_agent: bool = True,
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -14,6 +14,7 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
+from marigoldkeel.clocks import boot_time_s
 from marigoldkeel.exceptions import ProtocolError, SettingsError
 from marigoldkeel.fleet.directory import Directory, DirectoryController
 from marigoldkeel.fleet.drivers import WorkerClient, WorkerDriver
@@ -54,11 +55,6 @@
 RUN_DRAIN_TIMEOUT_S = 0.6
 
 
-def boot_time_s() -> float:
-    """Return the time since the machine booted, including time in system suspend."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class FleetDaemon:
     """Base class of `FleetEntry` and `FleetAgent`.
 
--- a/tests/test_executors.py
+++ b/tests/test_executors.py
@@ -1,5 +1,7 @@
 """Guards against starts under an outdated generation, and against unreturned tasks."""
 
+import time
+
 import anyio
 import pytest
 
@@ -197,3 +199,49 @@
             assert executor.adapter.started == [0]
             assert primary.results == []
             group.cancel_scope.cancel()
+
+
+class SuspendableClock:
+    """Replaces the clocks of the operating system on a machine that is suspended."""
+
+    def __init__(self, monkeypatch):
+        self.suspended_s = 0.0
+        read = time.clock_gettime
+        monkeypatch.setattr(
+            time,
+            "clock_gettime",
+            lambda clock: (
+                read(clock) + self.suspended_s * (clock == time.CLOCK_BOOTTIME)
+            ),
+        )
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("suspended_s", [0.0, 60.0])
+async def test_task_is_not_started_after_its_deadline_passed_in_suspend(
+    suspended_s, monkeypatch
+):
+    """Guards against a machine that resumes and starts work that was given up."""
+    clock = SuspendableClock(monkeypatch)
+    board = Blackboard(Member("a", "a@1"))
+    results = []
+    with anyio.fail_after(HANG_LIMIT_S):
+        async with anyio.create_task_group() as group:
+            executor = make_executor(None, board, group)
+
+            async def push():
+                run = Run(PARTITION, 1, SUBMISSION, "quote", 1, 10_000, [TaskItem(0)])
+                results.extend((await executor.run(run)).results)
+
+            group.start_soon(push)
+            await anyio.wait_all_tasks_blocked()
+            clock.suspended_s = suspended_s
+            executor.targets.announce(
+                TargetInfo("runner", "127.0.0.1:1", ["quote"], 1, 1), board.clock()
+            )
+            executor.step()
+            await anyio.wait_all_tasks_blocked()
+            group.cancel_scope.cancel()
+    state = TaskState.NOT_STARTED if suspended_s else TaskState.SUCCEEDED
+    assert [result.state for result in results] == [state]
+    assert executor.adapter.started == ([] if suspended_s else [0])
