Give up the work of a silent agent after 10 s, not as soon as it is suspected

Cause: a primary answered "failed" for every job with a task at an agent that had been silent for suspect_after_ms, 3 s by default. Nothing is gained by the haste, since these tasks are not started elsewhere.

Ruled out: waiting for an agent that was restarted, which has lost its tasks: its job fails at once, as before.

Change: the setting lost_after_ms, 10 s by default, is the silence after which started tasks are given up. Suspicion still decides about members of partitions and new tasks. A peer is remembered for twice that long if that is more than 60 s: with a larger suspect_after_ms it was forgotten before it was suspected.

--- a/marigoldkeel/configuration.py
+++ b/marigoldkeel/configuration.py
@@ -47,13 +47,20 @@
 
 
 class Defaults(Struct, forbid_unknown_fields=True):
-    """Fleet-wide values, which a policy or an exception may override."""
+    """Fleet-wide values, which a policy or an exception may override.
+
+    :ivar suspect_after_ms: Silence after which an agent is replaced in its partitions
+        and gets no new tasks.
+    :ivar lost_after_ms: Silence after which the tasks that an agent has started are
+        given up; at least ``suspect_after_ms`` is waited.
+    """
 
     deadline_ms: DeadlineMs = 10_000
     max_deadline_ms: DeadlineMs = MAX_DEADLINE_MS
     claim_timeout_ms: Annotated[int, Meta(ge=10, le=60_000)] = 500
     heartbeat_ms: Annotated[int, Meta(ge=100, le=60_000)] = 1000
     suspect_after_ms: Annotated[int, Meta(ge=200, le=300_000)] = 3000
+    lost_after_ms: Annotated[int, Meta(ge=200, le=300_000)] = 10_000
     retention_s: Annotated[int, Meta(ge=1, le=86_400)] = 900
     retry_budget_ratio: Ratio = 0.1
     probe_ratio: Annotated[float, Meta(ge=1, le=10)] = 2.0
--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -3,7 +3,8 @@
 Guarantees: a peer that has sent nothing for ``suspect_after_s`` is suspected, and a
 restarted peer is known under its new incarnation only. `PeerTable.is_suspected` states
 from when this time is counted. A suspicion may be wrong: it may trigger a change of
-members, but must never be taken as proof that a peer has stopped.
+members, but must never be taken as proof that a peer has stopped. A peer that is silent
+for ``lost_after_s`` counts as lost: what it may be running is given up.
 
 Assumptions: the local clock is monotonic. Nothing is assumed about the network.
 
@@ -24,6 +25,7 @@
 
 
 SUSPECT_AFTER_S = 3.0
+LOST_AFTER_S = 10.0
 FORGET_AFTER_S = 60.0
 # This limit bounds the heartbeat traffic. Two peers exchange one heartbeat and its
 # reply per HEARTBEAT_INTERVAL_S, or one each way if they are members of a partition.
@@ -74,6 +76,7 @@
     ):
         super().__init__()
         self.suspect_after_s = suspect_after_s
+        self.lost_after_s = LOST_AFTER_S
         self.max_peers = max_peers
         self.states: dict[str, PeerState] = {}
         self.expected_since: dict[str, float] = {}
@@ -122,21 +125,24 @@
     def remove_expired(self, now: float) -> list[str]:
         """Remove peers that were silent for `FORGET_AFTER_S` and return their names.
 
+        They are kept for longer if it takes longer until they count as lost.
         Times in ``expected_since`` and ``no_answer_since`` that are as old are removed
         too. The time is then counted anew: the peer is not suspected, or not
         unreachable, until ``suspect_after_s`` after the next check.
         """
+        patience_s = max(self.suspect_after_s, self.lost_after_s)
+        forget_after_s = max(FORGET_AFTER_S, 2 * patience_s)
         expired = [
             name
             for name, state in self.states.items()
-            if now - state.heard_at > FORGET_AFTER_S
+            if now - state.heard_at > forget_after_s
         ]
         for name in expired:
             del self.states[name]
             self.entries_heard_at.pop(name, None)
         for table in (self.expected_since, self.no_answer_since):
             for incarnation, since in list(table.items()):
-                if now - since > FORGET_AFTER_S:
+                if now - since > forget_after_s:
                     del table[incarnation]
         return expired
 
@@ -154,13 +160,28 @@
         table, from the first call that does not find it. A peer is therefore not
         suspected right after `remove_expired` has removed it.
         """
+        return self._is_replaced_or_silent(incarnation, now, self.suspect_after_s)
+
+    def is_lost(self, incarnation: str, now: float) -> bool:
+        """Return whether what a peer was running is to be given up.
+
+        That is the case at once if it was restarted. A peer that is only silent may be
+        paused or cut off and still complete its work, so it is given more time than
+        until it is suspected.
+        """
+        silence_s = max(self.suspect_after_s, self.lost_after_s)
+        return self._is_replaced_or_silent(incarnation, now, silence_s)
+
+    def _is_replaced_or_silent(
+        self, incarnation: str, now: float, silence_s: float
+    ) -> bool:
         state = self.states.get(incarnation.partition("@")[0])
         if state is None:
             self.expect_heartbeat(incarnation, now)
-            return now - self.expected_since[incarnation] > self.suspect_after_s
+            return now - self.expected_since[incarnation] > silence_s
         if state.member.incarnation != incarnation:
             return True
-        return now - state.heard_at > self.suspect_after_s
+        return now - state.heard_at > silence_s
 
     def record_answer(self, incarnation: str, now: float) -> None:
         """Record that a peer answered a request sent to its address."""
--- a/marigoldkeel/memberships.py
+++ b/marigoldkeel/memberships.py
@@ -56,9 +56,9 @@
         while True:
             self.board.compensate_local_pause(CHECK_INTERVAL_S)
             now = self.board.clock()
-            self.board.peers.suspect_after_s = (
-                self.board.setting("suspect_after_ms") / 1000
-            )
+            peers, setting = self.board.peers, self.board.setting
+            peers.suspect_after_s = setting("suspect_after_ms") / 1000
+            peers.lost_after_s = setting("lost_after_ms") / 1000
             for name in self.board.peers.remove_expired(now):
                 self.board.detector.remove(name, now)
             contacts = self.contacts()
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -401,7 +401,7 @@
         holders = {name for job in running for name in job.holders.values()}
         own = self.board.member.incarnation
         for holder in holders:
-            if holder != own and self.board.peers.is_suspected(holder, now):
+            if holder != own and self.board.peers.is_lost(holder, now):
                 for job in running:
                     job.handle_lost_holder(holder, now)
         self._evict_answers(now)
--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -192,3 +192,12 @@
         with anyio.fail_after(10.0):
             await wait_until_closed(stopping.http_address)
         assert not stopping.board.registers
+
+
+def test_silent_peer_is_suspected_however_long_the_setting():
+    """Guards against a peer that is forgotten before it is suspected, and so never is."""
+    table = PeerTable(suspect_after_s=100.0)
+    table.observe(PeerState(member(1)), 0.0)
+    for now in range(10, 130, 10):
+        assert table.remove_expired(now) == []
+        assert table.is_suspected("a0001@1", now) == (now > 100)
--- a/tests/test_primaries.py
+++ b/tests/test_primaries.py
@@ -124,3 +124,67 @@
         Outcome.COMPLETE,
         [*without_target, "bcd"[len(without_target)]],
     )
+
+
+class HoldingAgents(FakeAgents):
+    """Run pushed tasks once they are released."""
+
+    def __init__(self):
+        super().__init__([])
+        self.released = anyio.Event()
+
+    async def request(self, address, message, timeout_s):
+        if hasattr(message, "tasks"):
+            self.pushes.append(address)
+            await self.released.wait()
+        return await super().request(address, message, timeout_s)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("silent_s", "incarnation", "outcome"),
+    [
+        (5.0, "c@1", Outcome.COMPLETE),
+        (11.0, "c@1", Outcome.FAILED),
+        (0.0, "c@2", Outcome.FAILED),
+    ],
+)
+async def test_work_of_an_agent_that_is_silent_for_a_while_is_not_given_up(
+    silent_s, incarnation, outcome
+):
+    """Guards against a failed job whose tasks complete on a paused machine.
+
+    An agent that was restarted has lost its tasks, so they are given up at once.
+    """
+    now = [100.0]
+    board = Blackboard(Member("a", "a@1", "a"), lambda: now[0])
+    board.partitions.partition_count = 1
+    standby = Member("b", "b@1", "b", "elsewhere")
+    board.partitions.apply(PartitionRecord(0, 1, board.member, standby))
+    board.registers[0] = ClaimRegister.as_primary(0, 1)
+    board.registers[0].open()
+    holder = Member("c", "c@1", "c")
+    board.peers.observe(PeerState(holder, 0.0, 4, kinds=["quote"]), now[0])
+    agents = HoldingAgents()
+    message = Submit(
+        0, 1, mint_submission_id().bytes, "team", "quote", 1, 20_000, 0, 1, b"[1]"
+    )
+    answers = []
+    with anyio.fail_after(HANG_LIMIT_S):
+        async with anyio.create_task_group() as group:
+            primary = PrimaryController(
+                board, agents, make_policy("least_loaded"), group
+            )
+
+            async def submit():
+                answers.append(await primary.submit(message))
+
+            group.start_soon(submit)
+            await anyio.wait_all_tasks_blocked()
+            assert agents.pushes == ["c"]
+            now[0] += silent_s
+            if incarnation != holder.incarnation:
+                board.peers.observe(PeerState(Member("c", incarnation, "c")), now[0])
+            primary.reap()
+            agents.released.set()
+    assert [answer.outcome for answer in answers] == [outcome]
