--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -195,7 +195,7 @@
 
 
 def test_silent_peer_is_suspected_however_long_the_setting():
-    """Guards against a peer that is forgotten before it is suspected, and so never is."""
+    """Guards against a peer that is forgotten before it is suspected."""
     table = PeerTable(suspect_after_s=100.0)
     table.observe(PeerState(member(1)), 0.0)
     for now in range(10, 130, 10):
