Let an unexpected error end one task, not the daemon, for jobs that start at most once

Cause: entries and agents of this path ran every loop and task unguarded in one task group, so one unexpected error, such as a reply of another type from a peer, ended the process.

Ruled out: handlers of messages and HTTP requests, whose errors were caught already.

Change: GuardedTaskGroup, in which loops start again and a task ends alone, with a log line that names the step. What the task was to report is still reported: an agent answers "may have run" for a task whose run raised, a primary "unknown" for a job and "may have run" for a push; an id whose claim was not obtained is refused.

--- a/marigoldkeel/agents.py
+++ b/marigoldkeel/agents.py
@@ -1,7 +1,6 @@
 """The agent: the process that runs next to a target and executes tasks on it."""
 
 import anyio
-from anyio.abc import TaskGroup
 
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.cancellations import CancellationController
@@ -14,6 +13,7 @@
     TableFollower,
     is_store_watcher,
 )
+from marigoldkeel.guards import GuardedTaskGroup
 from marigoldkeel.messages import (
     Cancel,
     CancelJob,
@@ -62,7 +62,7 @@
             with anyio.CancelScope(shield=True):
                 await self.adapter.aclose()
 
-    def make_controllers(self, group: TaskGroup) -> None:
+    def make_controllers(self, group: GuardedTaskGroup) -> None:
         board, peers, setting = self.board, self.peers, self.board.setting
         # Initial values; the executor applies the configured ones and later changes.
         self.queue = WorkQueue(1, int(setting("queue_tasks_per_slot")))
@@ -80,9 +80,9 @@
             ConfigurationFollower(board, self.store, peers),
         ]
 
-    def run_controllers(self, group: TaskGroup) -> None:
-        group.start_soon(self.failover.run_forever)
-        group.start_soon(self.executor.run_forever)
+    def run_controllers(self, group: GuardedTaskGroup) -> None:
+        group.repeat(self.failover.run_forever)
+        group.repeat(self.executor.run_forever)
 
     def should_watch(self) -> bool:
         return is_store_watcher(self.board)
--- a/marigoldkeel/daemons.py
+++ b/marigoldkeel/daemons.py
@@ -12,6 +12,7 @@
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.exceptions import ProtocolError
 from marigoldkeel.followers import Follower, answer_pull
+from marigoldkeel.guards import GuardedTaskGroup
 from marigoldkeel.identifiers import mint_incarnation
 from marigoldkeel.memberships import MembershipController
 from marigoldkeel.messages import Heartbeat, HeartbeatReply, Inspect, Pull, Report
@@ -98,7 +99,7 @@
             stack.push_async_callback(self.store.aclose)
             self.peers = await stack.enter_async_context(PeerPool.open())
             async with anyio.create_task_group() as group:
-                self.make_controllers(group)
+                self.make_controllers(GuardedTaskGroup(group))
                 await self._start(group)
                 task_status.started(self)
                 await self.stopping.wait()
@@ -113,11 +114,11 @@
         """Log that changed settings need a restart; they are not reloaded."""
         logger.info("settings are read only at startup; restart to apply changes")
 
-    def make_controllers(self, group: TaskGroup) -> None:
+    def make_controllers(self, group: GuardedTaskGroup) -> None:
         """Create the controllers; ``store`` and ``peers`` are already open."""
         raise NotImplementedError
 
-    def run_controllers(self, group: TaskGroup) -> None:
+    def run_controllers(self, group: GuardedTaskGroup) -> None:
         """Start the background tasks of the controllers."""
 
     def routes(self) -> HttpApplication:
@@ -137,8 +138,9 @@
         raise NotImplementedError
 
     async def _start(self, group: TaskGroup) -> None:
+        guarded = GuardedTaskGroup(group)
         self.membership = MembershipController(
-            self.board, self.peers, self.settings.contacts, self.followers, group
+            self.board, self.peers, self.settings.contacts, self.followers, guarded
         )
         bound = await group.start(
             serve_peers, self.settings.listen, self._handle, self.peers.counters
@@ -150,9 +152,9 @@
         host, port = parse_address(self.settings.http)
         self.http_address = await group.start(serve_http, self.routes(), host, port)
         for follower in self.followers:
-            group.start_soon(follower.run_forever, self.should_watch)
-        group.start_soon(self.membership.run_forever)
-        self.run_controllers(group)
+            guarded.repeat(follower.run_forever, self.should_watch)
+        guarded.repeat(self.membership.run_forever)
+        self.run_controllers(guarded)
         logger.info(
             "{} {} in failure domain {} listens on {}, HTTP on {}",
             self.role,
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -5,7 +5,6 @@
 
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 from loguru import logger
 
 from marigoldkeel.admissions import QUOTA_STEP, CallerRequest, EntryAdmission
@@ -19,6 +18,7 @@
     PeerUnavailable,
 )
 from marigoldkeel.followers import ConfigurationFollower, TableFollower
+from marigoldkeel.guards import GuardedTaskGroup
 from marigoldkeel.identifiers import (
     parse_submission_id,
     partition_of,
@@ -79,7 +79,7 @@
         self.retry_budget = RetryBudget()
         self.request_times = RequestTimes()
 
-    def make_controllers(self, group: TaskGroup) -> None:
+    def make_controllers(self, group: GuardedTaskGroup) -> None:
         self.followers = [
             TableFollower(self.board, self.store, self.peers, lambda record: None),
             ConfigurationFollower(self.board, self.store, self.peers),
--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -447,6 +447,10 @@
         running = self.stragglers.start(info, call, Priority(message.priority))
         try:
             result = await self.adapter.run(info, call)
+        except Exception as error:
+            logger.exception("unexpected error in step run task at {}", info.address)
+            text = f"internal error: {error}"
+            result = TaskResult(task.index, TaskState.MAY_HAVE_RUN, b"", text)
         finally:
             run_time_s = running.run_time_s(self.board.clock())
             self.stragglers.end(running)
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -11,8 +11,6 @@
 from marigoldkeel.exceptions import (
     InvalidInput,
     MarigoldkeelError,
-    PeerLost,
-    PeerTimeout,
     PeerUnavailable,
 )
 from marigoldkeel.identifiers import body_digest, format_submission_id, partition_of
@@ -159,6 +157,18 @@
 
     async def _claim_and_run(
         self, job: Job, register: ClaimRegister, unanswered: int
+    ) -> None:
+        """Run a job; after an unexpected error its outcome is unknown."""
+        try:
+            await self._claim_then_run(job, register, unanswered)
+        except Exception as error:
+            logger.exception("unexpected error in step run job")
+            register.refuse(job.submission.submission_id)
+            answer = Answer(Outcome.UNKNOWN, b"", f"internal error: {error}", "run")
+            job.finish(answer, self.board.clock())
+
+    async def _claim_then_run(
+        self, job: Job, register: ClaimRegister, unanswered: int
     ) -> None:
         failure_reason = await self._obtain_claim(job, register)
         if failure_reason:
@@ -341,7 +351,10 @@
             results = reply.results
         except PeerUnavailable as error:
             results = [TaskResult(index, TaskState.NOT_STARTED, b"", str(error))]
-        except (PeerLost, PeerTimeout, MarigoldkeelError) as error:
+        except MarigoldkeelError as error:
+            results = [TaskResult(index, TaskState.MAY_HAVE_RUN, b"", str(error))]
+        except Exception as error:
+            logger.exception("unexpected error in step push from {}", member.address)
             results = [TaskResult(index, TaskState.MAY_HAVE_RUN, b"", str(error))]
         self._record(job, results, member.incarnation)
 
