Forward a job with the time that its caller still has

Cause: an entry sent the deadline as it had read it, however long ago.

Ruled out: a second start, which claims prevent; the harm is work for nobody.

Change: after the last await before sending, the time left is computed; without any, the job is refused as not run.

--- a/marigoldkeel/admissions.py
+++ b/marigoldkeel/admissions.py
@@ -18,7 +18,8 @@
 class CallerRequest:
     """A validated request of a caller.
 
-    ``deadline_s`` is the time until the deadline, in seconds.
+    :ivar deadline_s: The time from the arrival until the deadline, in seconds.
+    :ivar deadline: The deadline on the clock of the entry.
     """
 
     __slots__ = (
@@ -28,6 +29,7 @@
         "kind",
         "priority",
         "deadline_s",
+        "deadline",
         "unanswered",
         "tasks",
         "body",
--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -265,6 +265,7 @@
         }
         caller_request.priority = PRIORITIES[self.board.setting("priority", **scope)]
         caller_request.deadline_s = self._parse_deadline_s(request, scope)
+        caller_request.deadline = self.board.clock() + caller_request.deadline_s
         caller_request.unanswered = parse_int_header(
             request, "marigoldkeel-unanswered", 0
         )
@@ -325,7 +326,9 @@
         )
         # After the deadline, the primary itself waits one margin for the agents.
         timeout_s = caller_request.deadline_s + 2 * REPLY_MARGIN_S
-        answer = await self._request_members(record, message, timeout_s)
+        answer = await self._request_members(
+            record, message, timeout_s, caller_request.deadline
+        )
         if isinstance(answer, str):
             return refusal(answer, caller_request.unanswered, "submit")
         return answer
@@ -337,16 +340,28 @@
         return table.records.get(partition_of(submission_id, table.partition_count))
 
     async def _request_members(
-        self, record: PartitionRecord, message: Submit | CancelJob, timeout_s: float
+        self,
+        record: PartitionRecord,
+        message: Submit | CancelJob,
+        timeout_s: float,
+        deadline: float = float("inf"),
     ) -> Answer | str:
         """Send a message to the primary, or to the standby if the primary got nothing.
 
+        :param deadline: When the caller no longer needs the answer.
         :return: The answer, or the reason why nothing was sent to either member.
         """
         failure_reason = ""
         for member in (record.primary, record.standby):
             try:
-                reply = await self.peers.request(member.address, message, timeout_s)
+                connection = await self.peers.connect(member.address)
+                if deadline < float("inf"):
+                    # Connecting may take a second, or this process was paused. The
+                    # member counts the time left from when it gets the message.
+                    message.deadline_ms = int(1000 * (deadline - self.board.clock()))
+                    if message.deadline_ms <= 0:
+                        return "the deadline passed before the job was forwarded"
+                reply = await connection.request(message, timeout_s)
             except PeerUnavailable as error:
                 failure_reason = f"no member of the partition can be reached: {error}"
             except MarigoldkeelError as error:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -323,3 +323,25 @@
             for _ in range(4):
                 group.start_soon(submit)
         assert len(results) == 4
+
+
+@pytest.mark.parametrize(
+    ("connecting_s", "status", "started"), [(0.0, 200, 1), (0.6, 503, 0)]
+)
+async def test_job_is_not_forwarded_after_its_deadline(
+    monkeypatch, connecting_s, status, started
+):
+    """Guards against work that an entry forwards after it was paused or delayed."""
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        peers = system.entries[0].peers
+        connect = peers.connect
+
+        async def connect_late(address):
+            await anyio.sleep(connecting_s)
+            return await connect(address)
+
+        monkeypatch.setattr(peers, "connect", connect_late)
+        headers = {"Marigoldkeel-Deadline-Ms": "500"}
+        answer = await post(system, "/v1/jobs", headers, b"[1]")
+        assert (answer[0], answer[1]["outcome"] == "not_run") == (status, not started)
+        assert sum(len(runner.starts) for runner in system.runners) == started
