Do not count repeated read-only calls as double starts in the bench

By reading: a third of that load is stock-check, a read-only kind, which an entry repeats on another agent under the same id when the first is lost; the count of tasks started twice included these calls. Read-only calls need no claim, so this is allowed.

Change: each recorded start names its kind, and the bench counts only kinds that start at most once, with the bound 0 as before. The old count could not tell the two apart.

Figures: the new test has one id of each sort twice; only the job counts.

--- a/bench/systems.py
+++ b/bench/systems.py
@@ -202,11 +202,16 @@
         )
 
     def starts(self) -> list[tuple[str, int]]:
-        """Return submission and task index of each start in the runners' histories."""
+        """Return submission and task index of each start in the runners' histories.
+
+        Read-only calls are left out, since they may be repeated on another agent.
+        """
+        kinds = bench_configuration().kinds
         return [
             (start["submission"], start["index"])
             for path in sorted(self.directory.glob("*.history"))
             for start in map(msgspec.json.decode, path.read_bytes().splitlines())
+            if not kinds[start["kind"]].read_only
         ]
 
 
--- a/marigoldkeel/runners.py
+++ b/marigoldkeel/runners.py
@@ -36,6 +36,7 @@
     index: int
     runner: str
     time_s: float
+    kind: str
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -147,8 +148,9 @@
             return Response(503, b"no free slot", {**echo, NOT_RUN_HEADER: "1"})
         self.busy_slots += 1
         try:
+            kind = request.path_parameters["kind"]
             self._record_start(
-                TaskStart(submission, int(index), self.name, time.time())
+                TaskStart(submission, int(index), self.name, time.time(), kind)
             )
             return await self._execute(payload, echo)
         finally:
--- a/marigoldkeel/worker_standin.py
+++ b/marigoldkeel/worker_standin.py
@@ -87,6 +87,7 @@
                     lease_request.index,
                     self.name,
                     time.time(),
+                    lease_request.kind,
                 )
             )
             self._set_state(lease, "running")
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -6,10 +6,12 @@
 from collections import Counter
 
 import anyio
+import msgspec
 import pytest
 
 from bench.loads import make_load
 from bench.measures import count_sent_messages, seconds_to_recover, wasted_messages
+from bench.systems import System
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.configuration import Configuration
 from marigoldkeel.demo import LocalSystem
@@ -17,6 +19,7 @@
 from marigoldkeel.messages import Grant, Probe, Run, TaskItem, TaskResult
 from marigoldkeel.models import Member, Priority, TaskState
 from marigoldkeel.queues import WorkQueue
+from marigoldkeel.runners import TaskStart
 from marigoldkeel.status import agent_report
 from marigoldkeel.targets import TargetInfo, TargetTable
 
@@ -200,3 +203,15 @@
     for request in requests:
         request.error = "" if request.arrival_s < 10 else "Refused"
     assert seconds_to_recover(requests, 8.0, 12.0, 20.0) is None
+
+
+def test_repeated_read_only_calls_do_not_count_as_double_starts(tmp_path):
+    starts = [
+        TaskStart("a", 0, "runner", 1.0, "stock-check"),
+        TaskStart("a", 0, "runner", 2.0, "stock-check"),
+        TaskStart("b", 0, "runner", 1.0, "cut-list"),
+        TaskStart("b", 0, "runner", 2.0, "cut-list"),
+    ]
+    lines = b"".join(msgspec.json.encode(start) + b"\n" for start in starts)
+    (tmp_path / "runner.history").write_bytes(lines)
+    assert System("late_binding", tmp_path).starts() == [("b", 0), ("b", 0)]
