--- a/emulator/runners.py
+++ b/emulator/runners.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from emulator.workers import EmulatedWorker
+from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.fleet.supervisors import StartOutcome
 from marigoldkeel.fleet.work import Resources, RunEnd, RunId
 from marigoldkeel.platform.workers import RUN_ENDS, parse_task_name, task_name
@@ -80,13 +81,16 @@
 
     async def _handle_start(self, request: Request) -> Response:
         content = msgspec.json.decode(request.body)
-        task = msgspec.json.decode(content["spec"])
+        try:
+            task = msgspec.json.decode(content["spec"], type=dict)
+        except msgspec.DecodeError as error:
+            raise InvalidInput(f"malformed spec: {error}", "start run") from None
         self.worker.advance(self.now)
         run_id = RunId(parse_task_name(content["task"]), content["run"])
         outcome = self.worker.start(
             run_id,
             Resources(task.get("cpu", 1000)),
-            task["work_ms"] / 1000,
+            task.get("work_ms", 0) / 1000,
             self._lease_end_s(content),
             task.get("fails", False),
         )
--- /dev/null
+++ b/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Sends random messages to running daemons and looks for unexpected errors."""
--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -143,7 +143,7 @@
         item = WorkItem(
             message.submission_id,
             message.kind,
-            Priority(message.priority),
+            Priority.parse(message.priority),
             deadline,
             count,
             source=source,
--- a/marigoldkeel/models.py
+++ b/marigoldkeel/models.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct, field
 
+from marigoldkeel.exceptions import ProtocolError
+
 
 class Outcome(StrEnum):
     """The outcome of a job or call as reported to the caller; a closed set."""
@@ -32,6 +34,16 @@
     NORMAL = 1
     BATCH = 2
 
+    @classmethod
+    def parse(cls, number: int) -> "Priority":
+        """Return the priority in a message.
+
+        :raises ProtocolError: If there is none with this number.
+        """
+        if number not in cls._value2member_map_:
+            raise ProtocolError(f"unknown priority {number}", step="parse priority")
+        return cls(number)
+
 
 class Member(Struct, frozen=True):
     """One start of a daemon process.
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -96,7 +96,11 @@
         self.group = group
 
     async def submit(self, message: Submit) -> Answer:
-        """Run a submission and return the answer to this attempt."""
+        """Run a submission and return the answer to this attempt.
+
+        :raises ProtocolError: If the message is invalid; nothing is claimed then.
+        """
+        Priority.parse(message.priority)
         register = self.board.registers.get(message.partition)
         failure_reason = self._check_member(message, register)
         if failure_reason:
--- a/tests/test_primaries.py
+++ b/tests/test_primaries.py
@@ -6,6 +6,7 @@
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.claims import ClaimRegister, Verdict
 from marigoldkeel.dispatch import make_policy
+from marigoldkeel.exceptions import ProtocolError
 from marigoldkeel.heartbeats import PeerState
 from marigoldkeel.identifiers import mint_submission_id, partition_of
 from marigoldkeel.messages import Claimed, Ran, Submit, TaskResult
@@ -188,3 +189,19 @@
             primary.reap()
             agents.released.set()
     assert [answer.outcome for answer in answers] == [outcome]
+
+
+@pytest.mark.anyio
+async def test_submission_with_an_unknown_priority_claims_nothing():
+    """Guards against an id that is neither refused nor run."""
+    board = Blackboard(Member("a", "a@1", "a"))
+    board.partitions.partition_count = 1
+    board.registers[0] = ClaimRegister.as_primary(0, 1)
+    board.registers[0].open()
+    primary = PrimaryController(board, None, make_policy("least_loaded"), None)
+    message = Submit(
+        0, 1, mint_submission_id().bytes, "team", "quote", 9, 20_000, 0, 1, b"[1]"
+    )
+    with pytest.raises(ProtocolError):
+        await primary.submit(message)
+    assert board.registers[0].claims == {}
