Show what a daemon of a fleet sees with "marigoldkeel status"

Only daemons of jobs that start at most once had a status report.

Change: GET /v1/status beside the metrics, with an entry's agents, share and forecasts and an agent's owners and runs; "marigoldkeel status" prints it. Printing moves from commands.py to reports.py, where each role registers its function; a response that is no report is a clear error. Scheduler.available_cores and FleetEntry.count_entries become public names.

--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -248,14 +248,17 @@
 def status(address: str, *, json: bool = False) -> int:
     """Print the status report of an entry or agent.
 
-    :param address: The HTTP address of an entry or agent, as HOST:PORT.
+    :param address: The HTTP address of an entry or agent, as HOST:PORT; for a daemon of
+        a fleet, the one of its metrics.
     :param json: Whether to print the whole report as JSON.
     """
+    from marigoldkeel.reports import print_report
+
     report = _fetch_status(address)
     if json:
         print(msgspec.json.format(msgspec.json.encode(report)).decode())
     else:
-        _print_status(report)
+        print_report(report)
     return EXIT_OK
 
 
@@ -268,39 +271,11 @@
             response = pool.request("GET", f"http://{address}/v1/status")
     except (httpcore.NetworkError, httpcore.TimeoutException) as error:
         raise MarigoldkeelError(str(error), "status", address) from None
-    return msgspec.json.decode(response.content)
-
-
-def _print_status(report: dict[str, Any]) -> None:
-    """Print a status report as text.
-
-    The first line shows the revision of the configuration and the version of the
-    partition table that the daemon has; the column ``revision`` shows the revision of
-    the configuration that each peer has.
-    """
-    member = report["member"]
-    print(
-        f"{report['role']} {member['incarnation']} in {member['domain']}, "
-        f"configuration {report['config_revision']}, table {report['table_version']}"
-    )
-    print(f"{'partition':>9} {'generation':>10}  {'primary':28} {'standby':28}")
-    for record in report["partitions"]:
-        print(
-            f"{record['partition']:9} {record['generation']:10}  "
-            f"{record['primary']['incarnation']:28} "
-            f"{record['standby']['incarnation']:28}"
-        )
-    print(
-        f"{'peer':20} {'domain':14} {'load':>6} {'slots':>5} {'silent s':>8} revision"
-    )
-    for peer in report["peers"]:
-        print(
-            f"{peer['incarnation']:28} {peer['domain']:14} {peer['load']:6.2f} "
-            f"{peer['slots']:5} {peer['silent_s']:8.1f} {peer['config_revision']:8}"
-        )
-    for name in ("queue", "running_tasks", "running_jobs", "events"):
-        if name in report:
-            print(f"{name}: {report[name]}")
+    try:
+        return msgspec.json.decode(response.content)
+    except msgspec.DecodeError as error:
+        problem = f"HTTP {response.status} response is no status report: {error}"
+        raise MarigoldkeelError(problem, "status", address) from None
 
 
 def partition_reopen(
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -30,6 +30,7 @@
 from marigoldkeel.fleet.plans import Plan
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.settings import FleetSettings
+from marigoldkeel.fleet.status import agent_report, entry_report
 from marigoldkeel.fleet.supervisors import Supervisor
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.guards import repeat_guarded, run_guarded
@@ -37,7 +38,7 @@
 from marigoldkeel.messages import Pull
 from marigoldkeel.metrics import Metric, add_metrics_route
 from marigoldkeel.models import Member
-from marigoldkeel.servers import HttpApplication, serve_http
+from marigoldkeel.servers import HttpApplication, Request, Response, serve_http
 from marigoldkeel.settings import read_settings
 from marigoldkeel.stores import LeasedStore
 from marigoldkeel.transports import PeerPool, parse_address, serve_peers
@@ -87,8 +88,17 @@
         if self.settings.metrics:
             application = HttpApplication()
             add_metrics_route(application, self, metrics, [histogram])
+
+            @application.route("GET", "/v1/status")
+            async def status(request: Request) -> Response:
+                return Response.from_json(self.report())
+
             self.servers.append((self.settings.metrics, application))
 
+    def report(self) -> dict[str, Any]:
+        """Return the status report of this daemon."""
+        raise NotImplementedError
+
     async def run(self) -> None:
         """Run until `stop` is called and the work in progress has been drained."""
         async with AsyncExitStack() as stack:
@@ -211,7 +221,7 @@
         self.decode_plan = decode_plan
         self.fleet = FleetView()
         self.links = OwnerEndpoint(
-            self.own_member, self.fleet, self.clock, self._count_entries
+            self.own_member, self.fleet, self.clock, self.count_entries
         )
         self.scheduler = Scheduler(
             self.fleet,
@@ -276,11 +286,14 @@
             group.start_soon(repeat_guarded, step, loop)
         group.start_soon(self.controller.run_forever)
 
-    def _count_entries(self) -> int:
+    def count_entries(self) -> int:
         """Return the number of known entries, including this one."""
         others = self.directory.entries() if self.directory is not None else []
         return 1 + len(others)
 
+    def report(self) -> dict[str, Any]:
+        return entry_report(self)
+
     def _is_connected(self, name: str) -> bool:
         link = self.links.links.get(name)
         return link is not None and link.connection is not None
@@ -361,6 +374,9 @@
     def flush(self) -> None:
         self.driver.flush()
 
+    def report(self) -> dict[str, Any]:
+        return agent_report(self)
+
     def build_components(self, group: TaskGroup) -> None:
         self.driver = WorkerDriver(
             self.supervisor, self.client, self.links.deliver, group
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -350,7 +350,7 @@
         for service, jobs in by_service.items():
             workers_known = self._knows_workers(service)
             work = [owned.core_seconds() for owned in jobs]
-            waits_s = waiting_times(work, self._available_cores(service))
+            waits_s = waiting_times(work, self.available_cores(service))
             for owned, wait_s in zip(jobs, waits_s, strict=True):
                 if owned.has_started:
                     continue
@@ -366,7 +366,7 @@
                 if reason:
                     self._refuse(owned, reason, wait_s)
 
-    def _available_cores(self, service: str) -> float:
+    def available_cores(self, service: str) -> float:
         """Return this entry's share of the cores of a service's usable workers."""
         cpu_milli = sum(
             view.facts.capacity.cpu_milli
