Do not say "not run" of an id that is older than the entry that refuses it

Cause: an entry decides on refusals without asking the members of the partition; "not run" then rests on what the caller states. A caller that sends one id through two entries at once states to the first that it is new, and its session repeats this while that entry restarts; by then the id has run through the other.

Ruled out: counting such attempts as unanswered in what the members get: they know whether the id has run, and an id that was cancelled before would no longer be refused for certain (tests/test_cancellation.py failed with it).

Change: if an id was created before the entry started, its refusals by the entry itself have the outcome "unknown"; the client submits the id again.

Figures: no member reachable: an id of the same second "not run" as before, an id 60 s older "unknown" (before "not run", the new test fails).

--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -11,6 +11,7 @@
 from marigoldkeel.attempts import UNCONFIGURED_STEP
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.cancellations import DEFAULT_WAIT_MS, unknown_outcome
+from marigoldkeel.claims import mint_time_of
 from marigoldkeel.daemons import DRAIN_POLL_INTERVAL_S, Daemon
 from marigoldkeel.exceptions import (
     InvalidInput,
@@ -62,6 +63,8 @@
 class Entry(Daemon):
     """An entry process.
 
+    :ivar started_ms: When it was created, as a wall-clock time in milliseconds.
+
     Usage::
 
         entry = Entry.from_settings(Settings.from_toml("entry.toml"))
@@ -74,6 +77,7 @@
 
     def __init__(self, settings: Settings, board: Blackboard):
         super().__init__(settings, board)
+        self.started_ms = board.wall_ms()
         self.in_progress = 0
         self.admissions = EntryAdmission(board)
         self.retry_budget = RetryBudget()
@@ -230,7 +234,8 @@
             return not_ready_answer("no partition is known yet")
         admission = self.admissions.admit(caller_request)
         if not admission.admitted:
-            return self.admissions.refuse(admission, caller_request.unanswered)
+            attempts = caller_request.possible_attempts
+            return self.admissions.refuse(admission, attempts)
         started_at = self.board.clock()
         answer = None
         try:
@@ -269,6 +274,10 @@
         caller_request.unanswered = parse_int_header(
             request, "marigoldkeel-unanswered", 0
         )
+        # While this entry was not running, the caller may have sent the id to another
+        # one, beside the attempt that arrives now.
+        is_older = mint_time_of(caller_request.submission_id) < self.started_ms
+        caller_request.possible_attempts = caller_request.unanswered or int(is_older)
         caller_request.tasks = 1
         caller_request.body = request.body
         if is_job:
@@ -330,7 +339,7 @@
             record, message, timeout_s, caller_request.deadline
         )
         if isinstance(answer, str):
-            return refusal(answer, caller_request.unanswered, "submit")
+            return refusal(answer, caller_request.possible_attempts, "submit")
         return answer
 
     def _find_record(self, submission_id: bytes) -> PartitionRecord | None:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -8,8 +8,8 @@
 import pytest
 
 from marigoldkeel.demo import LocalSystem
-from marigoldkeel.exceptions import Conflict, JobFailed, Refused
-from marigoldkeel.identifiers import mint_submission_id
+from marigoldkeel.exceptions import Conflict, JobFailed, PeerUnavailable, Refused
+from marigoldkeel.identifiers import mint_submission_id, wall_clock_ms
 from marigoldkeel.partitions import PartitionTable
 from marigoldkeel.revisions import RevisionRegister
 from marigoldkeel.runners import Faults
@@ -345,3 +345,24 @@
         answer = await post(system, "/v1/jobs", headers, b"[1]")
         assert (answer[0], answer[1]["outcome"] == "not_run") == (status, not started)
         assert sum(len(runner.starts) for runner in system.runners) == started
+
+
+@pytest.mark.parametrize(("age_s", "outcome"), [(0.0, "not_run"), (60.0, "unknown")])
+async def test_refusal_of_an_id_older_than_the_entry_is_unknown(
+    monkeypatch, age_s, outcome
+):
+    """Guards against a "not run" for an id that ran elsewhere during a restart.
+
+    A caller that submits an id through two entries at the same time says to the first
+    that it is new, and repeats this while that entry restarts.
+    """
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+
+        async def fail(address):
+            raise PeerUnavailable("connect timed out", "connect", address)
+
+        monkeypatch.setattr(system.entries[0].peers, "connect", fail)
+        submission_id = mint_submission_id(wall_clock_ms() - round(1000 * age_s))
+        headers = {"Marigoldkeel-Submission": str(submission_id)}
+        _, answer, _ = await post(system, "/v1/jobs", headers, b"[1]")
+        assert answer["outcome"] == outcome
