--- a/marigoldkeel/admissions.py
+++ b/marigoldkeel/admissions.py
@@ -21,8 +21,8 @@
     :ivar deadline_s: The time from the arrival until the deadline, in seconds.
     :ivar deadline: The deadline on the clock of the entry.
     :ivar unanswered: Earlier attempts that the caller states to have had no answer.
-    :ivar possible_attempts: The same, or 1 if the caller may have sent the id to another
-        entry meanwhile. If it is 0, a refusal here means that the id has not run; the
+    :ivar possible_attempts: The same, or 1 if the caller may have sent the id to
+        another entry meanwhile. If it is 0, a refusal here means "not run"; the
         members of the partition decide from what they know and from ``unanswered``.
     """
 
