--- a/tests/platform/test_unexpected_errors.py
+++ b/tests/platform/test_unexpected_errors.py
@@ -13,6 +13,7 @@
 from marigoldkeel.guards import repeat_guarded
 from marigoldkeel.messages import Done
 from marigoldkeel.transports import ConnectionListener, PeerPool, serve_peers
+from tests.errors import InjectedError, fail_once
 
 
 pytestmark = pytest.mark.anyio
@@ -43,25 +44,6 @@
 ]
 
 
-class InjectedError(Exception):
-    """An error that no code expects."""
-
-
-def fail_once(monkeypatch, component, name: str) -> list[str]:
-    """Let the next call of a method fail; return a list that then has an item."""
-    method = getattr(component, name)
-    failures: list[str] = []
-
-    def call(*arguments, **options):
-        if not failures:
-            failures.append(name)
-            raise InjectedError(name)
-        return method(*arguments, **options)
-
-    monkeypatch.setattr(component, name, call)
-    return failures
-
-
 def change_store(site: Site) -> None:
     """Write the configuration and a daemon's record again."""
     site.configure(route("stock", "/stock/"))
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -4,14 +4,13 @@
 as before. The same for repeatable jobs: tests/platform/test_unexpected_errors.py.
 """
 
-import inspect
-
 import anyio
 import pytest
 
 from marigoldkeel.demo import LocalSystem
 from marigoldkeel.exceptions import MarigoldkeelError
 from marigoldkeel.messages import Done
+from tests.errors import fail_once
 
 
 pytestmark = pytest.mark.anyio
@@ -38,29 +37,6 @@
 }
 
 
-class InjectedError(Exception):
-    """An error that no code expects."""
-
-
-def fail_once(monkeypatch, component, name: str) -> list[str]:
-    """Let the next call of a method fail; return a list that then has an item."""
-    method = getattr(component, name)
-    failures: list[str] = []
-
-    def call(*arguments, **options):
-        if not failures:
-            failures.append(name)
-            raise InjectedError(name)
-        return method(*arguments, **options)
-
-    async def call_async(*arguments, **options):
-        return await call(*arguments, **options)
-
-    is_async = inspect.iscoroutinefunction(method)
-    monkeypatch.setattr(component, name, call_async if is_async else call)
-    return failures
-
-
 async def submit(system: LocalSystem, tasks: int = 3) -> bool:
     """Submit a job; return whether it completed."""
     async with system.session("brusadelli") as session:
