Keep serving when a connection cannot be accepted, and stop without an error

InvalidStateError in _sock_accept. Traced: if the future of accept() is cancelled in the same turn of the event loop in which a connection has become readable, asyncio sets its result all the same. The test cancels daemons that exchange heartbeats. Cause 2, found while reading for it: an OSError of accept(), such as "too many open files", left serve_peers and ended the daemon.

Change: connections are accepted in a loop that is ended by closing the listener, not by cancellation; an OSError is logged and accept() is tried again after 0.1 s; an unexpected error in a connection ends that connection.

--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -7,11 +7,11 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 
 import anyio
-from anyio.abc import ByteStream, TaskGroup, TaskStatus
+from anyio.abc import ByteStream, SocketListener, TaskGroup, TaskStatus
 from loguru import logger
 from msgspec import Struct, field
 
@@ -24,6 +24,7 @@
     ProtocolError,
     StoreUnavailable,
 )
+from marigoldkeel.guards import run_guarded
 from marigoldkeel.messages import (
     MAX_FRAME_BYTES,
     Envelope,
@@ -40,6 +41,7 @@
 WAIT_STEP_FRACTION = 0.1
 MIN_WAIT_STEP_S = 0.05
 RECEIVE_CHUNK_BYTES = 65536
+ACCEPT_RETRY_DELAY_S = 0.1
 # Bounds the memory used for a peer that has stopped reading.
 MAX_QUEUED_MESSAGES = 20_000
 MAX_MESSAGES_IN_FRAME = 500
@@ -497,6 +499,28 @@
     return f"{remote[0]}:{remote[1]}"
 
 
+async def accept_forever(
+    server: SocketListener,
+    run_connection: Callable[[ByteStream], Awaitable[None]],
+    group: TaskGroup,
+) -> None:
+    """Accept connections until the listener is closed, and run each in ``group``.
+
+    It is shielded from cancellation: if a connection arrives while accept() is
+    cancelled, asyncio raises an error in the event loop.
+    """
+    with anyio.CancelScope(shield=True), suppress(anyio.ClosedResourceError):
+        while True:
+            try:
+                stream = await server.accept()
+            except OSError as error:
+                # For example, too many files are open.
+                logger.warning("cannot accept a connection: {}", error)
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+                continue
+            group.start_soon(run_guarded, "serve connection", run_connection, stream)
+
+
 async def serve_peers(
     address: str,
     handler: Handler,
@@ -513,10 +537,12 @@
     :raises OSError: If the address cannot be bound.
     """
     host, port = parse_address(address)
-    server = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    # One IP address has one listener.
+    listeners = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    (server,) = listeners.listeners
     local_host, local_port = server.extra(anyio.abc.SocketAttribute.local_address)[:2]
 
-    async def accept(stream: ByteStream) -> None:
+    async def run_connection(stream: ByteStream) -> None:
         try:
             peer = configure_accepted_stream(stream)
         except PeerLost as error:
@@ -525,6 +551,11 @@
             return
         await Connection(stream, peer, handler, counters, listener).run()
 
-    async with server:
+    async with anyio.create_task_group() as group:
+        group.start_soon(accept_forever, server, run_connection, group)
         task_status.started(f"{local_host}:{local_port}")
-        await server.serve(accept)
+        try:
+            await anyio.sleep_forever()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await server.aclose()
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -1,5 +1,6 @@
 """Guards against lost, mismatched or oversized messages between processes."""
 
+import asyncio
 import socket
 import struct
 import time
@@ -19,6 +20,7 @@
 from marigoldkeel.messages import (
     Claim,
     Claimed,
+    Done,
     Envelope,
     Heartbeat,
     Take,
@@ -216,3 +218,57 @@
 
     with pytest.raises(PeerLost):
         configure_accepted_stream(Stream())
+
+
+@pytest.mark.anyio
+async def test_connection_that_arrives_while_serving_is_cancelled_raises_no_error():
+    """Guards against an error that the event loop reports when a daemon stops."""
+    trigger, trigger_end = socket.socketpair()
+    with anyio.CancelScope() as scope, trigger, trigger_end:
+        async with anyio.create_task_group() as group:
+            address = await group.start(
+                serve_peers, "127.0.0.1:0", None, Counters(), None
+            )
+            await anyio.sleep(0.05)
+            loop = asyncio.get_running_loop()
+            loop.add_reader(trigger, scope.cancel)
+            # Both become readable before the loop looks again, the trigger first.
+            trigger_end.send(b"x")
+            caller = socket.create_connection(parse_address(address))
+            try:
+                await anyio.sleep_forever()
+            finally:
+                loop.remove_reader(trigger)
+                caller.close()
+    assert scope.cancelled_caught
+
+
+@pytest.mark.anyio
+async def test_error_in_accept_does_not_end_the_server(monkeypatch):
+    """Guards against a daemon that ends because too many files are open."""
+    errors = [OSError(24, "Too many open files")]
+    create_listener = anyio.create_tcp_listener
+
+    async def create_failing_listener(**options):
+        server = await create_listener(**options)
+        accept = server.listeners[0].accept
+
+        async def accept_after_errors():
+            if errors:
+                raise errors.pop()
+            return await accept()
+
+        server.listeners[0].accept = accept_after_errors
+        return server
+
+    monkeypatch.setattr(anyio, "create_tcp_listener", create_failing_listener)
+
+    async def reply(message, peer):
+        return Done()
+
+    async with anyio.create_task_group() as group, PeerPool.open() as peers:
+        address = await group.start(serve_peers, "127.0.0.1:0", reply, Counters())
+        with anyio.fail_after(5.0):
+            assert await peers.request(address, Done(), 4.0) == Done()
+        group.cancel_scope.cancel()
+    assert errors == []
