End a server's accept() by cancelling it, after its reader is removed

Traced: closing the listener while accept() is between two steps leaves it waiting for a closed socket, and the change before shielded it from cancellation.

Change: the loop's reader is removed first, so that asyncio cannot be about to accept, and then accept() is cancelled.

--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -4,10 +4,11 @@
 next frame, so busy connections send few large frames.
 """
 
+import asyncio
 import socket
 import struct
 from collections.abc import Awaitable, Callable
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from typing import Any
 
 import anyio
@@ -503,13 +504,10 @@
     server: SocketListener,
     run_connection: Callable[[ByteStream], Awaitable[None]],
     group: TaskGroup,
+    scope: anyio.CancelScope,
 ) -> None:
-    """Accept connections until the listener is closed, and run each in ``group``.
-
-    It is shielded from cancellation: if a connection arrives while accept() is
-    cancelled, asyncio raises an error in the event loop.
-    """
-    with anyio.CancelScope(shield=True), suppress(anyio.ClosedResourceError):
+    """Accept connections until ``scope`` is cancelled, and run each in ``group``."""
+    with scope:
         while True:
             try:
                 stream = await server.accept()
@@ -551,11 +549,15 @@
             return
         await Connection(stream, peer, handler, counters, listener).run()
 
-    async with anyio.create_task_group() as group:
-        group.start_soon(accept_forever, server, run_connection, group)
+    # Shielded, as accept() must not be cancelled while the event loop may be about to
+    # run it: asyncio then raises an error if a connection arrives at that moment.
+    accepting = anyio.CancelScope(shield=True)
+    async with server, anyio.create_task_group() as group:
+        group.start_soon(accept_forever, server, run_connection, group, accepting)
         task_status.started(f"{local_host}:{local_port}")
         try:
             await anyio.sleep_forever()
         finally:
-            with anyio.CancelScope(shield=True):
-                await server.aclose()
+            raw_socket = server.extra(anyio.abc.SocketAttribute.raw_socket)
+            asyncio.get_running_loop().remove_reader(raw_socket)
+            accepting.cancel()
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -272,3 +272,21 @@
             assert await peers.request(address, Done(), 4.0) == Done()
         group.cancel_scope.cancel()
     assert errors == []
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("connections", range(4))
+@pytest.mark.parametrize("steps", range(5))
+async def test_serving_ends_whenever_it_is_cancelled(connections, steps):
+    """Guards against a stop that waits for a connection that nobody can accept."""
+    callers = [socket.socket() for _ in range(connections)]
+    async with anyio.create_task_group() as group:
+        address = await group.start(serve_peers, "127.0.0.1:0", None, Counters())
+        for caller in callers:
+            caller.setblocking(False)
+            caller.connect_ex(parse_address(address))
+        for _ in range(steps):
+            await anyio.lowlevel.checkpoint()
+        group.cancel_scope.cancel()
+    for caller in callers:
+        caller.close()
