--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -19,7 +20,7 @@
 
 
 ROOT = Path(__file__).resolve().parent.parent
-# A loopback address for each run, so that concurrent runs don't take each other's ports.
+# An address for each run, so that concurrent runs don't take each other's ports.
 HOST = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 200 + 1}.1"
 QUEUE_HOST = "shop.example"
 PREFIX = "/stock/"
@@ -29,9 +30,13 @@
 GRACE_S = 6.0
 # As the platform's clients: a job without an answer is sent again after this time.
 RETRANSMIT_S = 1.3
+# The first retransmission of a lost packet.
+RETRANSMISSION_S = 0.2
 HELD, BROKEN, FAILED = 0, 1, 2
 
 Answer = tuple[int, dict] | None
+LISTEN_PORTS = (12_000, 32_000)
+taken_ports: set[int] = set()
 
 
 class Record:
@@ -51,9 +56,17 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.create_server((HOST, 0)) as server:
-        return server.getsockname()[1]
+    """Return a free port, below those that outgoing channels take, and each once."""
+    while True:
+        port = random.randrange(*LISTEN_PORTS)
+        if port in taken_ports:
+            continue
+        try:
+            with socket.create_server((HOST, port)):
+                taken_ports.add(port)
+                return port
+        except OSError:
+            continue
 
 
 async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict, bytes]:
@@ -442,6 +455,8 @@
         self.target = target
         self.address = ""
         self.cut = False
+        self.loss = 0.0
+        self.random = random.Random(1)
         self.channels: list[dict] = []
 
     async def open(self) -> str:
@@ -458,6 +473,12 @@
             channel["silent"] = True
         return len(open_channels)
 
+    async def _lose(self, timeout_s: float) -> None:
+        """Delay a packet by as many retransmissions as it is lost."""
+        while self.random.random() < self.loss:
+            await asyncio.sleep(timeout_s)
+            timeout_s *= 2
+
     async def _accept(self, reader, writer) -> None:
         channel = {"silent": False}
         while self.cut:
@@ -478,6 +499,7 @@
             while data := await reader.read(65536):
                 while self.cut or channel["silent"]:
                     await asyncio.sleep(0.01)
+                await self._lose(RETRANSMISSION_S)
                 writer.write(data)
                 await writer.drain()
         except OSError:
