End the review's scripts cleanly on SIGTERM, and close their proxies

Cause: a script that was ended from outside left its processes behind, and open channels printed errors at the end. Change: SIGTERM cancels the case, which ends its processes; proxies are closed.

--- a/review/standins.py
+++ b/review/standins.py
@@ -458,6 +458,7 @@
         self.loss = 0.0
         self.random = random.Random(1)
         self.channels: list[dict] = []
+        self.writers: list[asyncio.StreamWriter] = []
 
     async def open(self) -> str:
         """Listen and return the address."""
@@ -489,6 +490,7 @@
             writer.transport.abort()
             return
         self.channels.append(channel)
+        self.writers += [writer, other[1]]
         await asyncio.gather(
             self._copy(channel, reader, other[1]), self._copy(channel, other[0], writer)
         )
@@ -710,6 +712,11 @@
             task.cancel()
         for server in self.servers:
             server.close()
+        for proxy in self.links.values():
+            proxy.server.close()
+            for writer in proxy.writers:
+                writer.transport.abort()
+        await asyncio.sleep(0.1)
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             for path in [*self.directory.glob("*.log"), *self.directory.glob("*.toml")]:
@@ -728,6 +735,8 @@
 
     async def run() -> int:
         installation = Installation(record)
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(110):
                 broken = await case(installation, trouble)
@@ -740,7 +749,7 @@
 
     try:
         code = asyncio.run(run())
-    except Exception as error:  # The case could not run.
+    except (Exception, asyncio.CancelledError) as error:  # The case could not run.
         record.add(f"could not run: {type(error).__name__} {error}")
         code = FAILED
     record.write(Path(folder) / "record.txt")
