Believe a worker's restart only when a poll shows it

Cause: the supervisor took a report with a later boot for a restart of its worker, ended all runs there, and then discarded the worker's own answers as those of an earlier boot. Ruled out: a lapsed lease (no run lapsed on the worker), a lost link (no such line), and the service in the report (a report with the worker's own service and name does the same).

Change: a report of a later boot is kept, and the worker is polled at once. The poll is answered by the worker itself: if it shows that boot, the runs of the earlier one end and the report applies. A report of the current boot under another name is ignored.

Two tests of the report endpoint now let a poll show the worker's boot first, as a worker without any poll has no confirmed boot; what they check is unchanged.

--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -28,6 +28,7 @@
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.supervisors import (
     WORKER_LEASE_S,
+    CheckBootOrder,
     Phase,
     Run,
     StartOrder,
@@ -95,6 +96,8 @@
     def flush(self) -> None:
         """Send orders to the worker, and notify the owners after a short delay."""
         for order in self.supervisor.take_orders():
+            if isinstance(order, CheckBootOrder):
+                continue  # The poll in progress shows a restart within POLL_WAIT_S.
             action = (
                 self._send_start if isinstance(order, StartOrder) else self._send_stop
             )
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -11,6 +11,7 @@
 from marigoldkeel.fleet.supervisors import (
     MAX_ORDER_AGE_S,
     WORKER_LEASE_S,
+    CheckBootOrder,
     Phase,
     Run,
     StartOrder,
@@ -18,6 +19,7 @@
     Supervisor,
     WorkerPoll,
 )
+from marigoldkeel.guards import run_guarded
 
 
 # A poll returns as soon as a run ends, or after this time. It returns the progress of
@@ -96,6 +98,9 @@
 
     def _execute_orders(self) -> None:
         for order in self.supervisor.take_orders():
+            if isinstance(order, CheckBootOrder):
+                self.group.start_soon(run_guarded, "check boot", self._check_boot)
+                continue
             action = self._start if isinstance(order, StartOrder) else self._stop
             self.group.start_soon(action, order.run)
 
@@ -141,6 +146,23 @@
                 supervisor.report_progress()
             self.flush()
 
+    async def _check_boot(self) -> None:
+        """Poll the worker at once, and apply the result if it shows a later boot.
+
+        Otherwise the result is discarded, since that of the poll in progress may be
+        newer.
+        """
+        requested_at = self.supervisor.clock()
+        try:
+            poll = await self.client.poll(0.0, 0.0, 0)
+        except MarigoldkeelError as error:
+            logger.info("boot of the worker not checked: {}", error)
+            return
+        if poll.boot > self.supervisor.boot:
+            logger.info("worker restarted, boot {}", poll.boot)
+            self.supervisor.record_poll(poll, requested_at)
+            self.flush()
+
     async def tick_forever(self) -> None:
         """Run the supervisor's periodic work until cancelled."""
         while True:
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -58,6 +58,8 @@
 # Run events that are kept for owners whose connection was lost before delivery. They
 # cover some tens of seconds.
 MAX_RECENT_EVENTS = 500
+# Reports of unconfirmed boots that are kept; all but one are those of other writers.
+MAX_UNCONFIRMED_REPORTS = 4
 # Progress is not reported for runs that are shorter than this.
 MIN_PROGRESS_RUN_S = 0.15
 PROGRESS_INTERVAL_S = 0.2
@@ -167,6 +169,10 @@
     run: Run
 
 
+class CheckBootOrder(Struct):
+    """Poll the worker without delay to find out whether it has restarted."""
+
+
 class OwnerNotification(Struct):
     """A message for an owner, which is identified by its incarnation."""
 
@@ -177,6 +183,10 @@
 class Supervisor:
     """Tracks the runs and the free capacity of one worker.
 
+    Polls are answered by the worker itself, so only they show which boot it runs. A
+    report may have been sent by another writer; it counts once a poll has shown its
+    boot.
+
     :param clock: Returns monotonic seconds; measures what happens on this machine.
     :param suspended_clock: Returns seconds of a clock that includes time in system
         suspend; measures the leases and orders of owners on other machines.
@@ -201,6 +211,7 @@
         self.suspended_clock = suspended_clock or clock
         self.facts: WorkerFacts | None = None
         self.report_sequence = -1
+        self.unconfirmed: dict[int, tuple[int, WorkerFacts]] = {}
         self.boot = 0
         self.last_end = 0
         self.runs: dict[RunId, Run] = {}
@@ -214,27 +225,30 @@
         self.leaving = False
         self.reachable = False
         self.last_demand = NO_RESOURCES
-        self.orders: list[StartOrder | StopOrder] = []
+        self.orders: list[StartOrder | StopOrder | CheckBootOrder] = []
         self.notifications: list[OwnerNotification] = []
         self.last_tick_at = self.suspended_clock()
         self.on_run_end: Callable[[RunEnd, float], None] = lambda end, run_s: None
+        self.on_facts: Callable[[WorkerFacts], None] = lambda facts: None
 
     # Events from the worker
 
     def update_facts(self, facts: WorkerFacts, sequence: int) -> bool:
         """Apply a worker's report about itself if it is newer than the last one.
 
+        A report of a later boot ends no run: it is kept until a poll shows that boot.
+
         :param sequence: Increases with each report within a boot.
-        :return: Whether the report was applied.
+        :return: Whether the report was applied or kept.
         """
         if facts.boot < self.boot:
             return False
-        if facts.boot == self.boot and sequence <= self.report_sequence:
-            return False
         if facts.boot > self.boot:
-            self._reset_for_boot(facts.boot)
-        self.report_sequence = sequence
-        self.facts = facts
+            return self._keep_report(facts, sequence)
+        is_other_worker = self.facts is not None and self.facts.worker != facts.worker
+        if is_other_worker or sequence <= self.report_sequence:
+            return False
+        self._apply_report(facts, sequence)
         return True
 
     def adopt_facts(self, facts: WorkerFacts) -> None:
@@ -487,7 +501,7 @@
             max(0, free.cpu_milli), max(0, free.memory_mb), max(0, free.accelerators)
         )
 
-    def take_orders(self) -> list[StartOrder | StopOrder]:
+    def take_orders(self) -> list[StartOrder | StopOrder | CheckBootOrder]:
         """Remove and return the orders that are to be executed."""
         orders, self.orders = self.orders, []
         return orders
@@ -525,8 +539,34 @@
         self.boot = boot
         self.report_sequence = -1
         self.last_end = 0
-        if self.facts is not None and self.facts.boot != boot:
-            self.facts = None
+        self.facts = None
+        report = self.unconfirmed.get(boot)
+        self.unconfirmed = {
+            other: kept for other, kept in self.unconfirmed.items() if other > boot
+        }
+        if report is not None:
+            sequence, facts = report
+            self._apply_report(facts, sequence)
+
+    def _apply_report(self, facts: WorkerFacts, sequence: int) -> None:
+        self.report_sequence = sequence
+        self.facts = facts
+        self.on_facts(facts)
+
+    def _keep_report(self, facts: WorkerFacts, sequence: int) -> bool:
+        """Keep a report of a later boot until a poll shows that boot."""
+        if facts.boot not in self.unconfirmed:
+            if self.reconciled:
+                logger.bind(boot=facts.boot, polled_boot=self.boot).info(
+                    "report of {} kept: no poll has shown its boot", facts.worker
+                )
+                self.orders.append(CheckBootOrder())
+            if len(self.unconfirmed) == MAX_UNCONFIRMED_REPORTS:
+                del self.unconfirmed[next(iter(self.unconfirmed))]
+        elif sequence <= self.unconfirmed[facts.boot][0]:
+            return False
+        self.unconfirmed[facts.boot] = (sequence, facts)
+        return True
 
     def _end_all(self, end: RunEnd) -> None:
         for run in list(self.runs.values()):
--- a/marigoldkeel/platform/workers.py
+++ b/marigoldkeel/platform/workers.py
@@ -93,8 +93,8 @@
 class RunnerClient(WorkerClient):
     """Client of the runner on this machine.
 
-    :ivar instance: Name from the runner's last report, which each order carries; empty
-        before the first report.
+    :ivar instance: The runner's name by its last report, which each order carries;
+        empty before the first report.
     """
 
     def __init__(self, address: str, clock: Callable[[], float] = time.monotonic):
@@ -259,6 +259,11 @@
     """Create the application that accepts the reports of the agent's runner."""
     application = HttpApplication()
 
+    def name_instance(facts: WorkerFacts) -> None:
+        client.instance = facts.worker
+
+    supervisor.on_facts = name_instance
+
     @application.route("PUT", "/api/instances/{worker}")
     async def receive_report(request: Request) -> Response:
         worker = request.path_parameters["worker"]
@@ -281,8 +286,7 @@
             leaving,
             content.remaining_ms,
         )
-        if supervisor.update_facts(facts, content.seq):
-            client.instance = worker
+        supervisor.update_facts(facts, content.seq)
         flush()
         return Response.from_json({})
 
--- a/tests/fleet/test_drivers.py
+++ b/tests/fleet/test_drivers.py
@@ -5,6 +5,7 @@
 
 from marigoldkeel.exceptions import PeerTimeout
 from marigoldkeel.fleet.drivers import START_TIMEOUTS_S, WorkerClient, WorkerDriver
+from marigoldkeel.fleet.messages import WorkerFacts
 from marigoldkeel.fleet.supervisors import (
     WORKER_LEASE_S,
     Phase,
@@ -198,3 +199,23 @@
                 await anyio.sleep(0.01)
         group.cancel_scope.cancel()
     assert client.reachable == reachable
+
+
+@pytest.mark.parametrize(("boot", "lapsed"), [(7, False), (8, True)])
+async def test_worker_is_polled_at_once_when_a_report_names_a_later_boot(boot, lapsed):
+    # Guards against a restart that is noticed only when the poll in progress returns.
+    agent = Agent()
+    agent.start(0)
+
+    class Client(ScriptedClient):
+        async def poll(self, lease_s, wait_s, last_end):
+            assert (lease_s, wait_s) == (0.0, 0.0)
+            return WorkerPoll(boot)
+
+    async with anyio.create_task_group() as group:
+        client = Client(agent)
+        driver = WorkerDriver(agent.supervisor, client, lambda: None, group)
+        agent.supervisor.update_facts(WorkerFacts("w-1", 8), 1)
+        driver.flush()
+    assert agent.supervisor.boot == boot
+    assert (run_id(0) not in agent.supervisor.runs) == lapsed
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -13,9 +13,11 @@
 )
 from marigoldkeel.fleet.supervisors import (
     CLAIM_TIMEOUT_S,
+    MAX_UNCONFIRMED_REPORTS,
     MIN_STALL_TIMEOUT_S,
     OWNER_LEASE_S,
     WORKER_LEASE_S,
+    CheckBootOrder,
     Phase,
     RunEndRecord,
     RunStatus,
@@ -301,6 +303,70 @@
     assert agent.supervisor.update_facts(WorkerFacts("w-1", boot), sequence) is accepted
 
 
+OTHER_WRITERS = [
+    WorkerFacts("w-other", 8, "elsewhere", "a", [], FACTS.capacity),
+    WorkerFacts("w-1", 8, "service", "a", [], FACTS.capacity),
+    WorkerFacts("w-other", 7, "elsewhere", "a", [], FACTS.capacity),
+    WorkerFacts("w-other", 6, "elsewhere", "a", [], FACTS.capacity),
+]
+
+
+@pytest.mark.parametrize("report", OTHER_WRITERS)
+def test_report_of_another_writer_ends_no_run(report):
+    # Guards against a task that ran twice: its run was given up for a report that the
+    # worker had not sent, and the worker got no further runs.
+    agent = Agent()
+    agent.start(0)
+    agent.poll(run_id(0))
+    agent.supervisor.update_facts(report, 9)
+    agent.supervisor.take_orders()
+    agent.poll(run_id(0))
+    assert agent.events() == []
+    assert agent.supervisor.facts == FACTS
+    assert agent.supervisor.update_facts(FACTS, 2)
+    agent.start(1)
+    agent.poll(run_id(1), ended=[RunEndRecord(1, run_id(0), RunEnd.DONE)])
+    assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
+    assert agent.supervisor.runs[run_id(1)].phase == Phase.RUNNING
+
+
+@pytest.mark.parametrize("report", OTHER_WRITERS)
+def test_report_of_another_writer_hides_no_report_of_a_starting_worker(report):
+    agent = Agent(facts=None)
+    agent.supervisor = Supervisor(agent.clock)
+    agent.supervisor.update_facts(report, 9)
+    agent.supervisor.update_facts(FACTS, 1)
+    agent.poll()
+    is_own_boot = report.boot == FACTS.boot
+    assert agent.supervisor.facts == (report if is_own_boot else FACTS)
+
+
+def test_restart_is_applied_when_a_poll_shows_it():
+    agent = Agent()
+    agent.start(0)
+    agent.supervisor.take_orders()
+    restarted = WorkerFacts("w-1", 8, "service", "a", [], FACTS.capacity)
+    assert agent.supervisor.update_facts(restarted, 1)
+    assert [type(order) for order in agent.supervisor.take_orders()] == [CheckBootOrder]
+    assert agent.supervisor.update_facts(restarted, 2)
+    assert agent.supervisor.take_orders() == []
+    assert agent.events() == []
+    agent.poll(boot=8)
+    assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
+    assert agent.supervisor.facts == restarted
+    assert agent.supervisor.usable
+    assert not agent.supervisor.update_facts(restarted, 2)
+
+
+def test_reports_that_no_poll_confirms_are_limited_in_number():
+    agent = Agent()
+    for boot in range(10, 60):
+        agent.supervisor.update_facts(WorkerFacts("w-other", boot), 1)
+    assert len(agent.supervisor.unconfirmed) == MAX_UNCONFIRMED_REPORTS
+    agent.poll(boot=70)
+    assert agent.supervisor.unconfirmed == {}
+
+
 def test_no_run_starts_on_a_leaving_worker():
     agent = Agent()
     leaving = WorkerFacts("w-1", 7, "service", "a", [], FACTS.capacity, True, 3000)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -11,7 +11,13 @@
 from emulator.runners import RunnerEmulator
 from emulator.workers import EmulatedWorker
 from marigoldkeel.exceptions import MarigoldkeelError, ProtocolError
-from marigoldkeel.fleet.supervisors import Phase, Run, StartOutcome, Supervisor
+from marigoldkeel.fleet.supervisors import (
+    Phase,
+    Run,
+    StartOutcome,
+    Supervisor,
+    WorkerPoll,
+)
 from marigoldkeel.fleet.work import Resources, RunEnd, RunId, TaskId
 from marigoldkeel.platform import workers
 from marigoldkeel.platform.workers import (
@@ -127,8 +133,12 @@
 
 @asynccontextmanager
 async def open_reports_endpoint():
-    """Serve the report endpoint and yield a function that sends requests to it."""
+    """Serve the report endpoint and yield a function that sends requests to it.
+
+    A poll has shown the boot of the worker.
+    """
     supervisor = Supervisor(anyio.current_time)
+    supervisor.record_poll(WorkerPoll(boot=5), anyio.current_time())
     client = RunnerClient("127.0.0.1:9")
     application = reports_application(supervisor, client, lambda: None)
     async with anyio.create_task_group() as group:
@@ -167,6 +177,17 @@
         assert supervisor.facts is None
 
 
+async def test_orders_name_the_worker_that_a_poll_has_confirmed():
+    # Guards against orders to a name that another writer had reported: the worker
+    # refused them all.
+    async with open_reports_endpoint() as (supervisor, client, send):
+        assert await send("PUT", report()) == 200
+        assert await send("PUT", report(born=9), name="i-other") == 200
+        assert client.instance == "i-1"
+        supervisor.record_poll(WorkerPoll(boot=9), anyio.current_time())
+        assert client.instance == "i-other"
+
+
 @pytest.mark.parametrize(
     "content",
     [
