Do not end a worker's runs for its exit announcement alone

Ruled out: telling such announcements apart by their content; they have only the name.

Change: an announced exit stops new runs at once, as before, until the next report. The runs end when a poll then finds that the worker accepts no connection, which is within milliseconds of its exit, or with its lease.

--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -7,7 +7,7 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from marigoldkeel.exceptions import MarigoldkeelError
+from marigoldkeel.exceptions import MarigoldkeelError, PeerUnavailable
 from marigoldkeel.fleet.supervisors import (
     MAX_ORDER_AGE_S,
     WORKER_LEASE_S,
@@ -136,7 +136,7 @@
                     continue
                 if supervisor.reachable:
                     logger.info("worker not reachable: {}", error)
-                supervisor.record_poll_failure()
+                supervisor.record_poll_failure(isinstance(error, PeerUnavailable))
                 await anyio.sleep(RETRY_DELAY_S)
             else:
                 if not supervisor.reachable:
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -223,6 +223,7 @@
         self.first_polled_at = float("-inf")
         self.progress_reported_at = float("-inf")
         self.leaving = False
+        self.exit_announced = False
         self.reachable = False
         self.last_demand = NO_RESOURCES
         self.orders: list[StartOrder | StopOrder | CheckBootOrder] = []
@@ -260,9 +261,13 @@
             self.facts = facts
 
     def record_worker_exit(self, worker: str) -> None:
-        """Record that the worker has announced its immediate exit."""
+        """Record that the worker has announced its immediate exit.
+
+        It gets no further runs until its next report. Its runs end once a poll finds
+        it gone: the announcement may be that of an earlier boot, delivered late.
+        """
         if self.facts is not None and self.facts.worker == worker:
-            self._end_all(RunEnd.LAPSED)
+            self.exit_announced = True
             self.facts = None
 
     def extend_worker_lease(self, lease_s: float) -> None:
@@ -300,10 +305,14 @@
             del self.pending_claims[run_id]
             self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0)
 
-    def record_poll_failure(self) -> None:
-        """Record a failed poll; no run is started until a poll succeeds."""
+    def record_poll_failure(self, not_connected: bool = False) -> None:
+        """Record a failed poll; no run is started until a poll succeeds.
+
+        :param not_connected: Whether the worker accepted no connection.
+        """
         self.reachable = False
-        if self.clock() > self.worker_lease_ends_at:
+        has_exited = not_connected and self.exit_announced
+        if has_exited or self.clock() > self.worker_lease_ends_at:
             self._end_all(RunEnd.LAPSED)
 
     def record_start_outcome(
@@ -539,6 +548,7 @@
         self.boot = boot
         self.report_sequence = -1
         self.last_end = 0
+        self.exit_announced = False
         self.facts = None
         report = self.unconfirmed.get(boot)
         self.unconfirmed = {
@@ -550,6 +560,7 @@
 
     def _apply_report(self, facts: WorkerFacts, sequence: int) -> None:
         self.report_sequence = sequence
+        self.exit_announced = False
         self.facts = facts
         self.on_facts(facts)
 
--- a/tests/fleet/test_drivers.py
+++ b/tests/fleet/test_drivers.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from marigoldkeel.exceptions import PeerTimeout
+from marigoldkeel.exceptions import PeerTimeout, PeerUnavailable
 from marigoldkeel.fleet.drivers import START_TIMEOUTS_S, WorkerClient, WorkerDriver
 from marigoldkeel.fleet.messages import WorkerFacts
 from marigoldkeel.fleet.supervisors import (
@@ -49,7 +49,10 @@
         if not self.polls:
             await anyio.sleep_forever()
         self.clock.now += 0.05
-        if not self.polls.pop(0):
+        answered = self.polls.pop(0)
+        if isinstance(answered, Exception):
+            raise answered
+        if not answered:
             raise PeerTimeout("no answer", "poll", "worker")
         return WorkerPoll(7)
 
@@ -219,3 +222,20 @@
         driver.flush()
     assert agent.supervisor.boot == boot
     assert (run_id(0) not in agent.supervisor.runs) == lapsed
+
+
+async def test_exit_of_a_worker_is_noticed_when_it_accepts_no_connection():
+    agent = Agent()
+    agent.start(0)
+    agent.supervisor.extend_worker_lease(WORKER_LEASE_S)
+    refused = PeerUnavailable("not connected", "poll", "worker")
+    client = ScriptedClient(agent, polls=[False, refused])
+    async with anyio.create_task_group() as group:
+        driver = WorkerDriver(agent.supervisor, client, lambda: None, group)
+        agent.supervisor.record_worker_exit("w-1")
+        group.start_soon(driver.poll_forever)
+        with anyio.fail_after(5.0):
+            while len(client.reachable) < 3:
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+    assert agent.supervisor.runs == {}
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -367,6 +367,40 @@
     assert agent.supervisor.unconfirmed == {}
 
 
+def test_late_exit_announcement_ends_no_run_of_the_next_boot():
+    # Guards against a task that ran twice: the announcement of an earlier boot of the
+    # worker was held up until its next boot had runs.
+    agent = Agent()
+    agent.start(0)
+    agent.supervisor.record_worker_exit("w-1")
+    agent.poll(run_id(0))
+    assert agent.events() == []
+    assert not agent.supervisor.usable
+    agent.supervisor.update_facts(FACTS, 2)
+    assert agent.supervisor.usable
+
+
+@pytest.mark.parametrize(
+    ("exits", "not_connected", "ends"),
+    [
+        (True, True, True),
+        (True, False, False),
+        (False, True, False),
+        (False, False, False),
+    ],
+)
+def test_runs_of_a_worker_that_has_exited_end_before_its_lease(
+    exits, not_connected, ends
+):
+    agent = Agent()
+    agent.start(0)
+    agent.supervisor.extend_worker_lease(WORKER_LEASE_S)
+    if exits:
+        agent.supervisor.record_worker_exit("w-1")
+    agent.supervisor.record_poll_failure(not_connected)
+    assert agent.events() == ([ended(run_id(0), RunEnd.LAPSED)] if ends else [])
+
+
 def test_no_run_starts_on_a_leaving_worker():
     agent = Agent()
     leaving = WorkerFacts("w-1", 7, "service", "a", [], FACTS.capacity, True, 3000)
