Start tasks only while their caller waits, also after a pause

Cause: the scheduler placed tasks for any message of an agent and any request, and looked at the callers' deadlines and closed connections only afterwards; a request that was read late was taken as just sent. Ruled out: old orders (agents refuse them after 0.15 s; these were sent after the pause), leases (the runs from before the pause had been stopped within 0.5 s).

Change: jobs whose callers have timed out are passed over. After an interval of more than 0.5 s between ticks nothing starts and nothing is refused until the next tick, before which the event loop reads what has arrived. A new job is held for some rounds of the event loop, in which the end of its connection is read if it is there.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -41,6 +41,7 @@
 from marigoldkeel.fleet.work import NO_RESOURCES, RepeatableJob, Resources
 from marigoldkeel.guards import run_guarded
 from marigoldkeel.models import Member
+from marigoldkeel.servers import read_pending_events
 from marigoldkeel.transports import Connection, ConnectionListener, PeerPool
 
 
@@ -250,6 +251,8 @@
         while True:
             self.step()
             await anyio.sleep(TICK_INTERVAL_S)
+            if self.scheduler.resuming:
+                await read_pending_events()
 
     def step(self) -> None:
         """Perform all work that is due now."""
--- a/marigoldkeel/fleet/owned.py
+++ b/marigoldkeel/fleet/owned.py
@@ -60,6 +60,7 @@
     :ivar objective_s: Longest response time that meets the queue's objective.
     :ivar has_run: Whether any run of its tasks has ended, or may have on a lost worker.
     :ivar answered: Whether the answer has been given.
+    :ivar held: Whether it may not start yet.
     """
 
     __slots__ = (
@@ -72,6 +73,7 @@
         "objective_s",
         "has_run",
         "answered",
+        "held",
     )
 
     def __init__(self, job: RepeatableJob, answer: Callable[[JobAnswer], None]):
@@ -92,6 +94,7 @@
         self.objective_s = 0.0
         self.has_run = False
         self.answered = False
+        self.held = False
         self.unblock_steps()
 
     @property
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -6,6 +6,8 @@
 Guarantees:
 
 - A task has at most one run whose end is not known to its owner.
+- No task starts once its caller has timed out. After a pause of this process, none
+  starts before the messages and disconnects that arrived meanwhile have been read.
 - A job is answered exactly once. It is answered ``NOT_RUN`` only if none of its runs
   has started and none can start later.
 """
@@ -66,6 +68,9 @@
 # How long the runs of a job may continue after its caller has timed out. A caller whose
 # connection was lost unnoticed retries 1.3 s later; the runs must have ended by then.
 CALLER_TIMEOUT_GRACE_S = 0.3
+# An interval between ticks above this is a pause of this process. A caller that left
+# during it has submitted its job elsewhere by now, 1.3 s after it left at the earliest.
+MAX_TICK_INTERVAL_S = 0.5
 # Shortest retry delay given to a refused caller; longer if the forecast wait is longer.
 RETRY_AFTER_S = 1.0
 # Loads change within seconds, so forecasts that reach further are unreliable.
@@ -101,6 +106,8 @@
     :param connect_workers: Called for each new job, to connect to the workers that it
         needs; returns whether some of them are not connected yet.
     :ivar workers_ready_at: When each service was last found to have ready workers.
+    :ivar last_tick_at: When `tick` was last called.
+    :ivar resuming: Whether the last interval between ticks was a pause.
     :ivar shutdown_at: When this entry shuts down; jobs that would end later are
         refused.
     :ivar on_answer: Called for each answer with the job, its state and the seconds
@@ -143,6 +150,8 @@
         self.jobs: dict[str, OwnedJob] = {}
         self.waiting: dict[str, OwnedJob] = {}
         self.last_run_number = 0
+        self.last_tick_at = self.started_at
+        self.resuming = False
         self.shutdown_at = float("inf")
         self.on_answer: Callable[[RepeatableJob, JobState, float], None] = (
             lambda job, state, waited_s: None
@@ -151,12 +160,19 @@
     # Requests from callers
 
     def submit(
-        self, job: RepeatableJob, answer: Callable[[JobAnswer], None]
+        self,
+        job: RepeatableJob,
+        answer: Callable[[JobAnswer], None],
+        held: bool = False,
     ) -> OwnedJob | None:
-        """Accept a job, or refuse it immediately and return None."""
+        """Accept a job, or refuse it immediately and return None.
+
+        :param held: Whether the job starts only after `release`.
+        """
         if job.queue.priority == URGENT_PRIORITY:
             self.last_urgent_at[job.queue.service] = self.clock()
         owned = OwnedJob(job, answer)
+        owned.held = held
         self._set_forecast(owned)
         refusal = self._refusal_answer(owned)
         if refusal is not None:
@@ -169,6 +185,11 @@
         self.schedule()
         return owned
 
+    def release(self, owned: OwnedJob) -> None:
+        """Let a held job start."""
+        owned.held = False
+        self.schedule()
+
     def abandon(self, owned: OwnedJob, reason: str) -> None:
         """Answer ``UNKNOWN`` for a job whose caller has disconnected, and stop it."""
         if not owned.answered:
@@ -249,23 +270,43 @@
     # Decisions
 
     def tick(self) -> None:
-        """Time out jobs, start what fits, and refuse jobs that cannot be served."""
+        """Time out jobs, start what fits, and refuse jobs that cannot be served.
+
+        The first tick after a pause starts and refuses nothing; until the next one the
+        caller has to read what arrived during the pause.
+        """
         now = self.clock()
+        self._detect_pause(now)
         for owned in list(self.jobs.values()):
             if (
                 not owned.answered
                 and now > owned.caller_deadline + CALLER_TIMEOUT_GRACE_S
             ):
                 self._finish(owned, JobAnswer(JobState.UNKNOWN, "out of time"))
-        self.schedule()
-        self._shed_load()
+        if not self.resuming:
+            self.schedule()
+            self._shed_load()
+
+    def _detect_pause(self, now: float) -> None:
+        interval_s = now - self.last_tick_at
+        self.last_tick_at = now
+        self.resuming = interval_s > MAX_TICK_INTERVAL_S
+        if self.resuming:
+            logger.bind(
+                paused_ms=round(1000 * interval_s), waiting=len(self.waiting)
+            ).info("resumed after a pause; nothing starts until the next tick")
 
     def schedule(self) -> None:
         """Start as many waiting tasks as fit, in order of precedence."""
+        now = self.clock()
+        if self.resuming or now - self.last_tick_at > MAX_TICK_INTERVAL_S:
+            return
         if not self.waiting:
             return
         candidates_by_service: dict[str, list[Candidate]] = {}
         for owned in self._waiting_in_order():
+            if owned.held or now > owned.caller_deadline:
+                continue
             service = owned.job.queue.service
             if service not in candidates_by_service:
                 candidates_by_service[service] = self._candidates(service)
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -18,7 +18,12 @@
     Resources,
     Step,
 )
-from marigoldkeel.servers import HttpApplication, Request, Response
+from marigoldkeel.servers import (
+    HttpApplication,
+    Request,
+    Response,
+    read_pending_events,
+)
 
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
@@ -206,10 +211,14 @@
         recorded_answers.append(result)
         answer_recorded.set()
 
-    owned_job = entry.scheduler.submit(job, record_answer)
+    owned_job = entry.scheduler.submit(job, record_answer, held=True)
     if owned_job is not None:
         async with anyio.create_task_group() as group:
             group.start_soon(_abandon_on_disconnect, entry, request, owned_job)
+            # A request that was read late is often followed by the end of its
+            # connection: its caller has submitted the job elsewhere.
+            await read_pending_events()
+            entry.scheduler.release(owned_job)
             await answer_recorded.wait()
             group.cancel_scope.cancel()
     # If submit() refused the job, it has already called record_answer().
--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -6,6 +6,7 @@
 from contextlib import contextmanager
 
 import anyio
+import anyio.lowlevel
 import msgspec
 import uvicorn
 from anyio.abc import TaskStatus
@@ -19,6 +20,15 @@
 SHUTDOWN_TIMEOUT_S = 10
 LISTEN_BACKLOG = 2048
 TICK_INTERVAL_S = 1.0
+# Rounds of the event loop in which it accepts a connection, reads a request and then
+# the end of the connection, and passes it on to the application.
+READ_ROUNDS = 6
+
+
+async def read_pending_events() -> None:
+    """Let the event loop handle what has already arrived on this process's sockets."""
+    for _ in range(READ_ROUNDS):
+        await anyio.lowlevel.checkpoint()
 
 
 class Request(Struct):
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -1,8 +1,11 @@
 """Tests for the scheduler's decisions: placement, answers, refusals and time-outs."""
 
+from math import ceil
+
 import pytest
 
 from marigoldkeel.fleet.admission import LATE_FACTOR, WAIT_SHARE
+from marigoldkeel.fleet.links import TICK_INTERVAL_S
 from marigoldkeel.fleet.messages import (
     RunEvent,
     RunEventKind,
@@ -14,6 +17,7 @@
 from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.schedulers import (
     MAX_RETRY_AFTER_S,
+    MAX_TICK_INTERVAL_S,
     RENUMBER_MS,
     WORKER_DISCOVERY_S,
     Scheduler,
@@ -113,6 +117,13 @@
         self.scheduler.handle_event(worker, event)
 
     def advance_time(self, seconds: float) -> None:
+        """Let time pass with regular ticks."""
+        ticks = ceil(seconds / TICK_INTERVAL_S)
+        for _ in range(ticks):
+            self.pause(seconds / ticks)
+
+    def pause(self, seconds: float) -> None:
+        """Let time pass without a tick until its end."""
         self.now += seconds
         self.wall_ms += round(seconds * 1000)
         self.scheduler.tick()
@@ -382,3 +393,76 @@
 
 def test_late_factor_is_the_agreed_value():
     assert LATE_FACTOR == 3.0
+
+
+PAUSED_S = MAX_TICK_INTERVAL_S + 1.0
+
+
+def make_waiting_entry(caller_timeout_s: float = 8.0) -> tuple[Entry, RunId]:
+    """Return an entry with a job that runs and one that waits for its capacity."""
+    entry = Entry({"w": 1})
+    entry.submit("a" * 16, caller_timeout_s=caller_timeout_s)
+    entry.submit("b" * 16, caller_timeout_s=caller_timeout_s)
+    ((_, run),) = entry.starts()
+    return entry, run
+
+
+@pytest.mark.parametrize("event", ["end", "state", "submit"])
+def test_entry_that_resumes_starts_nothing_for_a_caller_that_has_left(event):
+    # Guards against a task that ran twice: the caller left during a pause of the entry
+    # and submitted the job elsewhere, and a message of an agent was handled before the
+    # disconnect.
+    entry, run = make_waiting_entry()
+    entry.now += PAUSED_S
+    if event == "end":
+        entry.end("w", run)
+    elif event == "state":
+        entry.state("w", 1)
+    else:
+        entry.add("w-2", 4)
+        entry.submit("c" * 16)
+    assert entry.starts() == []
+    entry.advance_time(0.01)
+    assert entry.starts() == []
+    for job_id in list(entry.scheduler.jobs):
+        entry.scheduler.abandon(entry.scheduler.jobs[job_id], "the caller has left")
+    entry.state("w", 1)
+    entry.advance_time(1.0)
+    assert entry.starts() == []
+
+
+def test_callers_that_stayed_during_a_pause_are_served_at_the_next_tick():
+    entry, run = make_waiting_entry()
+    entry.now += PAUSED_S
+    entry.end("w", run)
+    entry.pause(0.0)
+    assert entry.starts() == []
+    entry.pause(TICK_INTERVAL_S)
+    ((_, run),) = entry.starts()
+    assert run.task.job_id == "b" * 16
+
+
+def test_jobs_are_not_refused_by_the_forecast_of_an_entry_that_resumes():
+    entry, _ = make_waiting_entry()
+    entry.pause(PAUSED_S)
+    assert entry.answers == {}
+
+
+def test_no_task_starts_after_its_caller_has_timed_out():
+    # Guards against a task that ran twice: it started between the caller's time-out and
+    # the tick that stopped it, while the caller's next attempt ran elsewhere.
+    entry, run = make_waiting_entry(caller_timeout_s=0.2)
+    entry.now += 0.21
+    entry.end("w", run)
+    assert entry.starts() == []
+
+
+def test_held_job_starts_when_it_is_released():
+    entry = Entry({"w": 4})
+    job = RepeatableJob("j", QUEUE, "", [Step(1, CORE, 0.1)], entry.now, 30.0)
+    owned = entry.scheduler.submit(job, lambda result: None, held=True)
+    entry.advance_time(0.01)
+    entry.state("w", 4)
+    assert entry.starts() == []
+    entry.scheduler.release(owned)
+    assert len(entry.starts()) == 1
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,11 +1,16 @@
 """End-to-end tests over loopback, with emulated platform services and runners."""
 
+import socket
+import struct
+
 import anyio
 import httpcore
+import msgspec
 import pytest
 
-from emulator.sites import Site, route
+from emulator.sites import QUEUE_HOST, Site, route
 from marigoldkeel.fleet import daemons
+from marigoldkeel.fleet.messages import StartRuns
 
 
 pytestmark = pytest.mark.anyio
@@ -121,6 +126,44 @@
         await wait_for(lambda: not site.agents[0].supervisor.runs)
 
 
+def send_and_leave(site: Site, entry, reset: bool) -> None:
+    """Send a job and close the connection, while the event loop reads nothing."""
+    host, port = entry.settings.callers.address.split(":")
+    body = msgspec.json.encode(site.job(work_ms=300))
+    head = (
+        f"POST {site.job_path()} HTTP/1.1\r\nhost: {QUEUE_HOST}\r\n"
+        f"content-length: {len(body)}\r\nmarigoldkeel-deadline-ms: 1500\r\n\r\n"
+    )
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(head.encode() + body)
+        if reset:
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+async def test_nothing_starts_for_a_caller_that_left_before_its_request_was_read(reset):
+    # Guards against a task that ran twice: an entry that had been paused started the
+    # tasks of requests whose callers had submitted them to another entry meanwhile.
+    async with Site.open(entries=1, workers=2) as site:
+        (entry,) = site.entries
+        placed = []
+        send = entry.scheduler.send
+
+        def record(worker, message):
+            placed.append(type(message))
+            return send(worker, message)
+
+        entry.scheduler.send = record
+        for _ in range(20):
+            send_and_leave(site, entry, reset)
+        await anyio.sleep(0.3)
+        assert StartRuns not in placed
+        assert site.started() == []
+        answer = await site.request(entry, "POST", site.job_path(), site.job())
+        assert answer[0] == 200
+
+
 async def test_changed_plan_is_in_force_on_all_entries():
     async with Site.open() as site:
         site.configure(route("stock", "/stock/"), route("quote", "/quote/"))
