Count time in system suspend as waiting time of callers

Cause: the scheduler's clock was the steady clock, which stands still in suspend, so neither the callers' deadlines nor the pause were noticed.

Change: the scheduler of an entry uses the clock that counts time in suspend, as the agents' owner leases do. The links keep the steady clock: they count time without messages.

--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -227,7 +227,7 @@
             self.fleet,
             settings.domain,
             self.links.send,
-            self.clock,
+            boot_time_s,
             wall_clock_ms,
             entries_per_worker=self.links.entries_per_agent,
             connect_workers=self.links.connect_workers,
@@ -332,7 +332,8 @@
         """Leave the balancer's rotation, then answer the requests in progress."""
         self.leaving = True
         self.controller.leaving = True
-        self.scheduler.shutdown_at = self.stop_deadline
+        remaining_s = self.stop_deadline - self.clock()
+        self.scheduler.shutdown_at = self.scheduler.clock() + remaining_s
         await anyio.sleep(BALANCER_DELAY_S)
         self.closing = True
         idle_at = self.clock() + RESPONSE_FLUSH_S
@@ -341,7 +342,7 @@
             if self.in_progress:
                 idle_at = self.clock() + RESPONSE_FLUSH_S
         # Jobs that still arrive on open connections are refused from now on.
-        self.scheduler.shutdown_at = self.clock()
+        self.scheduler.shutdown_at = self.scheduler.clock()
         for owned in list(self.scheduler.jobs.values()):
             self.scheduler.abandon(owned, "the entry stops")
         await anyio.sleep(RESPONSE_FLUSH_S)
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -100,6 +100,8 @@
 
     :param send: Sends a message to the agent of a worker and returns the message's
         sequence number.
+    :param clock: Returns seconds of a clock that includes time in system suspend, which
+        callers do not wait for.
     :param wall_ms: Returns the wall-clock time in milliseconds. Run numbers are derived
         from it, so that those of a later owner of the same job are higher.
     :param entries_per_worker: Returns how many entries share a worker on average.
--- a/marigoldkeel/fleet/work.py
+++ b/marigoldkeel/fleet/work.py
@@ -125,7 +125,8 @@
     """A job as received by an entry.
 
     :ivar payload: Input passed to every task.
-    :ivar received_at: Monotonic time of its arrival in seconds.
+    :ivar received_at: Time of its arrival in seconds, on a clock that includes time in
+        system suspend.
     :ivar caller_timeout_s: How long the caller waits for the answer, in seconds.
     :ivar plan_version: Version of the operators' plan under which it was accepted.
     """
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -194,7 +194,7 @@
 async def _submit(
     entry: FleetEntry, request: Request, queue: Queue, job_id: str
 ) -> Response:
-    now = entry.clock()
+    now = entry.scheduler.clock()
     caller_timeout_s = _caller_timeout_s(request)
     try:
         job, unsupported = decode_job(
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -9,6 +9,7 @@
 import pytest
 
 from emulator.sites import QUEUE_HOST, Site, route
+from marigoldkeel.clocks import boot_time_s
 from marigoldkeel.fleet import daemons
 from marigoldkeel.fleet.messages import StartRuns
 
@@ -164,6 +165,29 @@
         assert answer[0] == 200
 
 
+async def test_time_in_suspend_counts_as_waiting_time_of_callers(monkeypatch):
+    # Guards against a task that ran twice: an entry whose machine had been suspended
+    # started tasks of callers that had timed out meanwhile.
+    suspended_s = 0.0
+    monkeypatch.setattr(daemons, "boot_time_s", lambda: boot_time_s() + suspended_s)
+    async with Site.open(entries=1, workers=1) as site:
+        answers = []
+
+        async def submit() -> None:
+            job = site.job(work_ms=800)
+            answers.append(
+                await site.request(site.entries[0], "POST", site.job_path(), job)
+            )
+
+        async with anyio.create_task_group() as group:
+            for _ in range(6):
+                group.start_soon(submit)
+            await wait_for(lambda: len(site.started()) == 4)
+            suspended_s = 20.0
+        assert [status for status, *_ in answers] == [504] * 6
+        assert len(site.started()) == 4
+
+
 async def test_changed_plan_is_in_force_on_all_entries():
     async with Site.open() as site:
         site.configure(route("stock", "/stock/"), route("quote", "/quote/"))
