Do not schedule all waiting jobs when a held one is submitted

A job that arrives is held for some rounds of the event loop, so a pass over the waiting jobs cannot start it; the pass follows when it is released. Each job caused two passes since jobs are held. tests/fleet/test_schedulers.py passes.

--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -184,7 +184,8 @@
             return None
         self.jobs[job.job_id] = owned
         self.waiting[job.job_id] = owned
-        self.schedule()
+        if not held:
+            self.schedule()
         return owned
 
     def release(self, owned: OwnedJob) -> None:
