Stop a start order that may reach a worker's next boot

Ruled out: naming the boot in the order; a worker may restart under the same name.

Change: a run that was never shown to exist is stopped at the next boot, and counted until the stop is confirmed and a poll does not list it. All other runs end with the restart, as before.

Evidence: 3 new cases fail before and pass now; tests/fleet/test_supervisors.py and test_drivers.py: 79 passed.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -542,9 +542,17 @@
         return ""
 
     def _reset_for_boot(self, boot: int) -> None:
-        """Discard the state of the previous boot, whose runs ended with the restart."""
+        """Discard the state of the previous boot, whose runs ended with the restart.
+
+        An order whose run was never shown to exist may still reach the new boot, so its
+        run is stopped there.
+        """
         if self.boot:
-            self._end_all(RunEnd.LAPSED)
+            for run in list(self.runs.values()):
+                if run.started_at is None:
+                    self._stop_again(run)
+                else:
+                    self._finish(run, RunEnd.LAPSED)
         self.boot = boot
         self.report_sequence = -1
         self.last_end = 0
@@ -634,6 +642,14 @@
         run.order_answered_at = None
         self.orders.append(StopOrder(run))
 
+    def _stop_again(self, run: Run) -> None:
+        """Stop a run even if it is being stopped already."""
+        if run.phase == Phase.STOPPING:
+            run.order_answered_at = None
+            self.orders.append(StopOrder(run))
+        else:
+            self._stop(run, RunEnd.STOPPED)
+
     def _remove_owner(self, owner: Owner) -> None:
         del self.owners[owner.incarnation]
         for run in list(self.runs.values()):
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -292,6 +292,39 @@
     assert agent.supervisor.usable
 
 
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_start_order_that_reaches_the_next_boot_is_stopped_there(is_stopping):
+    # Guards against a task that ran twice and a worker beyond its capacity: a start
+    # order was carried out after a restart, and its run counted as ended.
+    agent = Agent()
+    agent.start(0, answer=StartOutcome.UNANSWERED if is_stopping else None)
+    run = agent.supervisor.runs[run_id(0)]
+    if is_stopping:
+        agent.supervisor.take_orders()
+        agent.supervisor.record_stop_outcome(run, True)
+    agent.poll(run_id(0), boot=8)
+    assert agent.events() == []
+    assert agent.stops() == [run_id(0)]
+    agent.supervisor.update_facts(WorkerFacts("w-1", 8, capacity=CORE), 1)
+    assert agent.supervisor.free_resources.cpu_milli == 0
+    agent.supervisor.record_stop_outcome(run, True)
+    agent.poll(boot=8, ended=[RunEndRecord(1, run_id(0), RunEnd.STOPPED)])
+    assert agent.events() == [ended(run_id(0), RunEnd.STOPPED)]
+    assert agent.supervisor.free_resources == CORE
+
+
+def test_start_order_that_never_reaches_the_next_boot_is_refused():
+    agent = Agent()
+    agent.start(0, answer=None)
+    agent.poll(boot=8)
+    run = agent.supervisor.runs[run_id(0)]
+    agent.supervisor.record_start_outcome(run, StartOutcome.UNANSWERED)
+    assert agent.events() == []
+    agent.supervisor.record_stop_outcome(run, True)
+    agent.poll(boot=8)
+    assert agent.events() == [refused(run_id(0))]
+
+
 @pytest.mark.parametrize(
     "boot, sequence, accepted",
     [(7, 2, True), (7, 1, False), (6, 9, False), (8, 0, True)],
