Do not pass on a worker's facts from before a pause of the entry

Cause: an entry passes the worker's facts that it cached on to a restarted agent, whatever their age. Ruled out: facts of another boot; adopt_facts checks that.

Change: facts are dropped with a link on which nothing was received for longer than a link in use is ever silent. An entry that was not paused passes them on as before, so that a restarted agent is usable as early.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -55,6 +55,9 @@
 # A connection on which a message is unacknowledged for this long is considered dead,
 # even if it has not been reset.
 ACKNOWLEDGE_TIMEOUT_S = 0.4
+# The longest time without a message on a link in use. A link that is lost after a
+# longer time was not read meanwhile, so its facts of the worker may be out of date.
+MAX_LINK_SILENCE_S = IDLE_RENEW_INTERVAL_S + ACKNOWLEDGE_TIMEOUT_S + TICK_INTERVAL_S
 # Interval between choices of the subset of agents; a new agent or a job that needs more
 # of them triggers one at once.
 SUBSET_INTERVAL_S = 0.5
@@ -411,9 +414,12 @@
 
     def _mark_disconnected(self, link: AgentLink) -> None:
         """Handle the loss of a connection; runs of this owner may continue for now."""
+        now = self.clock()
         link.connection = None
         link.unacknowledged.clear()
-        link.retry_at = self.clock()
+        link.retry_at = now
+        if now - link.agent_clock_read_at > MAX_LINK_SILENCE_S:
+            link.facts = None
         if link.runs_expire_at is None:
             link.runs_expire_at = link.last_sent_at + LOST_AGENT_TIMEOUT_S
         self.fleet.view(link.member.name).disconnect()
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -4,15 +4,25 @@
 
 from marigoldkeel.fleet.links import (
     ACKNOWLEDGE_TIMEOUT_S,
+    MAX_LINK_SILENCE_S,
     MAX_ORDER_AGE_S,
     TICK_INTERVAL_S,
     AgentEndpoint,
+    OwnerEndpoint,
 )
-from marigoldkeel.fleet.messages import Attach, Renew, RunEvent, WorkerState
+from marigoldkeel.fleet.messages import (
+    Attach,
+    Renew,
+    RunEvent,
+    WorkerFacts,
+    WorkerState,
+)
+from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.supervisors import OWNER_LEASE_S, StopOrder, Supervisor
+from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import Resources
 from marigoldkeel.models import Member
-from tests.fleet.test_supervisors import OWNER, Agent, start_message
+from tests.fleet.test_supervisors import FACTS, OWNER, Agent, Clock, start_message
 
 
 # The agent's link clock is independent of the clock of its supervisor.
@@ -22,7 +32,8 @@
 class Connection:
     """The agent's end of a connection, which records the messages sent."""
 
-    def __init__(self):
+    def __init__(self, peer: str = ""):
+        self.peer = peer
         self.sent = []
         self.closed = False
 
@@ -140,3 +151,34 @@
     monkeypatch.setattr(Supervisor, "free_resources", counted)
     agent.links.deliver()
     assert len(computations) == 1
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "facts"),
+    [
+        (0.0, FACTS),
+        (MAX_LINK_SILENCE_S - 0.01, FACTS),
+        (MAX_LINK_SILENCE_S + 0.01, WorkerFacts()),
+        (3.0, WorkerFacts()),
+    ],
+)
+def test_restarted_agent_gets_no_facts_that_may_be_out_of_date(silent_s, facts):
+    # Guards against new runs on a leaving worker: an entry that had been paused passed
+    # on what the worker had reported before, and the restarted agent used it.
+    clock, fleet = Clock(), FleetView()
+    agent = Member("agent-1", "agent-1@1", "10.0.0.2:7000", "a")
+    owner = OwnerEndpoint(OWNER, fleet, clock)
+    owner.scheduler = Scheduler(fleet, "a", owner.send, clock, lambda: 1, seed=1)
+    owner.add(agent)
+    owner._choose_links(clock.now)
+    link = owner.links["agent-1"]
+    connection = Connection(agent.address)
+    owner.attach(link, connection)
+    owner.message_received(connection, FACTS)
+    owner.message_received(connection, WorkerState(1, FACTS.capacity, True, 1000))
+    clock.now += silent_s
+    owner.connection_closed(connection)
+    clock.now += 1.0
+    connection = Connection(agent.address)
+    owner.attach(link, connection)
+    assert connection.sent[-1].facts == facts
