Refuse messages with an invalid submission id before they have an effect

The tasks of such a message ran and its sender got no answer; a submission left its id claimed without a job.

Cause: the id's length was first checked where it is formatted for a log line, after the claim or the run. Ruled out: the callers' interface, where entries parse the id.

Change: primaries and executors check the id first, and answer with an error.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -10,7 +10,7 @@
 
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.exceptions import MarigoldkeelError
-from marigoldkeel.identifiers import format_submission_id
+from marigoldkeel.identifiers import check_submission_id, format_submission_id
 from marigoldkeel.messages import Grant, Probe, Ran, Run, Take, TaskItem, TaskResult
 from marigoldkeel.models import Priority, TaskState
 from marigoldkeel.queues import WorkItem, WorkQueue
@@ -115,7 +115,11 @@
         self.applied_revision = -1
 
     async def probe(self, message: Probe) -> None:
-        """Queue an offered job. A full queue drops it; others can take its tasks."""
+        """Queue an offered job. A full queue drops it; others can take its tasks.
+
+        :raises ProtocolError: If the message is invalid.
+        """
+        check_submission_id(message.submission_id)
         now = self.board.clock()
         if not self.board.observe_generation(message.partition, message.generation):
             return
@@ -124,7 +128,11 @@
         self._push(message, deadline, message.count, source)
 
     async def run(self, message: Run) -> Ran:
-        """Run pushed tasks and return the results when all have ended."""
+        """Run pushed tasks and return the results when all have ended.
+
+        :raises ProtocolError: If the message is invalid; no task is started then.
+        """
+        check_submission_id(message.submission_id)
         deadline = self.board.clock() + message.deadline_ms / 1000
         pushed = [PushedTask(message, task, deadline) for task in message.tasks]
         for item in pushed:
--- a/marigoldkeel/identifiers.py
+++ b/marigoldkeel/identifiers.py
@@ -5,10 +5,11 @@
 import time
 import uuid
 
-from marigoldkeel.exceptions import InvalidInput
+from marigoldkeel.exceptions import InvalidInput, ProtocolError
 
 
 UUID_VERSION = 7
+SUBMISSION_ID_BYTES = 16
 
 
 def wall_clock_ms() -> int:
@@ -51,6 +52,17 @@
     return submission_id
 
 
+def check_submission_id(submission_id: bytes) -> None:
+    """Check the submission id of a message.
+
+    :raises ProtocolError: If it does not have the length of a UUID.
+    """
+    if len(submission_id) != SUBMISSION_ID_BYTES:
+        raise ProtocolError(
+            f"submission id of {len(submission_id)} bytes", step="check submission id"
+        )
+
+
 def format_submission_id(submission_id: bytes) -> str:
     """Return a submission id as a UUID string."""
     return str(uuid.UUID(bytes=submission_id))
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -13,7 +13,12 @@
     MarigoldkeelError,
     PeerUnavailable,
 )
-from marigoldkeel.identifiers import body_digest, format_submission_id, partition_of
+from marigoldkeel.identifiers import (
+    body_digest,
+    check_submission_id,
+    format_submission_id,
+    partition_of,
+)
 from marigoldkeel.jobs import Job
 from marigoldkeel.messages import (
     Claim,
@@ -100,6 +105,7 @@
 
         :raises ProtocolError: If the message is invalid; nothing is claimed then.
         """
+        check_submission_id(message.submission_id)
         Priority.parse(message.priority)
         register = self.board.registers.get(message.partition)
         failure_reason = self._check_member(message, register)
--- a/tests/test_executors.py
+++ b/tests/test_executors.py
@@ -6,6 +6,7 @@
 import pytest
 
 from marigoldkeel.blackboard import Blackboard
+from marigoldkeel.exceptions import ProtocolError
 from marigoldkeel.executors import Executor
 from marigoldkeel.messages import Grant, Probe, Run, TaskItem, TaskResult
 from marigoldkeel.models import Member, TaskState
@@ -107,6 +108,23 @@
     assert executor.adapter.started == started
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("submission_id", [b"", bytes(15), b"\xff" * 40])
+@pytest.mark.parametrize("kind", ["run", "probe"])
+async def test_invalid_submission_id_starts_nothing(kind, submission_id):
+    """Guards against a pushed task that ran but whose result was never returned."""
+    board = Blackboard(Member("a", "a@1"))
+    executor = make_executor(None, board, None)
+    tasks = [TaskItem(0, b"1")]
+    messages = {
+        "run": Run(PARTITION, 0, submission_id, "quote", 1, 10_000, tasks),
+        "probe": Probe(PARTITION, 1, submission_id, "quote", 1, 10_000, 1, "primary"),
+    }
+    with anyio.fail_after(HANG_LIMIT_S), pytest.raises(ProtocolError):
+        await getattr(executor, kind)(messages[kind])
+    assert executor.queue.depth == 0
+
+
 class HangingTarget(RecordingTarget):
     """A target whose tasks never end."""
 
--- a/tests/test_primaries.py
+++ b/tests/test_primaries.py
@@ -191,16 +191,28 @@
     assert [answer.outcome for answer in answers] == [outcome]
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("submission_id", [b"", bytes(15), b"\xff" * 40])
+async def test_submission_with_an_invalid_id_claims_nothing(submission_id):
+    """Guards against an id that is neither refused nor run."""
+    await submit_invalid(submission_id, 0)
+
+
 @pytest.mark.anyio
 async def test_submission_with_an_unknown_priority_claims_nothing():
     """Guards against an id that is neither refused nor run."""
+    await submit_invalid(mint_submission_id().bytes, 9)
+
+
+async def submit_invalid(submission_id: bytes, priority: int) -> None:
+    """Submit an invalid job to a primary, and check that nothing is claimed."""
     board = Blackboard(Member("a", "a@1", "a"))
     board.partitions.partition_count = 1
     board.registers[0] = ClaimRegister.as_primary(0, 1)
     board.registers[0].open()
     primary = PrimaryController(board, None, make_policy("least_loaded"), None)
     message = Submit(
-        0, 1, mint_submission_id().bytes, "team", "quote", 9, 20_000, 0, 1, b"[1]"
+        0, 1, submission_id, "team", "quote", priority, 20_000, 0, 1, b"[1]"
     )
     with pytest.raises(ProtocolError):
         await primary.submit(message)
