--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -275,8 +275,8 @@
     def tick(self) -> None:
         """Time out jobs, start what fits, and refuse jobs that cannot be served.
 
-        The first tick after a pause starts and refuses nothing; until the next one the
-        caller has to read what arrived during the pause.
+        The first tick after a pause starts and refuses nothing, and neither does any
+        event until the next tick. Meanwhile what arrived during the pause is read.
         """
         now = self.clock()
         self._detect_pause(now)
