Stop a repeated start order at a worker's next boot, also if its run was listed

Cause: a poll had listed the run, but its start order had no answer yet and was repeated; at the restart the run counted as ended, and the repeated order reached the new boot. Ruled out: an overlap of two workers; all starts are of one run on one worker, and the check counts from the first start to the last end of a run number.

Change: a run whose start order is unanswered at a restart is stopped at the new boot, as one that was never shown to exist. While a run is being stopped, only the answer to the stop order counts. A restart is logged with the number of runs.

--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -159,7 +159,6 @@
             logger.info("boot of the worker not checked: {}", error)
             return
         if poll.boot > self.supervisor.boot:
-            logger.info("worker restarted, boot {}", poll.boot)
             self.supervisor.record_poll(poll, requested_at)
             self.flush()
 
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -322,6 +322,8 @@
         if run.run_id not in self.runs:
             return
         now = self.clock()
+        if outcome == StartOutcome.STARTED and run.phase == Phase.STOPPING:
+            return  # The answer to the stop order decides.
         if outcome == StartOutcome.STARTED:
             run.order_answered_at = now
             if run.phase == Phase.STARTING:
@@ -544,12 +546,13 @@
     def _reset_for_boot(self, boot: int) -> None:
         """Discard the state of the previous boot, whose runs ended with the restart.
 
-        An order whose run was never shown to exist may still reach the new boot, so its
-        run is stopped there.
+        A start order that is still unanswered, or whose run was never shown to exist,
+        may still reach the new boot, so its run is stopped there.
         """
         if self.boot:
+            logger.bind(runs=len(self.runs)).info("worker restarted, boot {}", boot)
             for run in list(self.runs.values()):
-                if run.started_at is None:
+                if run.started_at is None or run.order_answered_at is None:
                     self._stop_again(run)
                 else:
                     self._finish(run, RunEnd.LAPSED)
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -313,6 +313,28 @@
     assert agent.supervisor.free_resources == CORE
 
 
+@pytest.mark.parametrize(
+    "late_answer", [None, StartOutcome.STARTED, StartOutcome.UNANSWERED]
+)
+def test_repeated_start_order_that_reaches_the_next_boot_is_stopped_there(late_answer):
+    # Guards against a task that ran twice: its run had been listed before the restart,
+    # but the order had been repeated for lack of an answer, and the next boot carried
+    # it out. Found by seed 6 of the soak.
+    agent = Agent()
+    agent.start(0, answer=None)
+    agent.poll(run_id(0))
+    run = agent.supervisor.runs[run_id(0)]
+    agent.poll(run_id(0), boot=8)
+    if late_answer is not None:
+        agent.supervisor.record_start_outcome(run, late_answer)
+    agent.poll(boot=8)
+    assert agent.events() == []
+    assert agent.stops() == [run_id(0)]
+    agent.supervisor.record_stop_outcome(run, True)
+    agent.poll(boot=8, ended=[RunEndRecord(1, run_id(0), RunEnd.STOPPED)])
+    assert agent.events() == [ended(run_id(0), RunEnd.STOPPED)]
+
+
 def test_start_order_that_never_reaches_the_next_boot_is_refused():
     agent = Agent()
     agent.start(0, answer=None)
