Ignore an attach that arrives after that of a newer connection

Cause: the agent took the last attach to arrive for the newest. One that was retransmitted put the owner's older connection in the place of the newer one; when it closed, the owner was told of no end of a run any more, while its messages were still acknowledged.

Change: an attach with a lower sequence number than the owner's link has seen is ignored and its connection closed. An entry's numbers go on when it creates a link again.

Evidence: both new tests fail before and pass now; tests/fleet/test_links.py: 17 passed.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -142,6 +142,8 @@
     """An entry's links to its subset of the known agents.
 
     :param count_entries: Returns how many entries share the fleet.
+    :ivar last_sequence: The highest sequence number sent on any link, from which new
+        links continue, so that an agent can tell a late `Attach` from a newer one.
     :ivar connected_racks: Racks whose workers were added for a job since the subset was
         last chosen.
     """
@@ -159,6 +161,7 @@
         self.count_entries = count_entries
         self.subset = AgentSubset(own_member.name, own_member.domain)
         self.choose_at = float("-inf")
+        self.last_sequence = 0
         self.connected_racks: set[str] = set()
         self.links: dict[str, AgentLink] = {}
         self.links_by_address: dict[str, AgentLink] = {}
@@ -236,8 +239,7 @@
         link = self.links.get(name)
         if link is None or link.connection is None:
             return 0
-        link.sequence += 1
-        message.sequence = link.sequence
+        message.sequence = self._next_sequence(link)
         now = self.clock()
         if not isinstance(message, StopRuns):
             message.sent_ms = link.estimate_agent_clock_ms(now)
@@ -319,8 +321,8 @@
 
     def _create(self, member: Member) -> None:
         now = self.clock()
-        self.links[member.name] = AgentLink(member, now, now, now)
-        self.links_by_address[member.address] = self.links[member.name]
+        link = AgentLink(member, now, now, now, sequence=self.last_sequence)
+        self.links[member.name] = self.links_by_address[member.address] = link
 
     def _check_disconnected(self, link: AgentLink, now: float) -> None:
         if link.runs_expire_at is not None and now > link.runs_expire_at:
@@ -364,13 +366,18 @@
             link.retry_at = now + link.retry_delay_s
             return
         link.connection = connection
-        link.sequence += 1
+        self._next_sequence(link)
         link.record_sent(now)
         held = self.scheduler.runs_on(link.member.name)
         self.fleet.view(link.member.name).restore(held, link.sequence)
         facts = link.facts or WorkerFacts()
         connection.send(Attach(link.sequence, self.own_member, held, facts))
 
+    def _next_sequence(self, link: AgentLink) -> int:
+        link.sequence += 1
+        self.last_sequence = max(self.last_sequence, link.sequence)
+        return link.sequence
+
     def message_received(self, connection: Connection, content: Any) -> bool:
         link = self.links_by_address.get(connection.peer)
         if link is None or link.connection is not connection:
@@ -552,6 +559,14 @@
         return [link.owner for link in self.links.values()]
 
     def _attach(self, connection: Connection, message: Attach) -> None:
+        current = self.links.get(message.owner.incarnation)
+        if current is not None and message.sequence < current.last_sequence:
+            # The owner has given up this connection and attached on a newer one.
+            logger.bind(peer=message.owner.address).info(
+                "late attach of owner {} ignored", message.owner.name
+            )
+            self._close(connection)
+            return
         link = OwnerLink(connection, message.owner, message.sequence)
         self.links[message.owner.incarnation] = link
         self.links_by_connection[id(connection)] = link
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -18,9 +18,15 @@
     WorkerState,
 )
 from marigoldkeel.fleet.schedulers import Scheduler
-from marigoldkeel.fleet.supervisors import OWNER_LEASE_S, StopOrder, Supervisor
+from marigoldkeel.fleet.supervisors import (
+    OWNER_LEASE_S,
+    RunEndRecord,
+    StartOutcome,
+    StopOrder,
+    Supervisor,
+)
 from marigoldkeel.fleet.views import FleetView
-from marigoldkeel.fleet.work import Resources
+from marigoldkeel.fleet.work import Resources, RunEnd
 from marigoldkeel.models import Member
 from tests.fleet.test_supervisors import FACTS, OWNER, Agent, Clock, start_message
 
@@ -153,6 +159,43 @@
     assert len(computations) == 1
 
 
+def test_late_attach_does_not_replace_a_newer_link():
+    # Guards against jobs that wait for ever: an attach that lost packets had delayed
+    # replaced the link of the owner's newer connection, and no end of a run reached the
+    # owner any more once the older connection had closed.
+    agent = LinkedAgent()
+    newer, older = Connection(), Connection()
+    agent.links.message_received(newer, Attach(5, OWNER))
+    agent.connection = newer
+    agent.receive(start_message(0), 0.0)
+    (order,) = agent.supervisor.take_orders()
+    agent.links.message_received(older, Attach(3, OWNER))
+    agent.links.connection_closed(older)
+    assert older.closed
+    assert agent.supervisor.take_orders() == []
+    agent.supervisor.record_start_outcome(order.run, StartOutcome.STARTED)
+    agent.poll(ended=[RunEndRecord(1, order.run.run_id, RunEnd.DONE)])
+    agent.links.deliver()
+    assert [item.end for item in newer.sent if isinstance(item, RunEvent)] == [
+        RunEnd.DONE
+    ]
+
+
+def test_sequence_numbers_of_a_link_continue_when_it_is_created_again():
+    clock, fleet = Clock(), FleetView()
+    owner = OwnerEndpoint(OWNER, fleet, clock)
+    owner.scheduler = Scheduler(fleet, "a", owner.send, clock, lambda: 1, seed=1)
+    sequences = []
+    for address in ("10.0.0.2:7000", "10.0.0.3:7000"):
+        owner.add(Member("agent-1", "agent-1@1", address, "a"))
+        owner._choose_links(clock.now)
+        for _ in range(3):
+            connection = Connection(address)
+            owner.attach(owner.links["agent-1"], connection)
+            sequences.append(connection.sent[-1].sequence)
+    assert sequences == sorted(set(sequences))
+
+
 @pytest.mark.parametrize(
     ("silent_s", "facts"),
     [
