Remember cancelled ids, as a job may arrive after its cancellation

Cause: a cancellation of an unknown job did nothing, and nobody remembered the id. Ruled out: a lost message; it is read before the job, whose connection is accepted later.

Change: an entry remembers a cancelled id for a minute, 20,000 at most, and answers a job with it as cancelled, also one that is submitted again.

--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -13,6 +13,7 @@
 """
 
 import random
+from collections import OrderedDict
 from collections.abc import Callable
 
 from loguru import logger
@@ -71,6 +72,10 @@
 # An interval between ticks above this is a pause of this process. A caller that left
 # during it has submitted its job elsewhere by now, 1.3 s after it left at the earliest.
 MAX_TICK_INTERVAL_S = 0.5
+# How long a cancelled id is remembered, since its job may still arrive at this entry,
+# and how many ids are.
+CANCELLED_MEMORY_S = 60.0
+MAX_REMEMBERED_CANCELLATIONS = 20_000
 # Shortest retry delay given to a refused caller; longer if the forecast wait is longer.
 RETRY_AFTER_S = 1.0
 # Loads change within seconds, so forecasts that reach further are unreliable.
@@ -151,6 +156,7 @@
         self.last_urgent_at: dict[str, float] = {}
         self.jobs: dict[str, OwnedJob] = {}
         self.waiting: dict[str, OwnedJob] = {}
+        self.cancelled_at: OrderedDict[str, float] = OrderedDict()
         self.last_run_number = 0
         self.last_tick_at = self.started_at
         self.resuming = False
@@ -199,13 +205,31 @@
             self._finish(owned, JobAnswer(JobState.UNKNOWN, reason))
 
     def cancel(self, job_id: str) -> bool:
-        """Cancel a job; return False if it is not known here or already answered."""
+        """Cancel a job, also if it arrives here later.
+
+        :return: False if it is not known here or already answered.
+        """
+        self._remember_cancelled(job_id)
         owned = self.jobs.get(job_id)
         if owned is None or owned.answered:
             return False
         self._finish(owned, JobAnswer(JobState.CANCELLED, "cancelled"))
         return True
 
+    def _remember_cancelled(self, job_id: str) -> None:
+        now = self.clock()
+        self.cancelled_at[job_id] = now
+        self.cancelled_at.move_to_end(job_id)
+        while (
+            len(self.cancelled_at) > MAX_REMEMBERED_CANCELLATIONS
+            or now - next(iter(self.cancelled_at.values())) > CANCELLED_MEMORY_S
+        ):
+            self.cancelled_at.popitem(last=False)
+
+    def _is_cancelled(self, job_id: str) -> bool:
+        cancelled_at = self.cancelled_at.get(job_id, float("-inf"))
+        return self.clock() - cancelled_at <= CANCELLED_MEMORY_S
+
     def pending(self, queue: str) -> int:
         """Return how many jobs of a queue have not started."""
         return sum(
@@ -355,6 +379,8 @@
             # NOT_RUN would be wrong: runs of the earlier attempt may still be active.
             reason = "an earlier attempt is in progress"
             return JobAnswer(JobState.UNKNOWN, reason)
+        if self._is_cancelled(owned.job.job_id):
+            return JobAnswer(JobState.CANCELLED, "cancelled before it arrived")
         reason = self._unservable_reason(owned)
         return JobAnswer(JobState.NOT_RUN, reason, RETRY_AFTER_S) if reason else None
 
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -16,6 +16,8 @@
 )
 from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.schedulers import (
+    CANCELLED_MEMORY_S,
+    MAX_REMEMBERED_CANCELLATIONS,
     MAX_RETRY_AFTER_S,
     MAX_TICK_INTERVAL_S,
     RENUMBER_MS,
@@ -395,6 +397,50 @@
     assert LATE_FACTOR == 3.0
 
 
+@pytest.mark.parametrize(
+    ("since_s", "state"),
+    [
+        (0.0, JobState.CANCELLED),
+        (3.0, JobState.CANCELLED),
+        (CANCELLED_MEMORY_S - 1.0, JobState.CANCELLED),
+        (CANCELLED_MEMORY_S + 1.0, None),
+    ],
+)
+def test_job_that_arrives_after_its_cancellation_does_not_start(since_s, state):
+    # Guards against a cancelled job that ran from its first step to its last: the
+    # cancellation had reached its entry before the job.
+    entry = Entry({"w": 4})
+    assert not entry.scheduler.cancel("j")
+    entry.advance_time(since_s)
+    entry.submit("j")
+    assert len(entry.starts()) == (state is None)
+    assert [answer.state for answer in entry.answers.values()] == [state] * (
+        state is not None
+    )
+
+
+def test_cancelled_job_does_not_start_when_it_is_submitted_again():
+    entry = Entry({"w": 4})
+    entry.submit("j")
+    ((worker, run),) = entry.starts()
+    assert entry.scheduler.cancel("j")
+    entry.end(worker, run, RunEnd.STOPPED)
+    entry.answers.clear()
+    entry.submit("j")
+    assert entry.starts() == []
+    assert entry.answers["j"].state == JobState.CANCELLED
+
+
+def test_remembered_cancellations_are_limited_in_number_and_age():
+    entry = Entry({"w": 4})
+    for number in range(MAX_REMEMBERED_CANCELLATIONS + 5):
+        entry.scheduler.cancel(str(number))
+    assert len(entry.scheduler.cancelled_at) == MAX_REMEMBERED_CANCELLATIONS
+    entry.now += CANCELLED_MEMORY_S + 1.0
+    entry.scheduler.cancel("last")
+    assert list(entry.scheduler.cancelled_at) == ["last"]
+
+
 PAUSED_S = MAX_TICK_INTERVAL_S + 1.0
 
 
