Repeat a cancellation until each other entry has confirmed it

Cause: the cancellation was sent once and without a reply, on a connection that had gone silent; nothing noticed that, and all later ones were lost too. Ruled out: the entry of the job; it received nothing.

Change: a cancellation is a request that is repeated, one at a time to each entry, for as long as the id is remembered there. An entry that does not answer gets a new connection.

--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -16,6 +16,7 @@
 
 from marigoldkeel.clocks import boot_time_s
 from marigoldkeel.exceptions import ProtocolError, SettingsError
+from marigoldkeel.fleet.cancellations import CancellationForwarder
 from marigoldkeel.fleet.directory import Directory, DirectoryController
 from marigoldkeel.fleet.drivers import WorkerClient, WorkerDriver
 from marigoldkeel.fleet.following import PlanFollower
@@ -33,9 +34,9 @@
 from marigoldkeel.fleet.status import agent_report, entry_report
 from marigoldkeel.fleet.supervisors import Supervisor
 from marigoldkeel.fleet.views import FleetView
-from marigoldkeel.guards import repeat_guarded, run_guarded
+from marigoldkeel.guards import repeat_guarded
 from marigoldkeel.identifiers import mint_incarnation, wall_clock_ms
-from marigoldkeel.messages import Pull
+from marigoldkeel.messages import Done, Pull
 from marigoldkeel.metrics import Metric, add_metrics_route
 from marigoldkeel.models import Member
 from marigoldkeel.servers import HttpApplication, Request, Response, serve_http
@@ -268,6 +269,7 @@
         self.group = group
         self.links.peers = self.peers
         self.links.group = group
+        self.cancellations = CancellationForwarder(self.peers, group, self.clock)
         self.follower = PlanFollower(
             self.store, self.peers, self.plan_key, self.decode_plan
         )
@@ -310,25 +312,13 @@
             return self.follower.answer(message)
         if isinstance(message, DropJob):
             self.scheduler.cancel(message.job_id)
-            return None
+            return Done()
         return await super().handle(message, peer)
 
-    async def cancel_on_other_entries(self, job_id: str) -> None:
+    def cancel_on_other_entries(self, job_id: str) -> None:
         """Forward the cancellation of a job to all other entries."""
-        for daemon in self.directory.entries():
-            self.group.start_soon(
-                run_guarded,
-                "forward cancellation",
-                self._send_cancellation,
-                daemon.member.address,
-                job_id,
-            )
-
-    async def _send_cancellation(self, address: str, job_id: str) -> None:
-        try:
-            await self.peers.send(address, DropJob(job_id))
-        except ConnectionError as error:
-            logger.info("could not forward a cancellation: {}", error)
+        addresses = [daemon.member.address for daemon in self.directory.entries()]
+        self.cancellations.forward(job_id, addresses)
 
     async def drain(self) -> None:
         """Leave the balancer's rotation, then answer the requests in progress."""
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -183,6 +183,6 @@
 
 @message("dropJob")
 class DropJob(Struct):
-    """Notifies an entry that the caller of a job has cancelled it."""
+    """Notifies an entry that a job was cancelled; the reply is `Done`."""
 
     job_id: str = ""
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -185,8 +185,7 @@
     if request.method == "DELETE":
         if entry.scheduler.cancel(job_id):
             return Response.from_json({})
-        # This schedules the messages and returns before they are sent.
-        await entry.cancel_on_other_entries(job_id)
+        entry.cancel_on_other_entries(job_id)
         return Response.from_json({"error": "no such job here"}, 410)
     return Response.from_json({"error": "no such method"}, 405)
 
--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -467,6 +467,12 @@
                 del self.connections[address]
                 self.locks.pop(address, None)
 
+    async def reset(self, address: str) -> None:
+        """Close the connection to an address; the next message opens a new one."""
+        connection = self.connections.pop(address, None)
+        if connection is not None:
+            await connection.abort()
+
     async def request(self, address: str, content: Any, timeout_s: float) -> Any:
         """Send a request and return its reply; see `Connection.request`."""
         connection = await self.connect(address)
