End a stopping agent's last lease before owners repeat its runs

Cause: the last lease of a stopping agent, 1 s, was longer than the 1.16 s that owners wait from their last message, which may be 0.25 s older. A restarted agent also kept the runs alive that it found while no owner had reached it. Ruled out: the owners' timeout, which is right for the usual lease of 0.5 s.

Change: the last lease is counted from the owners' last messages. A restarted agent extends no lease while a run has no known owner.

--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -124,7 +124,7 @@
         number = self.poll_number
         requested_at = self.loop.now
         lease_ends_at = 0.0
-        if self.last_poll_answered:
+        if self.last_poll_answered and not self.supervisor.has_unclaimed_runs:
             self.supervisor.extend_worker_lease(WORKER_LEASE_S)
             lease_ends_at = requested_at + WORKER_LEASE_S
         if self.worker.unresponsive:
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -35,9 +35,6 @@
 # driver sends them at most once in this time, so that the ends and starts of the tasks
 # of one job are combined into one message.
 COALESCE_DELAY_S = 0.004
-# Lease granted at a planned stop of the agent: the agent's successor has this long to
-# start and take over the worker's runs.
-HANDOVER_LEASE_S = 1.0
 
 
 class WorkerClient(ABC):
@@ -117,8 +114,10 @@
         supervisor = self.supervisor
         while True:
             # A worker that does not respond is granted no further lease, so that there
-            # is a fixed time by which its runs will have ended.
-            lease_s = WORKER_LEASE_S if self.last_poll_answered else 0.0
+            # is a fixed time by which its runs will have ended. Nor are runs without a
+            # known owner kept alive, as their owners may be about to repeat them.
+            may_extend = self.last_poll_answered and not supervisor.has_unclaimed_runs
+            lease_s = WORKER_LEASE_S if may_extend else 0.0
             requested_at = supervisor.clock()
             if lease_s:
                 supervisor.extend_worker_lease(lease_s)
@@ -175,9 +174,10 @@
 
     async def extend_lease_for_successor(self) -> None:
         """Grant the worker a final lease that keeps its runs alive for a successor."""
-        self.supervisor.extend_worker_lease(HANDOVER_LEASE_S)
+        lease_s = self.supervisor.handover_lease_s()
+        self.supervisor.extend_worker_lease(lease_s)
         try:
-            await self.client.poll(HANDOVER_LEASE_S, 0.0, self.supervisor.last_end)
+            await self.client.poll(lease_s, 0.0, self.supervisor.last_end)
         except MarigoldkeelError as error:
             logger.info("could not extend the worker's lease: {}", error)
 
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -31,10 +31,8 @@
     workers_to_add,
 )
 from marigoldkeel.fleet.supervisors import (
-    MAX_CLOCK_DRIFT,
+    LOST_AGENT_TIMEOUT_S,
     MAX_ORDER_AGE_S,
-    OWNER_LEASE_S,
-    WORKER_LEASE_S,
     Supervisor,
 )
 from marigoldkeel.fleet.views import FleetView
@@ -81,12 +79,6 @@
 # Messages are acknowledged within this time, since the owner drops the link after
 # ACKNOWLEDGE_TIMEOUT_S; the difference covers the tick and the network latency.
 ACKNOWLEDGE_INTERVAL_S = 0.2
-# Time from the last message to an unreachable agent until its worker has certainly
-# ended all runs of this owner: the agent stops them when the owner's lease expires, and
-# if the agent has failed too, the worker ends them when its own lease expires.
-LOST_AGENT_TIMEOUT_S = (
-    MAX_ORDER_AGE_S + OWNER_LEASE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
-)
 
 
 class AgentLink(Struct):
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -49,6 +49,15 @@
 # Older start orders are not executed: a network partition or a pause of a process may
 # have delayed them until the owner has repeated the runs elsewhere.
 MAX_ORDER_AGE_S = 3 * LEASE_MARGIN_S
+# Time from an owner's last message to an unreachable agent until the owner may repeat
+# its runs elsewhere: the agent stops them when the owner's lease expires, and if the
+# agent has failed too, the worker ends them when its own lease expires.
+LOST_AGENT_TIMEOUT_S = (
+    MAX_ORDER_AGE_S + OWNER_LEASE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
+)
+# Longest lease granted at a planned stop of the agent: the agent's successor has this
+# long to start and take over the worker's runs.
+MAX_HANDOVER_LEASE_S = 1.0
 # A poll result older than this no longer describes the worker's current state.
 MAX_POLL_AGE_S = 0.5
 # A run is stopped if its progress has not changed for this fraction of its expected run
@@ -481,6 +490,28 @@
 
     # Current state
 
+    @property
+    def has_unclaimed_runs(self) -> bool:
+        """Whether any run that this agent found at its start has no known owner."""
+        return any(run.phase == Phase.FOUND for run in self.runs.values())
+
+    def handover_lease_s(self) -> float:
+        """Return the lease to grant to the worker when this agent stops.
+
+        It ends before any owner may repeat its runs elsewhere.
+        """
+        owners = {run.owner for run in self.runs.values()}
+        heard_at = [
+            owner.lease_renewed_at
+            for owner in self.owners.values()
+            if owner.incarnation in owners
+        ]
+        if not heard_at:
+            return 0.0
+        remaining_s = min(heard_at) + LOST_AGENT_TIMEOUT_S - self.suspended_clock()
+        lease_s = (remaining_s - LEASE_MARGIN_S) / (1 + MAX_CLOCK_DRIFT)
+        return min(MAX_HANDOVER_LEASE_S, max(0.0, lease_s))
+
     @property
     def reconciled(self) -> bool:
         """Whether a poll has listed the runs on the worker."""
--- a/tests/fleet/test_drivers.py
+++ b/tests/fleet/test_drivers.py
@@ -5,11 +5,12 @@
 
 from marigoldkeel.exceptions import PeerTimeout, PeerUnavailable
 from marigoldkeel.fleet.drivers import START_TIMEOUTS_S, WorkerClient, WorkerDriver
-from marigoldkeel.fleet.messages import WorkerFacts
+from marigoldkeel.fleet.messages import HeldRun, WorkerFacts
 from marigoldkeel.fleet.supervisors import (
     WORKER_LEASE_S,
     Phase,
     Run,
+    RunStatus,
     StartOutcome,
     StopOrder,
     Supervisor,
@@ -239,3 +240,30 @@
                 await anyio.sleep(0.01)
         group.cancel_scope.cancel()
     assert agent.supervisor.runs == {}
+
+
+@pytest.mark.parametrize("claimed", [False, True])
+async def test_lease_is_not_extended_for_runs_without_a_known_owner(claimed):
+    # Guards against a task that ran twice: a restarted agent kept a run alive whose
+    # owner had not reached it and repeated the run elsewhere.
+    agent = Agent()
+    agent.supervisor = Supervisor(agent.clock)
+    leases_s = []
+
+    class Client(ScriptedClient):
+        async def poll(self, lease_s, wait_s, last_end):
+            leases_s.append(lease_s)
+            if len(leases_s) == 4:
+                await anyio.sleep_forever()
+            if len(leases_s) == 2 and claimed:
+                agent.attach(HeldRun(run_id(0), FACTS.capacity))
+            return WorkerPoll(7, [RunStatus(run_id(0), 1)])
+
+    async with anyio.create_task_group() as group:
+        driver = WorkerDriver(agent.supervisor, Client(agent), lambda: None, group)
+        group.start_soon(driver.poll_forever)
+        with anyio.fail_after(5.0):
+            while len(leases_s) < 4:
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+    assert leases_s == [0.0, 0.0] + [WORKER_LEASE_S if claimed else 0.0] * 2
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -13,6 +13,9 @@
 )
 from marigoldkeel.fleet.supervisors import (
     CLAIM_TIMEOUT_S,
+    LOST_AGENT_TIMEOUT_S,
+    MAX_CLOCK_DRIFT,
+    MAX_HANDOVER_LEASE_S,
     MAX_UNCONFIRMED_REPORTS,
     MIN_STALL_TIMEOUT_S,
     OWNER_LEASE_S,
@@ -235,6 +238,32 @@
     assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
 
 
+@pytest.mark.parametrize("heard_s_ago", [0.0, 0.1, 0.25, 0.45, 2.0])
+@pytest.mark.parametrize("number_of_owners", [1, 2])
+def test_lease_for_a_successor_ends_before_an_owner_repeats_its_runs(
+    heard_s_ago, number_of_owners
+):
+    # Guards against a task that ran twice: a stopping agent kept its worker's runs
+    # alive for longer than their owners waited for it.
+    agent = Agent()
+    other = Member("entry-2", "entry-2@1", "10.0.0.3:7000", "a")
+    agent.start(0)
+    if number_of_owners == 2:
+        agent.attach(owner=other)
+        agent.supervisor.start(other.incarnation, start_message(1))
+    heard_at = agent.clock.now
+    agent.clock.now += heard_s_ago
+    agent.supervisor.renew_owner_lease(other.incarnation)
+    lease_s = agent.supervisor.handover_lease_s()
+    ends_at = agent.clock.now + lease_s * (1 + MAX_CLOCK_DRIFT)
+    assert 0.0 <= lease_s <= MAX_HANDOVER_LEASE_S
+    assert lease_s == 0.0 or ends_at < heard_at + LOST_AGENT_TIMEOUT_S
+
+
+def test_stopping_agent_without_runs_grants_no_lease():
+    assert Agent().supervisor.handover_lease_s() == 0.0
+
+
 class TestRestartedAgent:
     """State that a restarted agent takes over from its worker and the owners."""
 
