Pair each start of a run with its own end in the soak's check

Cause, inferred from the logs: an order to start was repeated for lack of an answer, the worker restarted in between, and its new boot carried the repetition out until the agent stopped it 0.08 s later. The check kept one end for a run number, the last, so the first start seemed to last until then; the crash had ended it before the second one. Ruled out: two run numbers at once; the run before had lapsed 0.5 s earlier.

Change: each start is paired with the first end that follows it. This finds every overlap of starts that the worker records, also of one run number, as the new test shows for a second start before the first end.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,7 +9,7 @@
 from itertools import chain
 
 from emulator.sites import route
-from marigoldkeel.fleet.work import RunEnd, TaskId
+from marigoldkeel.fleet.work import RunEnd, RunId, TaskId
 from soak.callers import (
     ANSWER_MARGIN_S,
     CONNECTION_LOST,
@@ -66,9 +66,7 @@
         for runner in installation.runners:
             worker = runner.worker
             worker.advance(runner.now)
-            ends = {run: (moment, end) for moment, run, end in worker.ends}
-            for moment, run in worker.starts:
-                ended_s, end = ends.get(run, (float("inf"), None))
+            for moment, run, ended_s, end in pair_ends(worker.starts, worker.ends):
                 span = Span(
                     worker.name,
                     runner.started_at + moment,
@@ -91,6 +89,23 @@
         ]
 
 
+def pair_ends(
+    starts: list[tuple[float, RunId]], ends: list[tuple[float, RunId, RunEnd]]
+) -> Iterator[tuple[float, RunId, float, RunEnd | None]]:
+    """Return each start with the first end of its run that follows it.
+
+    A run starts twice under one number if its order is repeated and the worker restarts
+    in between.
+    """
+    ends_by_run: dict[RunId, list[tuple[float, RunEnd]]] = {}
+    for moment, run, end in ends:
+        ends_by_run.setdefault(run, []).append((moment, end))
+    for moment, run in starts:
+        remaining = ends_by_run.get(run, [])
+        ended_s, end = remaining.pop(0) if remaining else (float("inf"), None)
+        yield moment, run, ended_s, end
+
+
 Check = Callable[[RunRecord], Iterator[str]]
 checks: dict[str, Check] = {}
 timed_checks: dict[str, Check] = {}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 
 from emulator.addresses import free_address
-from marigoldkeel.fleet.work import RunEnd, TaskId
+from marigoldkeel.fleet.work import RunEnd, RunId, TaskId
 from soak.callers import (
     CONNECTION_LOST,
     NOT_CONNECTED,
@@ -24,6 +24,7 @@
     Span,
     checks,
     findings,
+    pair_ends,
     timed_checks,
 )
 from soak.installations import PlanChange
@@ -159,6 +160,27 @@
     assert found == {check_name}
 
 
+@pytest.mark.parametrize(
+    ("second_start_s", "overlaps"), [(10.2, False), (10.1, False), (10.09, True)]
+)
+def test_run_that_starts_again_after_a_restart_is_a_run_of_its_own(
+    second_start_s, overlaps, tmp_path
+):
+    # Guards against a false finding (seed 6): both starts of a run number were taken to
+    # last until the last end.
+    sample = SampleRun(tmp_path)
+    run = RunId(TaskId(JOB, 0, 0, 0), 7)
+    starts = [(10.0, run), (second_start_s, run)]
+    ends = [(10.1, run, RunEnd.LAPSED), (10.4, run, DONE)]
+    sample.spans[:] = [
+        Span("w-1", began_at, ended_at, end)
+        for began_at, _, ended_at, end in pair_ends(starts, ends)
+    ]
+    assert [span.end for span in sample.spans] == [RunEnd.LAPSED, DONE]
+    found = findings(sample.record(), {"twice": checks["no_task_runs_twice_at_once"]})
+    assert bool(found) == overlaps
+
+
 def test_every_check_has_a_case_that_it_finds():
     (mark,) = test_each_violation_is_found_by_its_check.pytestmark
     assert {check_name for _, check_name in mark.args[1]} == set(ALL_CHECKS)
