Log and count why runs are repeated and reports are ignored

Cause: an owner's log could not tell whether an agent had seen a restart, an expired lease or a run that a poll did not list; reports and polls that an agent ignored left no trace. So the hypotheses of the incident on sound workers could not be told apart by logs.

Change: the agent gives its reason with each end that the worker has not stated itself, and the owner logs it with worker, step, task and run number. Ignored reports, exit announcements and polls of an earlier boot have a line. Two counters: marigoldkeel_requeued_runs by cause, marigoldkeel_worker_reports by outcome. No decision changes.

Evidence: tests of the supervisor, the scheduler, the status and the metrics pass.

--- a/marigoldkeel/fleet/metrics.py
+++ b/marigoldkeel/fleet/metrics.py
@@ -123,6 +123,12 @@
         lambda entry: entry.in_progress,
     ),
     Metric(Gauge, "marigoldkeel_jobs", "Jobs owned by this entry.", jobs_by_phase),
+    Metric(
+        Counter,
+        "marigoldkeel_requeued_runs",
+        "Runs that ended before their task was done, or were refused, by cause.",
+        lambda entry: labelled_samples("cause", entry.scheduler.requeued),
+    ),
     Metric(Gauge, "marigoldkeel_workers", "Connected workers.", workers_by_state),
     Metric(
         Gauge,
@@ -151,6 +157,12 @@
         "Runs that are or may be at the worker.",
         lambda agent: len(agent.supervisor.runs),
     ),
+    Metric(
+        Counter,
+        "marigoldkeel_worker_reports",
+        "Reports about the worker, by outcome; only applied ones count at once.",
+        lambda agent: labelled_samples("outcome", agent.supervisor.report_counts),
+    ),
     Metric(
         Gauge,
         "marigoldkeel_owners",
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -13,7 +13,7 @@
 """
 
 import random
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 
 from loguru import logger
@@ -117,6 +117,7 @@
     :ivar resuming: Whether the last interval between ticks was a pause.
     :ivar shutdown_at: When this entry shuts down; jobs that would end later are
         refused.
+    :ivar requeued: How many runs were requeued, by cause.
     :ivar on_answer: Called for each answer with the job, its state and the seconds
         since the job arrived.
     """
@@ -158,6 +159,7 @@
         self.waiting: dict[str, OwnedJob] = {}
         self.cancelled_at: OrderedDict[str, float] = OrderedDict()
         self.last_run_number = 0
+        self.requeued: Counter[str] = Counter()
         self.last_tick_at = self.started_at
         self.resuming = False
         self.shutdown_at = float("inf")
@@ -247,7 +249,7 @@
         if task is None:
             return
         if event.kind == RunEventKind.REFUSED:
-            self._requeue(owned, task)
+            self._requeue(owned, task, "refused")
             if event.reason == StartOutcome.OUTDATED:
                 self.last_run_number += RENUMBER_MS
         else:
@@ -270,8 +272,8 @@
             for task in owned.all_tasks():
                 if task.worker == worker:
                     owned.has_run = True
-                    self._log(owned, "lost", reason, worker=worker)
-                    self._requeue(owned, task)
+                    self._log_run(owned, task, "lost", reason)
+                    self._requeue(owned, task, reason)
             self._close_if_finished(owned)
         self.schedule()
 
@@ -615,7 +617,8 @@
                 job.queue.name, self._duration_hints(job), actual_s
             )
 
-    def _requeue(self, owned: OwnedJob, task: TaskRecord) -> None:
+    def _requeue(self, owned: OwnedJob, task: TaskRecord, cause: str) -> None:
+        self.requeued[cause] += 1
         owned.release(task)
         if not owned.answered:
             self.waiting[owned.job.job_id] = owned
@@ -631,11 +634,12 @@
             if owned.is_waiting and not owned.answered:
                 self.waiting[owned.job.job_id] = owned
             return
-        self._log(owned, "run ended", event.end.name.lower(), worker=worker)
+        end = event.end.name.lower()
+        self._log_run(owned, task, "run ended", end, cause=event.reason)
         if event.end == RunEnd.FAILED:
             task.failures += 1
         task.avoided.add(worker)
-        self._requeue(owned, task)
+        self._requeue(owned, task, end)
 
     def _record_run_outcome(self, owned: OwnedJob, worker: str, end: RunEnd) -> None:
         """Record a success or failure of a worker, which may eject or reinstate it."""
@@ -700,6 +704,21 @@
         for worker, runs in running.items():
             self.send(worker, StopRuns(0, runs))
 
+    def _log_run(
+        self, owned: OwnedJob, task: TaskRecord, outcome: str, reason: str, **inputs
+    ) -> None:
+        """Log what became of a task's current run."""
+        self._log(
+            owned,
+            outcome,
+            reason,
+            worker=task.worker,
+            step=task.task_id.step,
+            task=task.task_id.index,
+            run=task.run.number,
+            **inputs,
+        )
+
     def _log(self, owned: OwnedJob, outcome: str, reason: str = "", **inputs) -> None:
         """Log a decision together with the values that it was based on."""
         job = owned.job
--- a/marigoldkeel/fleet/status.py
+++ b/marigoldkeel/fleet/status.py
@@ -93,6 +93,8 @@
         "store_reached": agent.controller.store_reachable,
         "worker": msgspec.to_builtins(supervisor.facts),
         "boot": supervisor.boot,
+        "unconfirmed_boots": sorted(supervisor.unconfirmed),
+        "reports": dict(supervisor.report_counts),
         "usable": supervisor.usable,
         "polled_s": round(now - supervisor.polled_at, 3)
         if supervisor.reconciled
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -13,7 +13,7 @@
 - The owner of each run is notified how the run ended or that it never started.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from enum import Enum, StrEnum
 
@@ -72,6 +72,9 @@
 # Progress is not reported for runs that are shorter than this.
 MIN_PROGRESS_RUN_S = 0.15
 PROGRESS_INTERVAL_S = 0.2
+# Reasons of an end that the worker has not stated itself.
+NOT_LISTED = "a poll does not list it"
+UNKNOWN_RUN = "the agent does not know it"
 
 
 class Phase(Enum):
@@ -143,6 +146,19 @@
     lease_renewed_at: float
 
 
+class ReportOutcome(StrEnum):
+    """What became of a report about the worker.
+
+    ``KEPT`` reports name a boot that no poll has shown yet. The last three are ignored.
+    """
+
+    APPLIED = "applied"
+    KEPT = "kept"
+    EARLIER_BOOT = "earlier boot"
+    OTHER_WORKER = "other worker"
+    OUTDATED = "outdated"
+
+
 class RunStatus(Struct):
     """A run that the worker lists as running."""
 
@@ -221,7 +237,9 @@
         self.facts: WorkerFacts | None = None
         self.report_sequence = -1
         self.unconfirmed: dict[int, tuple[int, WorkerFacts]] = {}
+        self.report_counts: Counter[ReportOutcome] = Counter()
         self.boot = 0
+        self.ignored_poll_boot = 0
         self.last_end = 0
         self.runs: dict[RunId, Run] = {}
         self.owners: dict[str, Owner] = {}
@@ -251,15 +269,14 @@
         :param sequence: Increases with each report within a boot.
         :return: Whether the report was applied or kept.
         """
-        if facts.boot < self.boot:
-            return False
-        if facts.boot > self.boot:
-            return self._keep_report(facts, sequence)
-        is_other_worker = self.facts is not None and self.facts.worker != facts.worker
-        if is_other_worker or sequence <= self.report_sequence:
-            return False
-        self._apply_report(facts, sequence)
-        return True
+        outcome = self._handle_report(facts, sequence)
+        self.report_counts[outcome] += 1
+        if outcome in (ReportOutcome.APPLIED, ReportOutcome.KEPT):
+            return True
+        logger.bind(
+            boot=facts.boot, polled_boot=self.boot, report_sequence=sequence
+        ).info("report of {} ignored: {}", facts.worker, outcome.value)
+        return False
 
     def adopt_facts(self, facts: WorkerFacts) -> None:
         """Use the worker facts cached by an owner if the worker has not reported yet.
@@ -275,7 +292,11 @@
         It gets no further runs until its next report. Its runs end once a poll finds
         it gone: the announcement may be that of an earlier boot, delivered late.
         """
-        if self.facts is not None and self.facts.worker == worker:
+        is_known = self.facts is not None and self.facts.worker == worker
+        logger.bind(polled_boot=self.boot, runs=len(self.runs)).info(
+            "exit of {} announced{}", worker, "" if is_known else ", ignored"
+        )
+        if is_known:
             self.exit_announced = True
             self.facts = None
 
@@ -289,6 +310,7 @@
     def record_poll(self, poll: WorkerPoll, requested_at: float) -> None:
         """Apply the worker's response to a poll that was sent at ``requested_at``."""
         if poll.boot < self.boot:
+            self._log_ignored_poll(poll)
             return
         if poll.boot > self.boot:
             self._reset_for_boot(poll.boot)
@@ -312,7 +334,7 @@
         for run_id, (owner, _) in list(self.pending_claims.items()):
             # The worker lists neither the run nor its end.
             del self.pending_claims[run_id]
-            self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0)
+            self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, NOT_LISTED)
 
     def record_poll_failure(self, not_connected: bool = False) -> None:
         """Record a failed poll; no run is started until a poll succeeds.
@@ -320,9 +342,10 @@
         :param not_connected: Whether the worker accepted no connection.
         """
         self.reachable = False
-        has_exited = not_connected and self.exit_announced
-        if has_exited or self.clock() > self.worker_lease_ends_at:
-            self._end_all(RunEnd.LAPSED)
+        if not_connected and self.exit_announced:
+            self._end_all(RunEnd.LAPSED, "the worker has exited")
+        elif self.clock() > self.worker_lease_ends_at:
+            self._end_all(RunEnd.LAPSED, "the worker's lease has expired")
 
     def record_start_outcome(
         self, run: Run, outcome: StartOutcome, detail: str = ""
@@ -430,7 +453,7 @@
         for run_id in run_ids:
             run = self.runs.get(run_id)
             if run is None:
-                self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0)
+                self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, UNKNOWN_RUN)
             elif run.owner == owner:
                 self._stop(run, RunEnd.STOPPED)
 
@@ -586,7 +609,7 @@
                 if run.started_at is None or run.order_answered_at is None:
                     self._stop_again(run)
                 else:
-                    self._finish(run, RunEnd.LAPSED)
+                    self._finish(run, RunEnd.LAPSED, "the worker has restarted")
         self.boot = boot
         self.report_sequence = -1
         self.last_end = 0
@@ -600,6 +623,19 @@
             sequence, facts = report
             self._apply_report(facts, sequence)
 
+    def _handle_report(self, facts: WorkerFacts, sequence: int) -> ReportOutcome:
+        if facts.boot < self.boot:
+            return ReportOutcome.EARLIER_BOOT
+        if facts.boot > self.boot:
+            is_kept = self._keep_report(facts, sequence)
+            return ReportOutcome.KEPT if is_kept else ReportOutcome.OUTDATED
+        if self.facts is not None and self.facts.worker != facts.worker:
+            return ReportOutcome.OTHER_WORKER
+        if sequence <= self.report_sequence:
+            return ReportOutcome.OUTDATED
+        self._apply_report(facts, sequence)
+        return ReportOutcome.APPLIED
+
     def _apply_report(self, facts: WorkerFacts, sequence: int) -> None:
         self.report_sequence = sequence
         self.exit_announced = False
@@ -621,9 +657,17 @@
         self.unconfirmed[facts.boot] = (sequence, facts)
         return True
 
-    def _end_all(self, end: RunEnd) -> None:
+    def _log_ignored_poll(self, poll: WorkerPoll) -> None:
+        """Log an ignored poll, once for each boot that the worker shows."""
+        if poll.boot != self.ignored_poll_boot:
+            self.ignored_poll_boot = poll.boot
+            logger.bind(boot=poll.boot, known_boot=self.boot).warning(
+                "polls ignored: they show an earlier boot of the worker"
+            )
+
+    def _end_all(self, end: RunEnd, reason: str) -> None:
         for run in list(self.runs.values()):
-            self._finish(run, end)
+            self._finish(run, end, reason)
 
     def _claim(self, run_id: RunId, owner: str, demand: Resources) -> None:
         run = self.runs.get(run_id)
@@ -636,7 +680,7 @@
                 OwnerNotification(owner, self.recent_events[run_id])
             )
         elif self.reconciled:
-            self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0)
+            self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, UNKNOWN_RUN)
         else:
             self.pending_claims[run_id] = (owner, demand)
 
@@ -702,20 +746,23 @@
         if owner:
             self._notify_end(row.run_id, owner, row.end, 0.0)
 
-    def _finish(self, run: Run, end: RunEnd) -> None:
-        """Remove a run that has ended or can no longer exist, and notify its owner."""
+    def _finish(self, run: Run, end: RunEnd, reason: str = "") -> None:
+        """Remove a run that has ended or can no longer exist, and notify its owner.
+
+        :param reason: Why the run is taken to have ended; empty if the worker said so.
+        """
         self._remove(run)
         if end == RunEnd.STOPPED:
             end = run.stop_reason
         run_started_at = run.started_at
         run_s = self.clock() - run_started_at if run_started_at is not None else 0.0
         self.on_run_end(end, run_s)
-        self._notify_end(run.run_id, run.owner, end, run_s)
+        self._notify_end(run.run_id, run.owner, end, run_s, reason)
 
     def _settle_missing(self, run: Run) -> None:
         """Remove a run that the worker no longer lists, and notify its owner."""
         if run.confirmed or run.phase == Phase.RUNNING:
-            self._finish(run, RunEnd.LAPSED)
+            self._finish(run, RunEnd.LAPSED, NOT_LISTED)
         else:
             # The worker refuses a start order that arrives after the stop order.
             self._remove(run)
@@ -728,10 +775,11 @@
         event = RunEvent(run_id, RunEventKind.REFUSED, reason=reason)
         self.notifications.append(OwnerNotification(owner, event))
 
-    def _notify_end(self, run_id: RunId, owner: str, end: RunEnd, run_s: float) -> None:
-        event = RunEvent(
-            run_id, RunEventKind.ENDED, end, run_ms=max(0, round(run_s * 1000))
-        )
+    def _notify_end(
+        self, run_id: RunId, owner: str, end: RunEnd, run_s: float, reason: str = ""
+    ) -> None:
+        run_ms = max(0, round(run_s * 1000))
+        event = RunEvent(run_id, RunEventKind.ENDED, end, reason, run_ms)
         self.notifications.append(OwnerNotification(owner, event))
         self.recent_events[run_id] = event
         if len(self.recent_events) > MAX_RECENT_EVENTS:
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -190,6 +190,18 @@
     assert (answered and answered.state) == (JobState.FAILED if attempts else None)
 
 
+def test_requeued_runs_are_counted_by_cause():
+    entry = Entry({"w": 4})
+    entry.submit(steps=[Step(4, CORE, 0.1)])
+    first, second, third, _ = (run for _, run in entry.starts())
+    entry.end("w", first, RunEnd.LAPSED)
+    entry.end("w", second, RunEnd.DONE)
+    entry.refuse("w", third)
+    entry.scheduler.handle_worker_lost("w", "agent not reachable")
+    causes = {"lapsed": 1, "refused": 1, "agent not reachable": 2}
+    assert entry.scheduler.requeued == causes
+
+
 def test_run_numbers_increase_from_owner_to_owner():
     # A worker refuses the runs of a second owner as outdated if their numbers start at
     # 1 again.
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -18,10 +18,12 @@
     MAX_HANDOVER_LEASE_S,
     MAX_UNCONFIRMED_REPORTS,
     MIN_STALL_TIMEOUT_S,
+    NOT_LISTED,
     OWNER_LEASE_S,
     WORKER_LEASE_S,
     CheckBootOrder,
     Phase,
+    ReportOutcome,
     RunEndRecord,
     RunStatus,
     StartOrder,
@@ -99,6 +101,10 @@
             self.poll(*running, percent=self.percent)
             self.supervisor.tick()
 
+    def expire_worker_lease(self) -> None:
+        self.clock.now += 2 * WORKER_LEASE_S
+        self.supervisor.record_poll_failure()
+
     def events(self) -> list[tuple]:
         return [
             (
@@ -425,6 +431,45 @@
     assert agent.supervisor.facts == (report if is_own_boot else FACTS)
 
 
+@pytest.mark.parametrize(
+    ("facts", "sequence", "outcome"),
+    [
+        (FACTS, 2, ReportOutcome.APPLIED),
+        (FACTS, 1, ReportOutcome.OUTDATED),
+        (WorkerFacts("w-1", 6), 9, ReportOutcome.EARLIER_BOOT),
+        (WorkerFacts("w-1", 8), 1, ReportOutcome.KEPT),
+        (WorkerFacts("w-other", 7), 9, ReportOutcome.OTHER_WORKER),
+    ],
+)
+def test_reports_are_counted_by_outcome(facts, sequence, outcome):
+    agent = Agent()
+    agent.supervisor.report_counts.clear()
+    agent.supervisor.update_facts(facts, sequence)
+    assert agent.supervisor.report_counts == {outcome: 1}
+
+
+@pytest.mark.parametrize(
+    ("event", "reason"),
+    [
+        (lambda agent: agent.poll(boot=8), "the worker has restarted"),
+        (lambda agent: agent.poll(), NOT_LISTED),
+        (lambda agent: agent.expire_worker_lease(), "the worker's lease has expired"),
+        (
+            lambda agent: agent.poll(ended=[RunEndRecord(1, run_id(), RunEnd.LAPSED)]),
+            "",
+        ),
+    ],
+    ids=["restart", "not listed", "lease", "worker"],
+)
+def test_owner_learns_why_a_run_is_taken_to_have_ended(event, reason):
+    agent = Agent()
+    agent.start(0)
+    agent.poll(run_id(0))
+    event(agent)
+    (notification,) = agent.supervisor.take_notifications()
+    assert notification.content.reason == reason
+
+
 def test_restart_is_applied_when_a_poll_shows_it():
     agent = Agent()
     agent.start(0)
