--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec.structs import replace
+
 from emulator.event_loop import (
     NETWORK_LATENCY_S,
     EventLoop,
@@ -284,6 +286,10 @@
         self.links.add(agent.member)
         self.links.describe(agent.name, agent.worker.facts)
 
+    def read_record(self, agent: SimulatedAgent, address: str) -> None:
+        """Read a directory record with an address that may be another's."""
+        self.links.add(replace(agent.member, address=address))
+
     def start(self) -> None:
         super().start()
         self.initialize()
@@ -299,7 +305,8 @@
     def _connected(self, link: AgentLink) -> None:
         link.connecting = False
         agent = self.simulation.find_agent(link.member.name)
-        if not agent.alive or self.is_partitioned_from(agent) or not self.alive:
+        is_there = agent.alive and link.member.address == agent.member.address
+        if not is_there or self.is_partitioned_from(agent) or not self.alive:
             link.retry_at = self.loop.now + link.retry_delay_s
             link.retry_delay_s = min(0.5, 2 * link.retry_delay_s)
             return
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -4,6 +4,7 @@
 
 from marigoldkeel.fleet.links import (
     ACKNOWLEDGE_TIMEOUT_S,
+    LOST_AGENT_TIMEOUT_S,
     MAX_LINK_SILENCE_S,
     MAX_ORDER_AGE_S,
     TICK_INTERVAL_S,
@@ -14,9 +15,11 @@
     Attach,
     Renew,
     RunEvent,
+    RunEventKind,
     WorkerFacts,
     WorkerState,
 )
+from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.supervisors import (
     OWNER_LEASE_S,
@@ -26,9 +29,23 @@
     Supervisor,
 )
 from marigoldkeel.fleet.views import FleetView
-from marigoldkeel.fleet.work import Resources, RunEnd
+from marigoldkeel.fleet.work import (
+    JobAnswer,
+    JobState,
+    RepeatableJob,
+    Resources,
+    RunEnd,
+    Step,
+)
 from marigoldkeel.models import Member
-from tests.fleet.test_supervisors import FACTS, OWNER, Agent, Clock, start_message
+from tests.fleet.test_supervisors import (
+    CORE,
+    FACTS,
+    OWNER,
+    Agent,
+    Clock,
+    start_message,
+)
 
 
 # The agent's link clock is independent of the clock of its supervisor.
@@ -196,6 +213,107 @@
     assert sequences == sorted(set(sequences))
 
 
+AGENT = Member("agent-1", "agent-1@1", "10.0.0.2:7000", "a")
+MOVED_AGENT = Member("agent-1", "agent-1@2", "10.0.0.9:7000", "a")
+QUEUE = Queue("q", "host", "/q/", "service", 1, 3, 1.6, 0.06)
+
+
+class LinkedOwner:
+    """An owner with a connection to an agent, whose worker runs one task of a job.
+
+    :ivar connecting: Addresses of the agents that the owner has begun to connect to.
+    """
+
+    def __init__(self):
+        self.clock, self.fleet = Clock(), FleetView()
+        self.owner = OwnerEndpoint(OWNER, self.fleet, self.clock)
+        self.scheduler = Scheduler(
+            self.fleet, "a", self.owner.send, self.clock, lambda: 1, seed=1
+        )
+        self.owner.scheduler, self.owner.group = self.scheduler, self
+        self.connecting: list[str] = []
+        self.owner.add(AGENT)
+        self.owner.step()
+        self.connection = self.connect()
+        job = RepeatableJob("j", QUEUE, "p", [Step(1, CORE, 0.3)], self.clock.now, 30.0)
+        self.answers: list[JobAnswer] = []
+        self.scheduler.submit(job, self.answers.append)
+        (self.run,) = [item.run for item in self.scheduler.runs_on("agent-1")]
+
+    def start_soon(self, action, *arguments) -> None:
+        if arguments:
+            self.connecting.append(arguments[-1].member.address)
+
+    def connect(self) -> Connection:
+        link = self.owner.links["agent-1"]
+        link.connecting = False
+        connection = Connection(link.member.address)
+        self.owner.attach(link, connection)
+        self.owner.message_received(connection, FACTS)
+        self.acknowledge(connection)
+        return connection
+
+    def acknowledge(self, connection: Connection) -> None:
+        sequence = self.owner.links["agent-1"].sequence
+        state = WorkerState(sequence, FACTS.capacity, True, 1000)
+        self.owner.message_received(connection, state)
+
+    def advance_time(self, seconds: float, answers: bool = True) -> None:
+        """Let time pass, in which the agent acknowledges each message or none."""
+        ends_at = self.clock.now + seconds
+        while self.clock.now < ends_at:
+            self.clock.now += TICK_INTERVAL_S
+            self.owner.step()
+            if answers:
+                self.acknowledge(self.connection)
+
+    def end_run(self) -> None:
+        event = RunEvent(self.run, RunEventKind.ENDED, RunEnd.DONE)
+        self.owner.message_received(self.connection, event)
+
+
+def test_record_with_another_address_repeats_no_run_of_an_agent_that_answers():
+    # Guards against a task that ran twice: a stale directory record made each entry
+    # repeat the runs of a connected agent at once.
+    owner = LinkedOwner()
+    owner.owner.add(MOVED_AGENT)
+    owner.advance_time(0.3)
+    owner.owner.add(AGENT)
+    owner.advance_time(0.3)
+    assert owner.scheduler.requeued == {}
+    owner.end_run()
+    assert [answer.state for answer in owner.answers] == [JobState.DONE]
+    assert owner.connecting == [AGENT.address]
+
+
+@pytest.mark.parametrize("is_reset", [True, False], ids=["reset", "silent"])
+def test_runs_of_an_agent_that_has_moved_are_repeated_when_they_must_have_ended(
+    is_reset,
+):
+    # Guards against a task that ran twice: a machine was replaced, and its runs were
+    # repeated before the lease of its worker had expired.
+    owner = LinkedOwner()
+    last_sent_at = owner.clock.now
+    owner.owner.add(MOVED_AGENT)
+    if is_reset:
+        owner.owner.connection_closed(owner.connection)
+    while not owner.scheduler.requeued:
+        owner.advance_time(TICK_INTERVAL_S, answers=False)
+    assert owner.clock.now >= last_sent_at + LOST_AGENT_TIMEOUT_S
+    assert MOVED_AGENT.address not in owner.connecting
+    owner.advance_time(2 * TICK_INTERVAL_S, answers=False)
+    assert owner.connecting[-1] == MOVED_AGENT.address
+
+
+def test_agent_that_has_moved_is_used_at_once_if_it_has_no_runs():
+    owner = LinkedOwner()
+    owner.end_run()
+    owner.owner.connection_closed(owner.connection)
+    owner.owner.add(MOVED_AGENT)
+    owner.advance_time(TICK_INTERVAL_S, answers=False)
+    assert owner.connecting[-1] == MOVED_AGENT.address
+
+
 @pytest.mark.parametrize(
     ("silent_s", "facts"),
     [
--- a/tests/fleet/test_plays.py
+++ b/tests/fleet/test_plays.py
@@ -174,6 +174,35 @@
     assert all(submitted.answer is not None for submitted in simulation.jobs)
 
 
+@pytest.mark.parametrize("is_killed", [False, True], ids=["alive", "killed"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_records_that_carry_another_address_repeat_no_running_task(seed, is_killed):
+    # Guards against tasks that ran twice on sound workers: entries repeated them at
+    # once when the record of their agent named another address.
+    simulation = make_fleet(seed)
+    offer_mixed_load(simulation, 1.0, 1.0, 8.0)
+
+    def move_record(agent, back_s: float) -> None:
+        for entry in simulation.entries:
+            entry.read_record(agent, "elsewhere")
+        if is_killed:
+            agent.kill()
+            simulation.loop.call_later(0.5, agent.start)
+        simulation.loop.call_later(back_s, lambda: set_back(agent))
+
+    def set_back(agent) -> None:
+        for entry in simulation.entries:
+            entry.read_record(agent, agent.name)
+
+    for number, agent in enumerate(simulation.agents[:4]):
+        simulation.loop.call_at(
+            3.0 + number, lambda agent=agent: move_record(agent, 1.5)
+        )
+    simulation.run(20.0)
+    check_invariants(simulation)
+    assert all(submitted.answer is not None for submitted in simulation.jobs)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_crashed_worker_has_its_tasks_repeated(seed):
     simulation = make_fleet(seed)
