Do not repeat runs because an agent's record carries another address

What callers saw: tasks that must run once ran twice, on workers that were up.

Cause: OwnerEndpoint.add took a directory record with another address for the word that the agent was gone. Each entry discarded its link and repeated the runs at once. Only the agent itself can say that, and a record can be late, of an earlier life, from a store that was set back or of a second daemon of the name.

Ruled out: waiting LOST_AGENT_TIMEOUT_S before the link is replaced, connected or not: a stale record would still cost the worker of an agent that answers.

Change: the new address is noted as the link's successor. The link goes on while it is connected, which a renewal checks at once, and until no run of this owner can exist on the worker: an agent that has gone is replaced after the wait of any lost agent, and at once if it had no runs. Stopping runs count too, since their job could be submitted again.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -86,6 +86,7 @@
 
     :ivar unacknowledged: Send times of the messages that no `WorkerState` of the agent
         has acknowledged, by sequence number.
+    :ivar successor: The agent at the other address that its newest record carries.
     :ivar runs_expire_at: When the runs on the worker of an unreachable agent have ended
         at the latest; None while the agent is reachable or after that time.
     :ivar agent_clock_ms: The agent's clock as of the last `WorkerState`, which arrived
@@ -99,6 +100,7 @@
     usable_at: float
     connected_at: float
     wanted_at: float
+    successor: Member | None = None
     connection: Connection | None = None
     connecting: bool = False
     sequence: int = 0
@@ -162,15 +164,29 @@
         self.group: TaskGroup | None = None
 
     def add(self, member: Member) -> None:
-        """Add an agent, or replace its link if its address has changed."""
+        """Add an agent, or note its new address.
+
+        A record with another address may be out of date. It does not replace a link on
+        which the agent answers, or on whose worker this owner may still have runs.
+        """
         self.subset.add(member)
         self.choose_at = float("-inf")
         link = self.links.get(member.name)
-        if link is not None and link.member.address == member.address:
-            link.member = member
-        elif link is not None:
-            self._discard(link)
-            self._create(member)
+        if link is None:
+            return
+        if link.member.address == member.address:
+            link.member, link.successor = member, None
+            return
+        logger.bind(
+            peer=link.member.address,
+            address=member.address,
+            connected=link.connection is not None,
+        ).info("record of agent {} carries another address", member.name)
+        link.successor = member
+        if link.connection is not None:
+            # Shows soon whether the agent still answers at its old address.
+            self.send(member.name, Renew())
+        self._follow_successor(link)
 
     def remove(self, name: str) -> None:
         """Remove an agent; its link stays while it may still have runs of this owner.
@@ -316,10 +332,23 @@
         link = AgentLink(member, now, now, now, sequence=self.last_sequence)
         self.links[member.name] = self.links_by_address[member.address] = link
 
+    def _follow_successor(self, link: AgentLink) -> bool:
+        """Replace the link of an agent that has moved, unless it is still needed."""
+        is_needed = link.connection is not None or self.scheduler.has_runs_on(
+            link.member.name
+        )
+        if link.successor is None or is_needed:
+            return False
+        self._discard(link)
+        self._create(link.successor)
+        return True
+
     def _check_disconnected(self, link: AgentLink, now: float) -> None:
         if link.runs_expire_at is not None and now > link.runs_expire_at:
             link.runs_expire_at = None
             self.scheduler.handle_worker_lost(link.member.name, "agent not reachable")
+        if self._follow_successor(link):
+            return
         if not link.connecting and now >= link.retry_at:
             link.connecting = True
             self.group.start_soon(run_guarded, "connect", self.connect, link)
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -296,6 +296,14 @@
             if task.worker == worker and not task.stopping
         ]
 
+    def has_runs_on(self, worker: str) -> bool:
+        """Return whether any run on a worker may still exist, stopping ones too."""
+        return any(
+            task.worker == worker
+            for owned in self.jobs.values()
+            for task in owned.all_tasks()
+        )
+
     # Decisions
 
     def tick(self) -> None:
--- a/marigoldkeel/fleet/status.py
+++ b/marigoldkeel/fleet/status.py
@@ -69,6 +69,7 @@
         "name": name,
         "domain": link.member.domain,
         "address": link.member.address,
+        "recorded_address": (link.successor or link.member).address,
         "connected": link.connection is not None,
         "usable": view.ready,
         "ejected": name in entry.scheduler.detector.ejected,
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -66,6 +66,9 @@
     def close_after_flush(self) -> None:
         self.closed = True
 
+    async def abort(self) -> None:
+        self.closed = True
+
 
 class LinkedAgent(Agent):
     """An agent with a connection to one owner."""
