Play the reports of other writers in simulated fleets

The order of events of the incident on sound workers: while tasks run, each agent gets two reports with a later start time, one under its worker's name and one under another.

--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -25,6 +25,7 @@
     START_TIMEOUTS_S,
 )
 from marigoldkeel.fleet.links import AgentEndpoint, AgentLink, OwnerEndpoint
+from marigoldkeel.fleet.messages import WorkerFacts
 from marigoldkeel.fleet.owned import OwnedJob
 from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.schedulers import Scheduler
@@ -91,6 +92,11 @@
             self.supervisor.update_facts(self.worker.facts, round(self.loop.now * 1000))
             self.flush()
 
+    def receive_report(self, facts: WorkerFacts, sequence: int = 1) -> None:
+        """Receive a report that the worker may not have sent."""
+        self.supervisor.update_facts(facts, sequence)
+        self.flush()
+
     def tick(self) -> None:
         self.supervisor.tick()
         self.flush()
--- a/tests/fleet/test_plays.py
+++ b/tests/fleet/test_plays.py
@@ -3,6 +3,7 @@
 import functools
 
 import pytest
+from msgspec.structs import replace
 
 from marigoldkeel.fleet.work import JobState, RunEnd
 from tests.fleet.loads import (
@@ -174,6 +175,26 @@
     assert all(submitted.answer is not None for submitted in simulation.jobs)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_reports_of_other_writers_repeat_no_running_task(seed):
+    # Guards against tasks that ran twice on sound workers: agents took a report with a
+    # later start time for a restart and disregarded what their workers said.
+    simulation = make_fleet(seed)
+    offer_mixed_load(simulation, 1.0, 1.0, 8.0)
+    for number, agent in enumerate(simulation.agents):
+        later = replace(agent.worker.facts, boot=1000 + number)
+        for worker, offset_s in ((agent.name, 0.0), ("other", 0.4)):
+            report = replace(later, worker=worker)
+            simulation.loop.call_at(
+                3.0 + number / 4 + offset_s,
+                lambda agent=agent, report=report: agent.receive_report(report),
+            )
+    simulation.run(20.0)
+    check_invariants(simulation)
+    assert simulation.count_runs_ended(RunEnd.LAPSED) == 0
+    assert all(agent.supervisor.usable for agent in simulation.agents)
+
+
 @pytest.mark.parametrize("is_killed", [False, True], ids=["alive", "killed"])
 @pytest.mark.parametrize("seed", SEEDS)
 def test_records_that_carry_another_address_repeat_no_running_task(seed, is_killed):
