Renew an owner's lease by an attach only from its last message before

A task can run twice when the answers of an agent to an entry are lost.

Cause: an entry repeats the runs of an agent 1.16 s after its last message on the link that it lost. Meanwhile it attaches again, and each attach renewed the lease of the owner from its arrival, although the entry went on counting from before. An attach carried no time, so a late one renewed the lease too.

Ruled out: counting the entry's wait from its last attach. As long as attaches arrive and answers do not, the tasks would never be repeated.

Change: an attach carries the time of the message from which the entry counts, on the agent's clock, and renews the lease from then. When the agent's state has arrived, the entry sends a renewal at once, as it now counts from there. An attach without the field counts as before, so that daemons of both versions work together.

Evidence: the test plays a lost link and attaches whose answers are lost.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -122,6 +122,12 @@
         """Return a lower bound for the current reading of the agent's clock."""
         return self.agent_clock_ms + int((now - self.agent_clock_read_at) * 1000)
 
+    def lease_sent_at(self, now: float) -> float:
+        """Return when the last message was sent from which the runs' expiry counts."""
+        if self.runs_expire_at is None:
+            return now
+        return self.runs_expire_at - LOST_AGENT_TIMEOUT_S
+
     def record_acknowledged(self, sequence: int) -> None:
         """Record that the agent has received all messages up to a sequence number."""
         for number in [key for key in self.unacknowledged if key <= sequence]:
@@ -392,7 +398,14 @@
         held = self.scheduler.runs_on(link.member.name)
         self.fleet.view(link.member.name).restore(held, link.sequence)
         facts = link.facts or WorkerFacts()
-        connection.send(Attach(link.sequence, self.own_member, held, facts))
+        sent_ms = 0
+        if link.agent_clock_ms:
+            # An attach is no proof that the agent answers, so until a state has
+            # arrived, the runs expire as before it.
+            sent_at = link.lease_sent_at(now)
+            sent_ms = max(1, link.estimate_agent_clock_ms(sent_at))
+        attach = Attach(link.sequence, self.own_member, held, facts, sent_ms)
+        connection.send(attach)
 
     def _next_sequence(self, link: AgentLink) -> int:
         link.sequence += 1
@@ -423,6 +436,7 @@
         self.scheduler.schedule()
 
     def _apply_state(self, link: AgentLink, state: WorkerState) -> None:
+        is_reattached = link.runs_expire_at is not None
         link.runs_expire_at = None
         link.retry_delay_s = MIN_RETRY_DELAY_S
         view = self.fleet.view(link.member.name)
@@ -434,6 +448,9 @@
         view.connected = True
         view.update(state)
         link.record_acknowledged(state.heard)
+        if is_reattached and view.placed:
+            # The attach has not renewed the lease.
+            self.send(link.member.name, Renew())
 
     def connection_closed(self, connection: Connection) -> None:
         link = self.links_by_address.get(connection.peer)
@@ -506,7 +523,7 @@
         link = self.links_by_connection.get(id(connection))
         age_s = 0.0
         if not isinstance(content, StopRuns):
-            age_s = max(0.0, self.clock() - content.sent_ms / 1000)
+            age_s = self._age_s(content.sent_ms)
         if link is None or not self.supervisor.renew_owner_lease(
             link.owner.incarnation, age_s
         ):
@@ -591,12 +608,18 @@
         link = OwnerLink(connection, message.owner, message.sequence)
         self.links[message.owner.incarnation] = link
         self.links_by_connection[id(connection)] = link
-        self.supervisor.attach(message)
+        self.supervisor.attach(
+            message, self._age_s(message.sent_ms) if message.sent_ms else 0.0
+        )
         logger.bind(peer=message.owner.address).info(
             "owner {} attached with {} runs", message.owner.name, len(message.held)
         )
         self._send_state(link, self.supervisor.free_resources, self.supervisor.usable)
 
+    def _age_s(self, sent_ms: int) -> float:
+        """Return the time since a moment on this agent's clock."""
+        return max(0.0, self.clock() - sent_ms / 1000)
+
     def _send_state(self, link: OwnerLink, free: Resources, usable: bool) -> None:
         supervisor = self.supervisor
         if supervisor.facts is not None and supervisor.facts != link.facts_sent:
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -65,12 +65,16 @@
 
     :ivar facts: The facts of the worker that the owner received last. They let a
         restarted agent use the worker before the worker's next report.
+    :ivar sent_ms: The agent's clock when the owner sent the last message that renews
+        its lease: this one or, after a lost link, the last one on that link. 0 if the
+        owner does not know the clock.
     """
 
     sequence: int = 0
     owner: Member = field(default_factory=Member)
     held: list[HeldRun] = field(default_factory=list)
     facts: WorkerFacts = field(default_factory=WorkerFacts)
+    sent_ms: int = 0
 
 
 class RunNumber(Struct):
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -384,17 +384,22 @@
 
     # Requests of owners
 
-    def attach(self, message: Attach) -> None:
+    def attach(self, message: Attach, age_s: float = 0.0) -> None:
         """Register an owner and reconcile its runs with the ones it lists.
 
         Runs of the owner that it does not list are stopped, and so are all runs of
         earlier incarnations of the same entry.
+
+        :param age_s: Time since the owner's last message that renews its lease.
         """
         owner = message.owner.incarnation
         for other in list(self.owners.values()):
             if other.name == message.owner.name and other.incarnation != owner:
                 self._remove_owner(other)
-        self.owners[owner] = Owner(owner, message.owner.name, self.suspended_clock())
+        renewed_at = self.suspended_clock() - age_s
+        if owner in self.owners:
+            renewed_at = max(renewed_at, self.owners[owner].lease_renewed_at)
+        self.owners[owner] = Owner(owner, message.owner.name, renewed_at)
         held = {item.run: item.demand for item in message.held}
         for run in list(self.runs.values()):
             if run.owner == owner and run.run_id not in held:
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -287,6 +287,7 @@
   owner @1 :Member;
   held @2 :List(HeldRun);
   facts @3 :WorkerFacts;
+  sentMs @4 :UInt64;
 }
 
 struct RunNumber {
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -13,6 +13,7 @@
 )
 from marigoldkeel.fleet.messages import (
     Attach,
+    HeldRun,
     Renew,
     RunEvent,
     RunEventKind,
@@ -22,7 +23,9 @@
 from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.supervisors import (
+    MAX_CLOCK_DRIFT,
     OWNER_LEASE_S,
+    WORKER_LEASE_S,
     RunEndRecord,
     StartOutcome,
     StopOrder,
@@ -308,6 +311,43 @@
     assert owner.connecting[-1] == MOVED_AGENT.address
 
 
+@pytest.mark.parametrize("reconnects", [0, 1, 2, 5])
+def test_attaches_whose_answers_are_lost_prolong_no_run_beyond_the_owners_wait(
+    reconnects,
+):
+    # Guards against a task that ran twice: each attach renewed the lease of the owner,
+    # who went on waiting from its last message before the link was lost.
+    owner, agent = LinkedOwner(), LinkedAgent()
+    agent.clock = agent.supervisor.clock = owner.clock
+    agent.supervisor.suspended_clock = owner.clock
+    agent.links.clock = agent.boot_time_s
+    connection = owner.connect()
+    state = WorkerState(9, FACTS.capacity, True, round(agent.boot_time_s() * 1000))
+    owner.owner.message_received(connection, state)
+    agent.supervisor.update_facts(FACTS, 2)
+    agent.poll()
+    agent.receive(start_message(0), 0.0)
+    owner.owner.connection_closed(connection)
+    stopped_at = float("inf")
+    for _ in range(200):
+        owner.advance_time(TICK_INTERVAL_S, answers=False)
+        link = owner.owner.links["agent-1"]
+        if link.connection is None and reconnects:
+            reconnects -= 1
+            link.connecting = False
+            connection = Connection(link.member.address)
+            owner.owner.attach(link, connection)
+            attach = connection.sent[-1]
+            attach.held = [HeldRun(start_message(0).run_ids()[0], CORE)]
+            agent.links.message_received(Connection(), attach)
+        agent.supervisor.tick()
+        if agent.stops():
+            stopped_at = min(stopped_at, owner.clock.now)
+        if owner.scheduler.requeued:
+            break
+    assert stopped_at + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT) <= owner.clock.now
+
+
 def test_agent_that_has_moved_is_used_at_once_if_it_has_no_runs():
     owner = LinkedOwner()
     owner.end_run()
