Renew an owner's lease by a stop order only from its send time

Cause: an order to stop runs carried no time and renewed its owner's lease from its arrival. On a link that delays messages, the agent kept the owner's other runs for longer than the owner waits before it repeats them.

Change: stop orders carry the agent's clock as start orders and renewals do. Those without the field, from entries of earlier versions, count as before.

Evidence: with only the field added the new case of the test fails (no run is stopped); with the change it passes.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -255,8 +255,7 @@
             return 0
         message.sequence = self._next_sequence(link)
         now = self.clock()
-        if not isinstance(message, StopRuns):
-            message.sent_ms = link.estimate_agent_clock_ms(now)
+        message.sent_ms = link.estimate_agent_clock_ms(now)
         try:
             link.connection.send(message)
         except PeerUnavailable as error:
@@ -521,9 +520,9 @@
         if not isinstance(content, StartRuns | StopRuns | Renew):
             return False
         link = self.links_by_connection.get(id(connection))
-        age_s = 0.0
-        if not isinstance(content, StopRuns):
-            age_s = self._age_s(content.sent_ms)
+        # Entries of earlier versions send stop orders without a time.
+        has_time = content.sent_ms or not isinstance(content, StopRuns)
+        age_s = self._age_s(content.sent_ms) if has_time else 0.0
         if link is None or not self.supervisor.renew_owner_lease(
             link.owner.incarnation, age_s
         ):
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -118,10 +118,11 @@
 
 @message("stopRuns")
 class StopRuns(Struct):
-    """Asks the agent to stop runs."""
+    """Asks the agent to stop runs; ``sent_ms`` is as in `StartRuns`."""
 
     sequence: int = 0
     runs: list[RunId] = field(default_factory=list)
+    sent_ms: int = 0
 
 
 @message("renew")
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -311,6 +311,7 @@
 struct StopRuns {
   sequence @0 :UInt64;
   runs @1 :List(RunId);
+  sentMs @2 :UInt64;
 }
 
 struct Renew {
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -17,6 +17,7 @@
     Renew,
     RunEvent,
     RunEventKind,
+    StopRuns,
     WorkerFacts,
     WorkerState,
 )
@@ -119,14 +120,17 @@
     assert state.clock_ms == round(agent.boot_time_s() * 1000)
 
 
-def test_delayed_renewal_renews_only_from_its_send_time():
+@pytest.mark.parametrize(
+    "message", [Renew(2), StopRuns(2, [])], ids=["renewal", "stop order"]
+)
+def test_delayed_message_renews_the_lease_only_from_its_send_time(message):
     agent = LinkedAgent()
     agent.receive(start_message(0), 0.0)
     agent.supervisor.take_orders()
     for _ in range(5):
         agent.clock.now += OWNER_LEASE_S / 5 + 0.01
         agent.supervisor.last_tick_at = agent.clock.now
-        agent.receive(Renew(2), 10.0)
+        agent.receive(message, 10.0)
     agent.supervisor.tick()
     assert [type(order) for order in agent.supervisor.take_orders()] == [StopOrder]
 
