Take a poll that shows an earlier boot of the worker for a restart

Cause: a boot is named by the worker's time of day at its start. A worker that restarts after its clock was set back has an earlier one, and all its polls were taken for outdated.

Change: a poll that was sent after the last one that counted shows the worker's boot, whether later or earlier. Polls without a start time are ignored as before, with a warning.

Evidence: test_worker_that_restarts_after_its_clock_was_set_back_gets_new_runs fails before (no run ends, no run starts) and passes after; polls sent before a restart was shown still change nothing.

--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -146,7 +146,7 @@
             self.flush()
 
     async def _check_boot(self) -> None:
-        """Poll the worker at once, and apply the result if it shows a later boot.
+        """Poll the worker at once, and apply the result if it shows another boot.
 
         Otherwise the result is discarded, since that of the poll in progress may be
         newer.
@@ -157,7 +157,7 @@
         except MarigoldkeelError as error:
             logger.info("boot of the worker not checked: {}", error)
             return
-        if poll.boot > self.supervisor.boot:
+        if poll.boot != self.supervisor.boot:
             self.supervisor.record_poll(poll, requested_at)
             self.flush()
 
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -308,16 +308,21 @@
         self.worker_lease_ends_at = max(self.worker_lease_ends_at, worker_lease_ends_at)
 
     def record_poll(self, poll: WorkerPoll, requested_at: float) -> None:
-        """Apply the worker's response to a poll that was sent at ``requested_at``."""
-        if poll.boot < self.boot:
-            self._log_ignored_poll(poll)
-            return
-        if poll.boot > self.boot:
+        """Apply the worker's response to a poll that was sent at ``requested_at``.
+
+        A boot that differs from the known one is a restart, whether it is later or
+        earlier: a boot is a time of day, and the worker's clock may have been set back.
+        Only a poll that was sent before the last one that counted may be out of date.
+        """
+        if poll.boot != self.boot:
+            if not poll.boot or requested_at <= self.polled_at:
+                self._log_ignored_poll(poll)
+                return
             self._reset_for_boot(poll.boot)
         now = self.clock()
         if self.polled_at == float("-inf"):
             self.first_polled_at = now
-        self.polled_at = requested_at
+        self.polled_at = max(self.polled_at, requested_at)
         self.reachable = True
         listed = {row.run_id: row for row in poll.running}
         for end in poll.ended:
@@ -667,7 +672,7 @@
         if poll.boot != self.ignored_poll_boot:
             self.ignored_poll_boot = poll.boot
             logger.bind(boot=poll.boot, known_boot=self.boot).warning(
-                "polls ignored: they show an earlier boot of the worker"
+                "poll ignored: it may be of an earlier boot of the worker"
             )
 
     def _end_all(self, end: RunEnd, reason: str) -> None:
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -487,6 +487,32 @@
     assert not agent.supervisor.update_facts(restarted, 2)
 
 
+def test_worker_that_restarts_after_its_clock_was_set_back_gets_new_runs():
+    # Guards against a worker that stays without runs: its start time is the time of
+    # day, and polls with an earlier one were disregarded for good.
+    agent = Agent()
+    agent.start(0)
+    agent.poll(run_id(0))
+    agent.poll(boot=5)
+    assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
+    restarted = WorkerFacts("w-1", 5, "service", "a", ["a"], FACTS.capacity)
+    assert agent.supervisor.update_facts(restarted, 1)
+    assert agent.supervisor.usable
+    # A report of the boot before arrives late.
+    agent.supervisor.update_facts(FACTS, 9)
+    agent.poll(boot=5)
+    assert agent.supervisor.facts == restarted
+
+
+@pytest.mark.parametrize("boot", [6, 0])
+def test_poll_that_was_sent_before_a_restart_was_shown_ends_no_run(boot):
+    agent = Agent()
+    requested_at = agent.clock.now - 0.1
+    agent.start(0)
+    agent.supervisor.record_poll(WorkerPoll(boot), requested_at)
+    assert agent.events() == []
+
+
 def test_reports_that_no_poll_confirms_are_limited_in_number():
     agent = Agent()
     for boot in range(10, 60):
