Learn the ends of runs that were being stopped when their link broke

What callers saw: 504 for every further request with the id of a job that had been cancelled or abandoned around a lost link.

Cause: an owner that reconnects did not name the runs that it had ordered to stop, so the agent had no reason to tell it their ends, and the job stayed in Scheduler.jobs. A link to a moved agent would also be kept for good, since it waits for these runs. Naming them alone would not do: an agent that had just restarted answered the repeated order to stop with 'lapsed' before its first poll, although the run may be there.

Change: an attach names these runs too, and the order to stop them is repeated. An agent that has not polled yet notes the order and stops the run when a poll lists it.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -339,10 +339,10 @@
 
     def _follow_successor(self, link: AgentLink) -> bool:
         """Replace the link of an agent that has moved, unless it is still needed."""
-        is_needed = link.connection is not None or self.scheduler.has_runs_on(
-            link.member.name
-        )
-        if link.successor is None or is_needed:
+        if link.successor is None or link.connection is not None:
+            return False
+        name = link.member.name
+        if self.scheduler.runs_on(name) or self.scheduler.stopping_on(name):
             return False
         self._discard(link)
         self._create(link.successor)
@@ -394,7 +394,8 @@
         link.connection = connection
         self._next_sequence(link)
         link.record_sent(now)
-        held = self.scheduler.runs_on(link.member.name)
+        stopping = self.scheduler.stopping_on(link.member.name)
+        held = self.scheduler.runs_on(link.member.name) + stopping
         self.fleet.view(link.member.name).restore(held, link.sequence)
         facts = link.facts or WorkerFacts()
         sent_ms = 0
@@ -405,6 +406,9 @@
             sent_ms = max(1, link.estimate_agent_clock_ms(sent_at))
         attach = Attach(link.sequence, self.own_member, held, facts, sent_ms)
         connection.send(attach)
+        if stopping:
+            # The order or the end of these runs may have been lost with the last link.
+            self.send(link.member.name, StopRuns(0, [item.run for item in stopping]))
 
     def _next_sequence(self, link: AgentLink) -> int:
         link.sequence += 1
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -289,21 +289,20 @@
 
     def runs_on(self, worker: str) -> list[HeldRun]:
         """Return the runs on a worker that are to continue."""
+        return self._held_runs(worker, stopping=False)
+
+    def stopping_on(self, worker: str) -> list[HeldRun]:
+        """Return the runs on a worker that have been ordered to stop."""
+        return self._held_runs(worker, stopping=True)
+
+    def _held_runs(self, worker: str, stopping: bool) -> list[HeldRun]:
         return [
             HeldRun(task.run, owned.job.steps[task.task_id.step].demand)
             for owned in self.jobs.values()
             for task in owned.all_tasks()
-            if task.worker == worker and not task.stopping
+            if task.worker == worker and task.stopping == stopping
         ]
 
-    def has_runs_on(self, worker: str) -> bool:
-        """Return whether any run on a worker may still exist, stopping ones too."""
-        return any(
-            task.worker == worker
-            for owned in self.jobs.values()
-            for task in owned.all_tasks()
-        )
-
     # Decisions
 
     def tick(self) -> None:
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -159,6 +159,17 @@
     OUTDATED = "outdated"
 
 
+class PendingClaim(Struct):
+    """An owner's claim of a run before the first poll.
+
+    :ivar stopping: Whether the owner has ordered the run to stop.
+    """
+
+    owner: str
+    demand: Resources
+    stopping: bool = False
+
+
 class RunStatus(Struct):
     """A run that the worker lists as running."""
 
@@ -243,7 +254,7 @@
         self.last_end = 0
         self.runs: dict[RunId, Run] = {}
         self.owners: dict[str, Owner] = {}
-        self.pending_claims: dict[RunId, tuple[str, Resources]] = {}
+        self.pending_claims: dict[RunId, PendingClaim] = {}
         self.recent_events: OrderedDict[RunId, RunEvent] = OrderedDict()
         self.polled_at = float("-inf")
         self.worker_lease_ends_at = float("-inf")
@@ -336,10 +347,10 @@
             )
             if is_order_answered and run.run_id not in listed:
                 self._settle_missing(run)
-        for run_id, (owner, _) in list(self.pending_claims.items()):
+        for run_id, claim in list(self.pending_claims.items()):
             # The worker lists neither the run nor its end.
             del self.pending_claims[run_id]
-            self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, NOT_LISTED)
+            self._notify_end(run_id, claim.owner, RunEnd.LAPSED, 0.0, NOT_LISTED)
 
     def record_poll_failure(self, not_connected: bool = False) -> None:
         """Record a failed poll; no run is started until a poll succeeds.
@@ -462,7 +473,10 @@
         """Stop runs of an owner; report runs that do not exist as lapsed."""
         for run_id in run_ids:
             run = self.runs.get(run_id)
-            if run is None:
+            claim = self.pending_claims.get(run_id)
+            if claim is not None:
+                claim.stopping = True
+            elif run is None:
                 self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, UNKNOWN_RUN)
             elif run.owner == owner:
                 self._stop(run, RunEnd.STOPPED)
@@ -692,17 +706,12 @@
         elif self.reconciled:
             self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, UNKNOWN_RUN)
         else:
-            self.pending_claims[run_id] = (owner, demand)
+            self.pending_claims[run_id] = PendingClaim(owner, demand)
 
     def _update_running(self, row: RunStatus, now: float) -> None:
         run = self.runs.get(row.run_id)
         if run is None:
-            owner, demand = self.pending_claims.pop(row.run_id, ("", None))
-            phase = Phase.RUNNING if owner else Phase.FOUND
-            sent_at = self.suspended_clock()
-            run = Run(row.run_id, owner, demand, phase, sent_at, order_answered_at=now)
-            run.started_at = run.progressed_at = now
-            self.runs[row.run_id] = run
+            run = self._adopt_running(row.run_id, now)
         run.confirmed = True
         if run.phase == Phase.STARTING:
             self._mark_running(run, now)
@@ -710,6 +719,19 @@
             run.percent = row.percent
             run.progressed_at = now
 
+    def _adopt_running(self, run_id: RunId, now: float) -> Run:
+        """Add a run that was started before this agent."""
+        claim = self.pending_claims.pop(run_id, None)
+        sent_at = self.suspended_clock()
+        run = Run(run_id, "", None, Phase.FOUND, sent_at, order_answered_at=now)
+        run.started_at = run.progressed_at = now
+        self.runs[run_id] = run
+        if claim is not None:
+            run.owner, run.demand, run.phase = claim.owner, claim.demand, Phase.RUNNING
+            if claim.stopping:
+                self._stop(run, RunEnd.STOPPED)
+        return run
+
     def _mark_running(self, run: Run, now: float) -> None:
         run.phase = Phase.RUNNING
         run.started_at = run.progressed_at = now
@@ -752,9 +774,9 @@
         if run is not None:
             self._finish(run, row.end)
             return
-        owner, _ = self.pending_claims.pop(row.run_id, ("", None))
-        if owner:
-            self._notify_end(row.run_id, owner, row.end, 0.0)
+        claim = self.pending_claims.pop(row.run_id, None)
+        if claim is not None:
+            self._notify_end(row.run_id, claim.owner, row.end, 0.0)
 
     def _finish(self, run: Run, end: RunEnd, reason: str = "") -> None:
         """Remove a run that has ended or can no longer exist, and notify its owner.
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -277,8 +277,8 @@
             if answers:
                 self.acknowledge(self.connection)
 
-    def end_run(self) -> None:
-        event = RunEvent(self.run, RunEventKind.ENDED, RunEnd.DONE)
+    def end_run(self, end: RunEnd = RunEnd.DONE) -> None:
+        event = RunEvent(self.run, RunEventKind.ENDED, end)
         self.owner.message_received(self.connection, event)
 
 
@@ -352,6 +352,22 @@
     assert stopped_at + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT) <= owner.clock.now
 
 
+@pytest.mark.parametrize("end", [RunEnd.STOPPED, RunEnd.DONE, RunEnd.LAPSED])
+def test_owner_learns_the_end_of_a_run_that_was_stopped_around_a_lost_link(end):
+    # Guards against ids that are answered "unknown" for good: the end of a run that was
+    # being stopped got lost with the link, and its job was kept.
+    owner = LinkedOwner()
+    owner.scheduler.cancel("j")
+    owner.owner.connection_closed(owner.connection)
+    owner.connection = owner.connect()
+    (attach,) = [item for item in owner.connection.sent if isinstance(item, Attach)]
+    assert [item.run for item in attach.held] == [owner.run]
+    (order,) = [item for item in owner.connection.sent if isinstance(item, StopRuns)]
+    assert order.runs == [owner.run]
+    owner.end_run(end)
+    assert owner.scheduler.jobs == {}
+
+
 def test_agent_that_has_moved_is_used_at_once_if_it_has_no_runs():
     owner = LinkedOwner()
     owner.end_run()
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -234,6 +234,21 @@
     assert agent.stops() == [run_id(0)]
 
 
+def test_run_that_is_stopped_before_the_first_poll_is_not_reported_as_ended():
+    # Guards against a task that ran twice: a restarted agent told an owner that a run
+    # had ended of which it only did not know yet.
+    agent = Agent(facts=None)
+    agent.supervisor = Supervisor(agent.clock)
+    agent.attach(HeldRun(run_id(0), CORE))
+    agent.supervisor.stop(OWNER.incarnation, [run_id(0)])
+    assert agent.events() == []
+    agent.poll(run_id(0))
+    assert agent.stops() == [run_id(0)]
+    assert agent.events() == []
+    agent.poll(ended=[RunEndRecord(1, run_id(0), RunEnd.STOPPED)])
+    assert agent.events() == [ended(run_id(0), RunEnd.STOPPED)]
+
+
 def test_end_of_a_run_is_resent_to_an_owner_that_reconnects():
     # Guards against repeating a run whose end event was lost with the connection.
     agent = Agent()
