Let an attach reach only the agent that it is meant for

What callers saw: tasks that are stopped on sound workers and start again elsewhere, after the records of two agents carry one address.

Cause: connections are shared by address. The link of the second record attached on the connection of the first one's agent, without the runs that this entry had there, and the agent stopped them: it did not check that the attach was meant for it. From then on its messages were taken for those of the other agent, and every 0.4 s the shared connection was dropped.

Change: an attach names the agent, which refuses one that names another (none: as before, for entries of earlier versions). A link does not use the connection of another one, and a link that is lost before the agent's first state is retried with the delay of a failed connection, so that the other one has its turn.

Evidence: with the new names alone both tests fail (the attach is sent; the runs are stopped), and pass with the change.

--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -73,7 +73,9 @@
     def initialize(self) -> None:
         """Create the state of a new process and start its periodic tasks."""
         self.supervisor = Supervisor(self.loop.clock)
-        self.links = AgentEndpoint(self.supervisor, self.flush, self.loop.clock)
+        self.links = AgentEndpoint(
+            self.supervisor, self.flush, self.loop.clock, self.name
+        )
         self.flush_scheduled = False
         self.polling = False
         self.last_poll_answered = False
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -360,7 +360,9 @@
         self.run_durations = RunDurations()
         self.supervisor.on_run_end = self.run_durations.observe
         self.serve_metrics(AGENT_METRICS, self.run_durations.histogram)
-        self.links = AgentEndpoint(self.supervisor, self.flush, boot_time_s)
+        self.links = AgentEndpoint(
+            self.supervisor, self.flush, boot_time_s, settings.name
+        )
         self.driver: WorkerDriver | None = None
 
     def incoming_listener(self) -> AgentEndpoint:
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -335,7 +335,10 @@
     def _create(self, member: Member) -> None:
         now = self.clock()
         link = AgentLink(member, now, now, now, sequence=self.last_sequence)
-        self.links[member.name] = self.links_by_address[member.address] = link
+        self.links[member.name] = link
+        user = self.links_by_address.get(member.address)
+        if user is None or user.connection is None:
+            self.links_by_address[member.address] = link
 
     def _follow_successor(self, link: AgentLink) -> bool:
         """Replace the link of an agent that has moved, unless it is still needed."""
@@ -380,17 +383,18 @@
             self.attach(link, connection)
         except MarigoldkeelError as error:
             logger.debug("could not connect to agent {}: {}", link.member.name, error)
-            link.retry_at = self.clock() + link.retry_delay_s
-            link.retry_delay_s = min(MAX_RETRY_DELAY_S, 2 * link.retry_delay_s)
+            self._delay_retry(link, self.clock())
         finally:
             link.connecting = False
 
     def attach(self, link: AgentLink, connection: Connection) -> None:
         """Adopt a new connection to an agent and send an `Attach` on it."""
         now = self.clock()
-        if connection.closed or self.links.get(link.member.name) is not link:
-            link.retry_at = now + link.retry_delay_s
+        is_current = self.links.get(link.member.name) is link
+        if connection.closed or not is_current or self._is_taken(link, connection):
+            self._delay_retry(link, now)
             return
+        self.links_by_address[link.member.address] = link
         link.connection = connection
         self._next_sequence(link)
         link.record_sent(now)
@@ -404,12 +408,26 @@
             # arrived, the runs expire as before it.
             sent_at = link.lease_sent_at(now)
             sent_ms = max(1, link.estimate_agent_clock_ms(sent_at))
-        attach = Attach(link.sequence, self.own_member, held, facts, sent_ms)
+        attach = Attach(
+            link.sequence, self.own_member, held, facts, sent_ms, link.member.name
+        )
         connection.send(attach)
         if stopping:
             # The order or the end of these runs may have been lost with the last link.
             self.send(link.member.name, StopRuns(0, [item.run for item in stopping]))
 
+    def _is_taken(self, link: AgentLink, connection: Connection) -> bool:
+        """Return whether another agent's link uses a connection.
+
+        That is the case if the records of two agents carry one address.
+        """
+        user = self.links_by_address.get(link.member.address, link)
+        return user is not link and user.connection is connection
+
+    def _delay_retry(self, link: AgentLink, now: float) -> None:
+        link.retry_at = now + link.retry_delay_s
+        link.retry_delay_s = min(MAX_RETRY_DELAY_S, 2 * link.retry_delay_s)
+
     def _next_sequence(self, link: AgentLink) -> int:
         link.sequence += 1
         self.last_sequence = max(self.last_sequence, link.sequence)
@@ -465,7 +483,10 @@
         now = self.clock()
         link.connection = None
         link.unacknowledged.clear()
-        link.retry_at = now
+        if self.fleet.view(link.member.name).connected:
+            link.retry_at = now
+        else:
+            self._delay_retry(link, now)
         if now - link.agent_clock_read_at > MAX_LINK_SILENCE_S:
             link.facts = None
         if link.runs_expire_at is None:
@@ -503,6 +524,7 @@
     """An agent's links to the owners of runs at its worker.
 
     :param clock: Returns seconds of a clock that includes time in system suspend.
+    :param own_name: The agent's name; an attach that names another has no effect.
     """
 
     def __init__(
@@ -510,10 +532,12 @@
         supervisor: Supervisor,
         flush: Callable[[], None],
         clock: Callable[[], float],
+        own_name: str = "",
     ):
         self.supervisor = supervisor
         self.flush = flush
         self.clock = clock
+        self.own_name = own_name
         self.links: dict[str, OwnerLink] = {}
         self.links_by_connection: dict[int, OwnerLink] = {}
 
@@ -600,6 +624,13 @@
         return [link.owner for link in self.links.values()]
 
     def _attach(self, connection: Connection, message: Attach) -> None:
+        if message.agent and self.own_name and message.agent != self.own_name:
+            logger.bind(peer=message.owner.address, agent=message.agent).info(
+                "attach of owner {} refused: meant for another agent",
+                message.owner.name,
+            )
+            self._close(connection)
+            return
         current = self.links.get(message.owner.incarnation)
         if current is not None and message.sequence < current.last_sequence:
             # The owner has given up this connection and attached on a newer one.
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -68,6 +68,7 @@
     :ivar sent_ms: The agent's clock when the owner sent the last message that renews
         its lease: this one or, after a lost link, the last one on that link. 0 if the
         owner does not know the clock.
+    :ivar agent: The name of the agent that the owner means to reach; empty for any.
     """
 
     sequence: int = 0
@@ -75,6 +76,7 @@
     held: list[HeldRun] = field(default_factory=list)
     facts: WorkerFacts = field(default_factory=WorkerFacts)
     sent_ms: int = 0
+    agent: str = ""
 
 
 class RunNumber(Struct):
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -288,6 +288,7 @@
   held @2 :List(HeldRun);
   facts @3 :WorkerFacts;
   sentMs @4 :UInt64;
+  agent @5 :Text;
 }
 
 struct RunNumber {
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -80,7 +80,9 @@
     def __init__(self):
         super().__init__()
         self.connection = Connection()
-        self.links = AgentEndpoint(self.supervisor, lambda: None, self.boot_time_s)
+        self.links = AgentEndpoint(
+            self.supervisor, lambda: None, self.boot_time_s, "agent-1"
+        )
         self.links.message_received(self.connection, Attach(1, OWNER))
 
     def boot_time_s(self) -> float:
@@ -368,6 +370,37 @@
     assert owner.scheduler.jobs == {}
 
 
+def test_record_with_the_address_of_another_agent_stops_none_of_its_runs():
+    # Guards against sound runs that end at once: the link of the other record attached
+    # on the same connection, without the runs of the agent that answers there.
+    owner = LinkedOwner()
+    owner.owner.add(Member("agent-2", "agent-2@1", AGENT.address, "a"))
+    owner.advance_time(0.2)
+    other = owner.owner.links["agent-2"]
+    sent = len(owner.connection.sent)
+    owner.owner.attach(other, owner.connection)
+    assert not any(isinstance(item, Attach) for item in owner.connection.sent[sent:])
+    owner.advance_time(1.0)
+    assert owner.owner.links["agent-1"].connection is owner.connection
+    owner.end_run()
+    assert [answer.state for answer in owner.answers] == [JobState.DONE]
+
+
+@pytest.mark.parametrize(
+    ("agent", "is_attached"), [("agent-1", True), ("", True), ("agent-2", False)]
+)
+def test_attach_that_is_meant_for_another_agent_has_no_effect(agent, is_attached):
+    # Guards against sound runs that end at once: an entry that had an old address of
+    # another agent attached without the runs that it had here.
+    linked = LinkedAgent()
+    linked.receive(start_message(0), 0.0)
+    linked.supervisor.take_orders()
+    connection = Connection()
+    linked.links.message_received(connection, Attach(9, OWNER, agent=agent))
+    assert bool(linked.stops()) == is_attached
+    assert connection.closed != is_attached
+
+
 def test_agent_that_has_moved_is_used_at_once_if_it_has_no_runs():
     owner = LinkedOwner()
     owner.end_run()
