Keep the runs of an owner that has attached until its renewal arrives

What callers would have seen: runs stopped at a worker whose agent has restarted, in about one of twelve attaches, by the round trip of 4 ms against the tick of 50 ms. A consequence of: an agent that restarts gets attaches whose lease ran out meanwhile, and a tick before the owner's renewal dropped the owner.

Change: an owner without a lease is kept for 0.1 s after its attach. Until it has renewed, the worker's lease is not extended, as for a run without a known owner, so a run still ends before its owner may repeat it.

Evidence: both cases of the test fail before (the run is stopped at the first tick; the lease is extended without a renewal) and pass after.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -40,6 +40,9 @@
 # How long a restarted agent keeps runs that no owner has claimed. Owners reconnect to a
 # restarted agent within a few tenths of a second.
 CLAIM_TIMEOUT_S = 0.6
+# How long an owner whose lease has expired is kept after its attach, so that it can
+# renew its lease. The worker's lease is not extended meanwhile.
+ATTACH_GRACE_S = 0.1
 # The worker's lease on all of its runs. Each poll renews it, at least every 0.2 s. Runs
 # on an unreachable worker cannot be repeated elsewhere until it has expired.
 WORKER_LEASE_S = 0.5
@@ -139,11 +142,13 @@
 
     :ivar lease_renewed_at: When the owner sent the last message that renewed its lease,
         on the clock that includes suspension.
+    :ivar attached_at: When its last attach arrived, on the same clock.
     """
 
     incarnation: str
     name: str
     lease_renewed_at: float
+    attached_at: float
 
 
 class ReportOutcome(StrEnum):
@@ -412,10 +417,11 @@
         for other in list(self.owners.values()):
             if other.name == message.owner.name and other.incarnation != owner:
                 self._remove_owner(other)
-        renewed_at = self.suspended_clock() - age_s
+        now = self.suspended_clock()
+        renewed_at = now - age_s
         if owner in self.owners:
             renewed_at = max(renewed_at, self.owners[owner].lease_renewed_at)
-        self.owners[owner] = Owner(owner, message.owner.name, renewed_at)
+        self.owners[owner] = Owner(owner, message.owner.name, renewed_at, now)
         held = {item.run: item.demand for item in message.held}
         for run in list(self.runs.values()):
             if run.owner == owner and run.run_id not in held:
@@ -497,8 +503,9 @@
             return
         owners_with_runs = {run.owner for run in self.runs.values()}
         for owner in list(self.owners.values()):
-            lease_expired = now - owner.lease_renewed_at > OWNER_LEASE_S
-            if lease_expired and owner.incarnation in owners_with_runs:
+            is_attaching = now - owner.attached_at <= ATTACH_GRACE_S
+            is_expired = not self._has_lease(owner, now) and not is_attaching
+            if is_expired and owner.incarnation in owners_with_runs:
                 logger.bind(
                     owner=owner.incarnation,
                     silent_ms=round(1000 * (now - owner.lease_renewed_at)),
@@ -539,8 +546,18 @@
 
     @property
     def has_unclaimed_runs(self) -> bool:
-        """Whether any run that this agent found at its start has no known owner."""
-        return any(run.phase == Phase.FOUND for run in self.runs.values())
+        """Whether any run is without an owner that holds a lease.
+
+        It was found at the start of this agent, or its owner has attached but not
+        renewed its lease yet, and may be about to repeat it elsewhere.
+        """
+        now = self.suspended_clock()
+        return any(
+            run.owner not in self.owners
+            or not self._has_lease(self.owners[run.owner], now)
+            for run in self.runs.values()
+            if run.phase != Phase.STOPPING
+        )
 
     def handover_lease_s(self) -> float:
         """Return the lease to grant to the worker when this agent stops.
@@ -602,6 +619,9 @@
 
     # State transitions
 
+    def _has_lease(self, owner: Owner, now: float) -> bool:
+        return now - owner.lease_renewed_at <= OWNER_LEASE_S
+
     def _refusal_reason(self, task: TaskId, message: StartRuns) -> str:
         if not self.usable:
             return "worker is not usable"
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -249,6 +249,27 @@
     assert agent.events() == [ended(run_id(0), RunEnd.STOPPED)]
 
 
+@pytest.mark.parametrize("is_renewed", [True, False])
+def test_restarted_agent_keeps_the_runs_of_an_owner_that_renews_after_its_attach(
+    is_renewed,
+):
+    # Guards against work that is thrown away: the lease that an attach carries has run
+    # out while the agent restarted, and the owner's renewal is on its way.
+    agent = Agent(facts=None)
+    agent.supervisor = Supervisor(agent.clock)
+    agent.poll(run_id(0))
+    message = Attach(1, OWNER, [HeldRun(run_id(0), CORE)])
+    agent.supervisor.attach(message, age_s=OWNER_LEASE_S + 0.4)
+    agent.supervisor.tick()
+    assert agent.stops() == []
+    assert agent.supervisor.has_unclaimed_runs
+    if is_renewed:
+        agent.supervisor.renew_owner_lease(OWNER.incarnation)
+        assert not agent.supervisor.has_unclaimed_runs
+    agent.advance_time(0.2, run_id(0), renews_lease=False)
+    assert agent.stops() == ([] if is_renewed else [run_id(0)])
+
+
 def test_end_of_a_run_is_resent_to_an_owner_that_reconnects():
     # Guards against repeating a run whose end event was lost with the connection.
     agent = Agent()
