Start nothing on an older connection once a newer attach has arrived

What callers saw: nothing yet; found by reading, in the class of the incident on sound workers: a task can run twice.

Cause: a newer attach replaced an owner's link, but the agent went on taking orders from the older connection. An attach that overtakes a start order tells the owner that the run is not there, so the owner repeats the task elsewhere; then the order, not yet 0.15 s old, started the run as well.

Ruled out: the age check, as such an order is young; the order of messages within a connection, as these are two.

Change: an attach on a newer connection closes the older one, and what still arrives there has no effect. Whatever was lost with it is reconciled by the attach.

Evidence: the test fails before (the order is passed to the worker after the owner was told that the run had ended) and passes after.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -639,6 +639,10 @@
             )
             self._close(connection)
             return
+        if current is not None and current.connection is not connection:
+            # The owner is now told which runs are not here, so that no order that is
+            # still on its way on the older connection may start one of them.
+            self._close(current.connection)
         link = OwnerLink(connection, message.owner, message.sequence)
         self.links[message.owner.incarnation] = link
         self.links_by_connection[id(connection)] = link
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -48,6 +48,7 @@
     OWNER,
     Agent,
     Clock,
+    run_id,
     start_message,
 )
 
@@ -210,6 +211,22 @@
     ]
 
 
+def test_start_order_that_a_newer_attach_has_overtaken_starts_nothing():
+    # Guards against a task that ran twice: the attach on a newer connection had told
+    # the owner that the run was not there, and then the order arrived on the older one.
+    agent = LinkedAgent()
+    newer = Connection()
+    held = [HeldRun(run_id(0), CORE)]
+    agent.links.message_received(newer, Attach(3, OWNER, held))
+    agent.links.deliver()
+    assert [item.run for item in newer.sent if isinstance(item, RunEvent)] == [
+        run_id(0)
+    ]
+    agent.receive(start_message(0), 0.0)
+    assert agent.supervisor.take_orders() == []
+    assert agent.connection.closed
+
+
 def test_sequence_numbers_of_a_link_continue_when_it_is_created_again():
     clock, fleet = Clock(), FleetView()
     owner = OwnerEndpoint(OWNER, fleet, clock)
