Ignore a late attach also after the newer connection has closed

What callers saw: nothing yet; found by reading, in the class of the incident on sound workers: runs on a sound worker are stopped and repeated.

Cause: an agent tells a late attach by the sequence number of the owner's open link. Between the loss of the newer connection and the next attach there is none, so an older attach, which does not list the runs started since, was applied and they were stopped.

Change: the agent keeps the highest sequence number of each owner whose connection has closed, as long as its supervisor knows the owner. The owner's numbers only rise, across links too.

Evidence: the test fails before (the run is stopped) and passes after.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -525,6 +525,8 @@
 
     :param clock: Returns seconds of a clock that includes time in system suspend.
     :param own_name: The agent's name; an attach that names another has no effect.
+    :ivar closed_sequences: The highest sequence number received from each owner whose
+        connection has closed.
     """
 
     def __init__(
@@ -539,6 +541,7 @@
         self.clock = clock
         self.own_name = own_name
         self.links: dict[str, OwnerLink] = {}
+        self.closed_sequences: dict[str, int] = {}
         self.links_by_connection: dict[int, OwnerLink] = {}
 
     def message_received(self, connection: Connection, content: Any) -> bool:
@@ -579,6 +582,7 @@
         link = self.links_by_connection.pop(id(connection), None)
         if link is not None and self.links.get(link.owner.incarnation) is link:
             del self.links[link.owner.incarnation]
+            self.closed_sequences[link.owner.incarnation] = link.last_sequence
 
     def deliver(self) -> None:
         """Send pending notifications, and the state to the owners that need it."""
@@ -632,7 +636,7 @@
             self._close(connection)
             return
         current = self.links.get(message.owner.incarnation)
-        if current is not None and message.sequence < current.last_sequence:
+        if message.sequence < self._last_sequence(message.owner.incarnation):
             # The owner has given up this connection and attached on a newer one.
             logger.bind(peer=message.owner.address).info(
                 "late attach of owner {} ignored", message.owner.name
@@ -649,11 +653,23 @@
         self.supervisor.attach(
             message, self._age_s(message.sent_ms) if message.sent_ms else 0.0
         )
+        self.closed_sequences = {
+            owner: sequence
+            for owner, sequence in self.closed_sequences.items()
+            if owner in self.supervisor.owners and owner not in self.links
+        }
         logger.bind(peer=message.owner.address).info(
             "owner {} attached with {} runs", message.owner.name, len(message.held)
         )
         self._send_state(link, self.supervisor.free_resources, self.supervisor.usable)
 
+    def _last_sequence(self, incarnation: str) -> int:
+        """Return the highest sequence number received from an owner."""
+        link = self.links.get(incarnation)
+        if link is not None:
+            return link.last_sequence
+        return self.closed_sequences.get(incarnation, 0)
+
     def _age_s(self, sent_ms: int) -> float:
         """Return the time since a moment on this agent's clock."""
         return max(0.0, self.clock() - sent_ms / 1000)
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -211,6 +211,25 @@
     ]
 
 
+def test_late_attach_stops_no_run_after_the_newer_connection_has_closed():
+    # Guards against sound runs that end at once: the agent knew only the sequence
+    # number of an open link, and the late attach did not list the run.
+    agent = LinkedAgent()
+    newer, older = Connection(), Connection()
+    agent.links.message_received(newer, Attach(5, OWNER))
+    agent.connection = newer
+    agent.receive(start_message(0), 0.0)
+    agent.supervisor.take_orders()
+    agent.links.connection_closed(newer)
+    agent.links.message_received(older, Attach(3, OWNER))
+    assert older.closed
+    assert agent.stops() == []
+    held = [HeldRun(run_id(0), CORE)]
+    agent.links.message_received(Connection(), Attach(6, OWNER, held))
+    assert agent.stops() == []
+    assert OWNER.incarnation in agent.links.links
+
+
 def test_start_order_that_a_newer_attach_has_overtaken_starts_nothing():
     # Guards against a task that ran twice: the attach on a newer connection had told
     # the owner that the run was not there, and then the order arrived on the older one.
