Let two links with one address take turns while one of them is refused

A sound worker stays unused while the record of another agent carries its agent's address.

Cause: both links were due at the same ticks with the same delays. The link whose attach the agent refuses opened the connection first each time if it came first among the links, and the other one found the connection taken.

Change: a link that finds its connection taken tries again after 0.2 s, less than the longest delay of a link that is refused.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -71,6 +71,9 @@
 UNWANTED_LINK_S = 10.0
 MIN_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.5
+# Retry delay of a link whose connection another link uses: shorter than the longest
+# one, so that a link whose attaches are refused does not come first each time.
+TAKEN_RETRY_DELAY_S = 0.2
 # A change of the free CPU capacity by more than this fraction of the total is sent to
 # the owners immediately, a smaller one after STATE_INTERVAL_S. Owners account for their
 # own runs themselves.
@@ -391,9 +394,12 @@
         """Adopt a new connection to an agent and send an `Attach` on it."""
         now = self.clock()
         is_current = self.links.get(link.member.name) is link
-        if connection.closed or not is_current or self._is_taken(link, connection):
+        if connection.closed or not is_current:
             self._delay_retry(link, now)
             return
+        if self._is_taken(link, connection):
+            link.retry_at = now + TAKEN_RETRY_DELAY_S
+            return
         self.links_by_address[link.member.address] = link
         link.connection = connection
         self._next_sequence(link)
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -1,5 +1,7 @@
 """Tests of the links between owners and agents: delayed messages, acknowledgements."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from marigoldkeel.fleet.links import (
@@ -422,6 +424,42 @@
     assert [answer.state for answer in owner.answers] == [JobState.DONE]
 
 
+@pytest.mark.parametrize("reached", ["agent-1", "agent-2"])
+def test_agent_whose_address_another_record_carries_is_connected_in_its_turn(reached):
+    # Guards against a sound worker that stays unused: both links were due at the same
+    # ticks, and the one whose attach is refused always came first.
+    clock, fleet = Clock(), FleetView()
+    owner = OwnerEndpoint(OWNER, fleet, clock)
+    owner.scheduler = Scheduler(fleet, "a", owner.send, clock, lambda: 1, seed=1)
+    connecting = []
+    owner.group = SimpleNamespace(
+        start_soon=lambda action, *arguments: connecting.append(arguments[-1])
+    )
+    for name in ("agent-1", "agent-2"):
+        owner.add(Member(name, f"{name}@1", AGENT.address, "a"))
+    connection = Connection(AGENT.address)
+    for _ in range(round(2.0 / TICK_INTERVAL_S)):
+        clock.now += TICK_INTERVAL_S
+        owner.step()
+        clock.now += 0.001
+        if connection.closed:
+            connection = Connection(AGENT.address)
+        while connecting:
+            link = connecting.pop(0)
+            link.connecting = False
+            owner.attach(link, connection)
+        clock.now += 0.001
+        messages, connection.sent = connection.sent, []
+        attached_to = {item.agent for item in messages if isinstance(item, Attach)}
+        if attached_to - {reached}:
+            connection.closed = True
+            owner.connection_closed(connection)
+        elif messages:
+            state = WorkerState(messages[-1].sequence, FACTS.capacity, True, 1000)
+            owner.message_received(connection, state)
+    assert owner.links[reached].connection is connection
+
+
 @pytest.mark.parametrize(
     ("agent", "is_attached"), [("agent-1", True), ("", True), ("agent-2", False)]
 )
