Tell an owner the end of a run that its restarted agent read first

Cause: a restarted agent polls its worker at once, and the owners attach some tenths of a second later. An end that was listed meanwhile belonged to no known run and was dropped, though the next poll acknowledged it. The owner then claimed the run and was told that it had lapsed.

Change: the agent keeps such ends with the recent events, from which claims are answered. An end that the owner has been told otherwise is not replaced.

Evidence: the test fails before (lapsed instead of done) and passes after; the existing one with the attach before the first poll passes both times.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -797,6 +797,9 @@
         claim = self.pending_claims.pop(row.run_id, None)
         if claim is not None:
             self._notify_end(row.run_id, claim.owner, row.end, 0.0)
+        elif row.run_id not in self.recent_events:
+            # Its owner may still claim it: this agent has restarted.
+            self._remember(RunEvent(row.run_id, RunEventKind.ENDED, row.end))
 
     def _finish(self, run: Run, end: RunEnd, reason: str = "") -> None:
         """Remove a run that has ended or can no longer exist, and notify its owner.
@@ -833,6 +836,10 @@
         run_ms = max(0, round(run_s * 1000))
         event = RunEvent(run_id, RunEventKind.ENDED, end, reason, run_ms)
         self.notifications.append(OwnerNotification(owner, event))
-        self.recent_events[run_id] = event
+        self._remember(event)
+
+    def _remember(self, event: RunEvent) -> None:
+        """Keep the end of a run for an owner that claims it later."""
+        self.recent_events[event.run] = event
         if len(self.recent_events) > MAX_RECENT_EVENTS:
             self.recent_events.popitem(last=False)
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -344,6 +344,14 @@
             ended(run_id(1), RunEnd.LAPSED),
         ]
 
+    def test_reports_an_end_that_it_read_before_the_owner_attached(self):
+        # Guards against tasks that are repeated although they are done: the restarted
+        # agent had polled its worker before the owner claimed the run.
+        agent = Agent(facts=None)
+        agent.poll(ended=[RunEndRecord(4, run_id(0), RunEnd.DONE)])
+        agent.attach(HeldRun(run_id(0), CORE))
+        assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
+
     def test_uses_facts_cached_by_an_owner_of_the_same_boot_only(self):
         agent = Agent(facts=None)
         agent.attach(facts=WorkerFacts("w-1", 6, "service", "a", [], CORE))
