--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -232,6 +232,19 @@
     assert OWNER.incarnation in agent.links.links
 
 
+def test_late_attach_of_an_earlier_incarnation_stops_no_run_of_the_next():
+    # Guards against sound runs that end at once: an entry was killed and had started
+    # again, and then its earlier attach arrived and counted as that of a newer start.
+    agent = LinkedAgent()
+    restarted = Member(OWNER.name, "entry-1@2", OWNER.address, OWNER.domain)
+    agent.connection = Connection()
+    agent.links.message_received(agent.connection, Attach(1, restarted))
+    agent.receive(start_message(0), 0.0)
+    agent.supervisor.take_orders()
+    agent.links.message_received(Connection(), Attach(9, OWNER))
+    assert agent.stops() == []
+
+
 def test_start_order_that_a_newer_attach_has_overtaken_starts_nothing():
     # Guards against a task that ran twice: the attach on a newer connection had told
     # the owner that the run was not there, and then the order arrived on the older one.
@@ -475,6 +488,23 @@
     assert connection.closed != is_attached
 
 
+def test_link_returns_from_an_address_of_a_record_at_which_nobody_answers():
+    # Guards against a sound worker that stays unused: a stale record arrived, the
+    # connection was reset, and from then on only the stale address was tried.
+    owner = LinkedOwner()
+    owner.end_run()
+    owner.owner.add(MOVED_AGENT)
+    owner.owner.connection_closed(owner.connection)
+    for _ in range(round(3.0 / TICK_INTERVAL_S)):
+        owner.advance_time(TICK_INTERVAL_S, answers=False)
+        link = owner.owner.links["agent-1"]
+        if link.connecting:
+            link.connecting = False
+            owner.owner._delay_retry(link, owner.clock.now)
+    first = owner.connecting.index(MOVED_AGENT.address)
+    assert AGENT.address in owner.connecting[first:]
+
+
 def test_agent_that_has_moved_is_used_at_once_if_it_has_no_runs():
     owner = LinkedOwner()
     owner.end_run()
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -352,6 +352,23 @@
         agent.attach(HeldRun(run_id(0), CORE))
         assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
 
+    @pytest.mark.parametrize("is_polled_first", [True, False])
+    def test_reports_no_run_as_ended_whose_start_order_may_be_on_its_way(
+        self, is_polled_first
+    ):
+        # Guards against a task that ran twice: the agent was killed after it had sent
+        # the order, which the worker carried out after a poll of the next agent. A
+        # stop order that the worker has answered would make it refuse the start.
+        agent = Agent.__new__(Agent)
+        agent.clock = Clock()
+        agent.supervisor = Supervisor(agent.clock)
+        if is_polled_first:
+            agent.poll()
+        agent.attach(HeldRun(run_id(0), CORE))
+        agent.poll()
+        assert agent.events() == []
+        assert agent.stops() == [run_id(0)]
+
     def test_uses_facts_cached_by_an_owner_of_the_same_boot_only(self):
         agent = Agent(facts=None)
         agent.attach(facts=WorkerFacts("w-1", 6, "service", "a", [], CORE))
@@ -464,6 +481,27 @@
     assert agent.supervisor.runs[run_id(1)].phase == Phase.RUNNING
 
 
+def test_report_with_another_service_hides_no_later_report_of_the_worker():
+    # Guards against a sound worker that stays unused: a report under its name, with a
+    # service that it does not have, replaced its facts and its sequence number.
+    agent = Agent()
+    report = WorkerFacts("w-1", 7, "elsewhere", "a", [], FACTS.capacity)
+    agent.supervisor.update_facts(report, 9)
+    agent.supervisor.update_facts(FACTS, 2)
+    assert agent.supervisor.facts == FACTS
+
+
+def test_late_exit_announcement_lets_no_report_of_another_worker_in():
+    # Guards against a sound worker that stays unused: after the announcement the next
+    # report of its boot, of any name, was taken for its own.
+    agent = Agent()
+    agent.supervisor.record_worker_exit("w-1")
+    report = WorkerFacts("w-other", 7, "elsewhere", "a", [], FACTS.capacity)
+    agent.supervisor.update_facts(report, 9)
+    agent.supervisor.update_facts(FACTS, 2)
+    assert agent.supervisor.facts == FACTS
+
+
 @pytest.mark.parametrize("report", OTHER_WRITERS)
 def test_report_of_another_writer_hides_no_report_of_a_starting_worker(report):
     agent = Agent(facts=None)
