--- a/emulator/event_loop.py
+++ b/emulator/event_loop.py
@@ -56,6 +56,7 @@
     :ivar owner: The process at this end.
     :ivar other: The other end.
     :ivar listener: Called when messages arrive and when the connection closes.
+    :ivar latency_s: How long messages from this end take.
     """
 
     def __init__(self, loop: EventLoop, peer: str, owner: "SimulatedProcess"):
@@ -64,12 +65,13 @@
         self.owner = owner
         self.other: SimulatedConnection | None = None
         self.listener: Any = None
+        self.latency_s = NETWORK_LATENCY_S
         self.closed = False
 
     def send(self, content: Any) -> None:
         if self.closed:
             raise PeerUnavailable("connection closed", step="send", peer=self.peer)
-        self.loop.call_later(NETWORK_LATENCY_S, lambda: self.other.deliver(content))
+        self.loop.call_later(self.latency_s, lambda: self.other.deliver(content))
 
     def deliver(self, content: Any) -> None:
         if self.closed:
@@ -87,11 +89,17 @@
     def close(self) -> None:
         """Close both ends."""
         for end in (self, self.other):
-            if not end.closed:
-                end.closed = True
-                end.owner.run_when_resumed(
-                    lambda end=end: end.listener.connection_closed(end)
-                )
+            end._close_end()
+
+    def close_here(self) -> None:
+        """Close this end; the other one receives what was sent before it closes."""
+        self._close_end()
+        self.loop.call_later(self.latency_s, self.other._close_end)
+
+    def _close_end(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.owner.run_when_resumed(lambda: self.listener.connection_closed(self))
 
     def close_after_flush(self) -> None:
         self.loop.call_later(NETWORK_LATENCY_S, self.close)
--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -4,6 +4,7 @@
 and the callers are simulated. A simulation is deterministic for a given seed.
 """
 
+import itertools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -255,10 +256,14 @@
 
 
 class SimulatedEntry(SimulatedProcess):
-    """An entry that is connected to the agents of a simulation."""
+    """An entry that is connected to the agents of a simulation.
+
+    :ivar latencies_s: The latencies of the two ends of each new connection.
+    """
 
     def __init__(self, simulation: "FleetSimulation", name: str, domain: str):
         super().__init__(simulation.loop, name, domain)
+        self.latencies_s = itertools.repeat((NETWORK_LATENCY_S, NETWORK_LATENCY_S))
         self.simulation = simulation
         self.initialize()
 
@@ -322,6 +327,7 @@
         agent_end = SimulatedConnection(self.loop, self.name, agent)
         entry_end.other, agent_end.other = agent_end, entry_end
         entry_end.listener, agent_end.listener = self.links, agent.links
+        entry_end.latency_s, agent_end.latency_s = next(self.latencies_s)
         self.connections.append(entry_end)
         agent.connections.append(agent_end)
         self.run_when_resumed(lambda: self.links.attach(link, entry_end))
--- a/tests/fleet/test_plays.py
+++ b/tests/fleet/test_plays.py
@@ -1,6 +1,7 @@
 """Simulations of whole fleets with faults, which check the scheduler's guarantees."""
 
 import functools
+import itertools
 
 import pytest
 from msgspec.structs import replace
@@ -164,6 +165,27 @@
     assert set(ends) == {"DONE"}
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_orders_of_lost_connections_repeat_no_running_task(seed):
+    # Guards against tasks that ran twice on sound workers: an agent carried out start
+    # orders of a connection that its owner had replaced by a faster one.
+    simulation = make_fleet(seed)
+    offer_mixed_load(simulation, 1.0, 1.0, 6.0)
+    for entry in simulation.entries:
+        entry.latencies_s = itertools.cycle([(0.12, 0.02), (0.001, 0.001)])
+
+    def lose_connections() -> None:
+        for entry in simulation.entries:
+            links = [link for link in entry.links.links.values() if link.connection]
+            for link in simulation.loop.random.sample(links, min(2, len(links))):
+                link.connection.close_here()
+
+    for number in range(40):
+        simulation.loop.call_at(2.0 + number / 10, lose_connections)
+    simulation.run(20.0)
+    check_invariants(simulation)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_delayed_orders_start_nothing(seed):
     simulation = make_fleet(seed)
