End the time for a renewal before the owner may repeat its runs

Follows from, found in review: an attach that arrives just before the owner's wait ends left its runs for 0.1 s beyond it.

Change: the 0.1 s end 0.15 s before the owner may repeat the runs, the time of a tick and a stop.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -503,8 +503,9 @@
             return
         owners_with_runs = {run.owner for run in self.runs.values()}
         for owner in list(self.owners.values()):
-            is_attaching = now - owner.attached_at <= ATTACH_GRACE_S
-            is_expired = not self._has_lease(owner, now) and not is_attaching
+            is_expired = not (
+                self._has_lease(owner, now) or self._may_renew(owner, now)
+            )
             if is_expired and owner.incarnation in owners_with_runs:
                 logger.bind(
                     owner=owner.incarnation,
@@ -622,6 +623,15 @@
     def _has_lease(self, owner: Owner, now: float) -> bool:
         return now - owner.lease_renewed_at <= OWNER_LEASE_S
 
+    def _may_renew(self, owner: Owner, now: float) -> bool:
+        """Return whether an owner that has just attached may still renew its lease.
+
+        Its runs end before it may repeat them elsewhere, even if the renewal is lost.
+        """
+        silent_s = now - owner.lease_renewed_at
+        is_in_time = silent_s < LOST_AGENT_TIMEOUT_S - MAX_ORDER_AGE_S
+        return is_in_time and now - owner.attached_at <= ATTACH_GRACE_S
+
     def _refusal_reason(self, task: TaskId, message: StartRuns) -> str:
         if not self.usable:
             return "worker is not usable"
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -314,6 +314,17 @@
         agent.poll(*running)
         return agent
 
+    def make_with_claim(self, silent_s: float) -> Agent:
+        """Return an agent that an owner attaches to for the first time.
+
+        :param silent_s: Time since the owner's last message to the agent before.
+        """
+        agent = self.make(run_id(0))
+        agent.supervisor.owners.clear()
+        claim = Attach(1, OWNER, [HeldRun(run_id(0), CORE)])
+        agent.supervisor.attach(claim, silent_s)
+        return agent
+
     def test_starts_no_run_while_the_demand_of_another_is_unknown(self):
         agent = self.make(run_id(0))
         agent.supervisor.update_facts(FACTS, 1)
@@ -328,6 +339,30 @@
         agent.poll(ended=[RunEndRecord(1, run_id(0), RunEnd.DONE)])
         assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
 
+    @pytest.mark.parametrize("silent_s", [0.4, 0.6, 0.9])
+    def test_waits_for_the_renewal_of_an_owner_that_claims_its_runs(self, silent_s):
+        # Guards against sound runs that end at once: an owner that was silent for
+        # longer than its lease, as its agent was down, lost its runs at the next tick.
+        agent = self.make_with_claim(silent_s)
+        agent.clock.now += 0.05
+        agent.poll(run_id(0))
+        agent.supervisor.tick()
+        assert agent.stops() == []
+        agent.supervisor.renew_owner_lease(OWNER.incarnation)
+        agent.advance_time(0.6, run_id(0))
+        assert agent.stops() == []
+
+    @pytest.mark.parametrize("silent_s", [0.0, 0.4, 0.6, 0.8, 0.9])
+    def test_stops_runs_before_an_owner_that_does_not_renew_repeats_them(
+        self, silent_s
+    ):
+        agent = self.make_with_claim(silent_s)
+        repeated_at = agent.clock.now - silent_s + LOST_AGENT_TIMEOUT_S
+        while not agent.stops():
+            agent.advance_time(0.05, run_id(0), renews_lease=False)
+        # Stopping a run takes up to 0.1 s.
+        assert agent.clock.now + 0.1 <= repeated_at
+
     def test_stops_unclaimed_runs(self):
         agent = self.make(run_id(0))
         agent.advance_time(CLAIM_TIMEOUT_S + 0.2, run_id(0))
