Stop a run that a restarted agent does not find before reporting its end

What callers saw: nothing yet; a task can run twice.

Cause: an agent that is killed after it has sent a start order and starts again at once answered its owner's claim of the run with 'lapsed', as no poll lists it. The worker may still carry the order out, until the end of the lease in it, while the owner repeats the task.

Ruled out: waiting until that time has passed; a stop order, after which the worker refuses the start, takes a poll at most.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -58,6 +58,9 @@
 LOST_AGENT_TIMEOUT_S = (
     MAX_ORDER_AGE_S + OWNER_LEASE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
 )
+# Time from an owner's last message until no start order of an earlier agent can have an
+# effect: the order carries the end of the worker's lease.
+MAX_START_DELAY_S = MAX_ORDER_AGE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
 # Longest lease granted at a planned stop of the agent: the agent's successor has this
 # long to start and take over the worker's runs.
 MAX_HANDOVER_LEASE_S = 1.0
@@ -167,11 +170,13 @@
 class PendingClaim(Struct):
     """An owner's claim of a run before the first poll.
 
+    :ivar may_start: Whether a start order of an earlier agent may still have an effect.
     :ivar stopping: Whether the owner has ordered the run to stop.
     """
 
     owner: str
     demand: Resources
+    may_start: bool
     stopping: bool = False
 
 
@@ -261,6 +266,7 @@
         self.owners: dict[str, Owner] = {}
         self.pending_claims: dict[RunId, PendingClaim] = {}
         self.recent_events: OrderedDict[RunId, RunEvent] = OrderedDict()
+        self.created_at = clock()
         self.polled_at = float("-inf")
         self.worker_lease_ends_at = float("-inf")
         self.first_polled_at = float("-inf")
@@ -355,7 +361,7 @@
         for run_id, claim in list(self.pending_claims.items()):
             # The worker lists neither the run nor its end.
             del self.pending_claims[run_id]
-            self._notify_end(run_id, claim.owner, RunEnd.LAPSED, 0.0, NOT_LISTED)
+            self._settle_claim(run_id, claim, NOT_LISTED)
 
     def record_poll_failure(self, not_connected: bool = False) -> None:
         """Record a failed poll; no run is started until a poll succeeds.
@@ -426,8 +432,12 @@
         for run in list(self.runs.values()):
             if run.owner == owner and run.run_id not in held:
                 self._stop(run, RunEnd.STOPPED)
+        may_start = (
+            age_s <= MAX_START_DELAY_S
+            and self.clock() - self.created_at <= MAX_START_DELAY_S
+        )
         for run_id, demand in held.items():
-            self._claim(run_id, owner, demand)
+            self._claim(run_id, PendingClaim(owner, demand, may_start))
         self.adopt_facts(message.facts)
 
     def renew_owner_lease(self, owner: str, age_s: float = 0.0) -> bool:
@@ -723,20 +733,34 @@
         for run in list(self.runs.values()):
             self._finish(run, end, reason)
 
-    def _claim(self, run_id: RunId, owner: str, demand: Resources) -> None:
+    def _claim(self, run_id: RunId, claim: PendingClaim) -> None:
         run = self.runs.get(run_id)
         if run is not None:
             if run.phase == Phase.FOUND:
-                run.owner, run.demand = owner, demand
+                run.owner, run.demand = claim.owner, claim.demand
                 run.phase = Phase.RUNNING
         elif run_id in self.recent_events:
             self.notifications.append(
-                OwnerNotification(owner, self.recent_events[run_id])
+                OwnerNotification(claim.owner, self.recent_events[run_id])
             )
         elif self.reconciled:
-            self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, UNKNOWN_RUN)
+            self._settle_claim(run_id, claim, UNKNOWN_RUN)
         else:
-            self.pending_claims[run_id] = PendingClaim(owner, demand)
+            self.pending_claims[run_id] = claim
+
+    def _settle_claim(self, run_id: RunId, claim: PendingClaim, reason: str) -> None:
+        """Answer the claim of a run that is not on the worker.
+
+        While a start order of an earlier agent may be on its way, the run is stopped
+        first, after which the worker refuses to start it.
+        """
+        if not claim.may_start:
+            self._notify_end(run_id, claim.owner, RunEnd.LAPSED, 0.0, reason)
+            return
+        sent_at = self.suspended_clock()
+        run = Run(run_id, claim.owner, claim.demand, Phase.STARTING, sent_at)
+        self.runs[run_id] = run
+        self._stop(run, RunEnd.STOPPED)
 
     def _update_running(self, row: RunStatus, now: float) -> None:
         run = self.runs.get(row.run_id)
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -27,6 +27,7 @@
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.supervisors import (
     MAX_CLOCK_DRIFT,
+    MAX_START_DELAY_S,
     OWNER_LEASE_S,
     WORKER_LEASE_S,
     RunEndRecord,
@@ -249,6 +250,8 @@
     # Guards against a task that ran twice: the attach on a newer connection had told
     # the owner that the run was not there, and then the order arrived on the older one.
     agent = LinkedAgent()
+    agent.clock.now += 2 * MAX_START_DELAY_S
+    agent.poll()
     newer = Connection()
     held = [HeldRun(run_id(0), CORE)]
     agent.links.message_received(newer, Attach(3, OWNER, held))
