Compare a report with the name and service of its boot's first report

What callers saw: nothing yet; capacity that is missing.

Cause: a report of the worker's boot with another service, or with another name after an exit announcement, replaced the worker's facts and its sequence number, so that its own reports counted as outdated.

Change: name and service stay the same within a boot; a report that differs is ignored and counted as that of another worker.

The test of late reports used reports without a service, which no worker sends; they now have the worker's, and its assertions are the same.

Left: the first report of a boot is believed, if a poll has shown that boot.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -233,6 +233,7 @@
     report may have been sent by another writer; it counts once a poll has shown its
     boot.
 
+    :ivar identity: Name and service of the worker by the first report of its boot.
     :param clock: Returns monotonic seconds; measures what happens on this machine.
     :param suspended_clock: Returns seconds of a clock that includes time in system
         suspend; measures the leases and orders of owners on other machines.
@@ -257,6 +258,7 @@
         self.suspended_clock = suspended_clock or clock
         self.facts: WorkerFacts | None = None
         self.report_sequence = -1
+        self.identity: tuple[str, str] | None = None
         self.unconfirmed: dict[int, tuple[int, WorkerFacts]] = {}
         self.report_counts: Counter[ReportOutcome] = Counter()
         self.boot = 0
@@ -675,6 +677,7 @@
                 else:
                     self._finish(run, RunEnd.LAPSED, "the worker has restarted")
         self.boot = boot
+        self.identity = None
         self.report_sequence = -1
         self.last_end = 0
         self.exit_announced = False
@@ -693,7 +696,7 @@
         if facts.boot > self.boot:
             is_kept = self._keep_report(facts, sequence)
             return ReportOutcome.KEPT if is_kept else ReportOutcome.OUTDATED
-        if self.facts is not None and self.facts.worker != facts.worker:
+        if self.identity not in (None, (facts.worker, facts.service)):
             return ReportOutcome.OTHER_WORKER
         if sequence <= self.report_sequence:
             return ReportOutcome.OUTDATED
@@ -701,6 +704,7 @@
         return ReportOutcome.APPLIED
 
     def _apply_report(self, facts: WorkerFacts, sequence: int) -> None:
+        self.identity = facts.worker, facts.service
         self.report_sequence = sequence
         self.exit_announced = False
         self.facts = facts
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -488,7 +488,8 @@
     boot, sequence, accepted
 ):
     agent = Agent()
-    assert agent.supervisor.update_facts(WorkerFacts("w-1", boot), sequence) is accepted
+    facts = WorkerFacts("w-1", boot, "service")
+    assert agent.supervisor.update_facts(facts, sequence) is accepted
 
 
 OTHER_WRITERS = [
