Do not take a connected entry for an earlier incarnation of itself

What callers saw: nothing yet; runs that are stopped on sound workers and repeated. Found in review, in the class of the incident on sound workers.

Cause: an attach that a partition held up until its entry had been killed and had started again counted as that of a newer start, and the agent stopped the runs of the present one.

Ruled out: an order of incarnations by the time of day, which may be set back.

Change: an incarnation that is connected and holds its lease keeps its runs.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -656,9 +656,8 @@
         link = OwnerLink(connection, message.owner, message.sequence)
         self.links[message.owner.incarnation] = link
         self.links_by_connection[id(connection)] = link
-        self.supervisor.attach(
-            message, self._age_s(message.sent_ms) if message.sent_ms else 0.0
-        )
+        age_s = self._age_s(message.sent_ms) if message.sent_ms else 0.0
+        self.supervisor.attach(message, age_s, self.links.keys())
         self.closed_sequences = {
             owner: sequence
             for owner, sequence in self.closed_sequences.items()
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -14,7 +14,7 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import Enum, StrEnum
 
 from loguru import logger
@@ -413,19 +413,25 @@
 
     # Requests of owners
 
-    def attach(self, message: Attach, age_s: float = 0.0) -> None:
+    def attach(
+        self, message: Attach, age_s: float = 0.0, connected: Collection[str] = ()
+    ) -> None:
         """Register an owner and reconcile its runs with the ones it lists.
 
         Runs of the owner that it does not list are stopped, and so are all runs of
-        earlier incarnations of the same entry.
+        other incarnations of the same entry. Incarnations have no order, so one that
+        is connected and holds its lease is not taken for an earlier one.
 
         :param age_s: Time since the owner's last message that renews its lease.
+        :param connected: The connected incarnations.
         """
         owner = message.owner.incarnation
+        now = self.suspended_clock()
         for other in list(self.owners.values()):
-            if other.name == message.owner.name and other.incarnation != owner:
+            is_other = other.name == message.owner.name and other.incarnation != owner
+            is_alive = other.incarnation in connected and self._has_lease(other, now)
+            if is_other and not is_alive:
                 self._remove_owner(other)
-        now = self.suspended_clock()
         renewed_at = now - age_s
         if owner in self.owners:
             renewed_at = max(renewed_at, self.owners[owner].lease_renewed_at)
