Return to an agent's earlier address when nobody answers at a newer one

What callers saw: nothing yet; capacity that one entry misses.

Cause: a link without runs that was reset while the newest record of its agent was out of date moved to the address in the record and tried only that one from then on. The agent does not register again while other entries are connected to it.

Change: a moved link remembers the address before, and the two are tried in turn, with the delays of failed connections, until an agent answers.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -89,7 +89,9 @@
 
     :ivar unacknowledged: Send times of the messages that no `WorkerState` of the agent
         has acknowledged, by sequence number.
-    :ivar successor: The agent at the other address that its newest record carries.
+    :ivar successor: The agent at another address, to which the link is to be moved.
+    :ivar fallback: The agent at the address before a move, until the new one answers.
+    :ivar failures: Attempts to connect since the link was created that failed.
     :ivar runs_expire_at: When the runs on the worker of an unreachable agent have ended
         at the latest; None while the agent is reachable or after that time.
     :ivar agent_clock_ms: The agent's clock as of the last `WorkerState`, which arrived
@@ -104,6 +106,8 @@
     connected_at: float
     wanted_at: float
     successor: Member | None = None
+    fallback: Member | None = None
+    failures: int = 0
     connection: Connection | None = None
     connecting: bool = False
     sequence: int = 0
@@ -335,23 +339,30 @@
                     link.connection.close_after_flush()
                 self._discard(link)
 
-    def _create(self, member: Member) -> None:
+    def _create(self, member: Member) -> AgentLink:
         now = self.clock()
         link = AgentLink(member, now, now, now, sequence=self.last_sequence)
         self.links[member.name] = link
         user = self.links_by_address.get(member.address)
         if user is None or user.connection is None:
             self.links_by_address[member.address] = link
+        return link
 
     def _follow_successor(self, link: AgentLink) -> bool:
         """Replace the link of an agent that has moved, unless it is still needed."""
-        if link.successor is None or link.connection is not None:
-            return False
+        # The record that moved a link may have been out of date.
+        returns = link.successor is None and link.failures > 0
+        target = link.fallback if returns else link.successor
         name = link.member.name
+        if target is None or link.connection is not None:
+            return False
         if self.scheduler.runs_on(name) or self.scheduler.stopping_on(name):
             return False
         self._discard(link)
-        self._create(link.successor)
+        moved = self._create(target)
+        moved.fallback = link.member
+        if returns:
+            moved.retry_at, moved.retry_delay_s = link.retry_at, link.retry_delay_s
         return True
 
     def _check_disconnected(self, link: AgentLink, now: float) -> None:
@@ -398,6 +409,7 @@
             self._delay_retry(link, now)
             return
         if self._is_taken(link, connection):
+            link.failures += 1
             link.retry_at = now + TAKEN_RETRY_DELAY_S
             return
         self.links_by_address[link.member.address] = link
@@ -431,6 +443,7 @@
         return user is not link and user.connection is connection
 
     def _delay_retry(self, link: AgentLink, now: float) -> None:
+        link.failures += 1
         link.retry_at = now + link.retry_delay_s
         link.retry_delay_s = min(MAX_RETRY_DELAY_S, 2 * link.retry_delay_s)
 
@@ -463,6 +476,7 @@
         self.scheduler.schedule()
 
     def _apply_state(self, link: AgentLink, state: WorkerState) -> None:
+        link.fallback = None
         is_reattached = link.runs_expire_at is not None
         link.runs_expire_at = None
         link.retry_delay_s = MIN_RETRY_DELAY_S
