--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -71,6 +71,9 @@
 UNWANTED_LINK_S = 10.0
 MIN_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.5
+# Retry delay of a link whose connection another link uses: shorter than the longest
+# one, so that a link whose attaches are refused does not come first each time.
+TAKEN_RETRY_DELAY_S = 0.2
 # A change of the free CPU capacity by more than this fraction of the total is sent to
 # the owners immediately, a smaller one after STATE_INTERVAL_S. Owners account for their
 # own runs themselves.
@@ -86,7 +89,9 @@
 
     :ivar unacknowledged: Send times of the messages that no `WorkerState` of the agent
         has acknowledged, by sequence number.
-    :ivar successor: The agent at the other address that its newest record carries.
+    :ivar successor: The agent at another address, to which the link is to be moved.
+    :ivar fallback: The agent at the address before a move, until the new one answers.
+    :ivar failures: Attempts to connect since the link was created that failed.
     :ivar runs_expire_at: When the runs on the worker of an unreachable agent have ended
         at the latest; None while the agent is reachable or after that time.
     :ivar agent_clock_ms: The agent's clock as of the last `WorkerState`, which arrived
@@ -101,6 +106,8 @@
     connected_at: float
     wanted_at: float
     successor: Member | None = None
+    fallback: Member | None = None
+    failures: int = 0
     connection: Connection | None = None
     connecting: bool = False
     sequence: int = 0
@@ -332,23 +339,30 @@
                     link.connection.close_after_flush()
                 self._discard(link)
 
-    def _create(self, member: Member) -> None:
+    def _create(self, member: Member) -> AgentLink:
         now = self.clock()
         link = AgentLink(member, now, now, now, sequence=self.last_sequence)
         self.links[member.name] = link
         user = self.links_by_address.get(member.address)
         if user is None or user.connection is None:
             self.links_by_address[member.address] = link
+        return link
 
     def _follow_successor(self, link: AgentLink) -> bool:
         """Replace the link of an agent that has moved, unless it is still needed."""
-        if link.successor is None or link.connection is not None:
-            return False
+        # The record that moved a link may have been out of date.
+        returns = link.successor is None and link.failures > 0
+        target = link.fallback if returns else link.successor
         name = link.member.name
+        if target is None or link.connection is not None:
+            return False
         if self.scheduler.runs_on(name) or self.scheduler.stopping_on(name):
             return False
         self._discard(link)
-        self._create(link.successor)
+        moved = self._create(target)
+        moved.fallback = link.member
+        if returns:
+            moved.retry_at, moved.retry_delay_s = link.retry_at, link.retry_delay_s
         return True
 
     def _check_disconnected(self, link: AgentLink, now: float) -> None:
@@ -391,9 +405,13 @@
         """Adopt a new connection to an agent and send an `Attach` on it."""
         now = self.clock()
         is_current = self.links.get(link.member.name) is link
-        if connection.closed or not is_current or self._is_taken(link, connection):
+        if connection.closed or not is_current:
             self._delay_retry(link, now)
             return
+        if self._is_taken(link, connection):
+            link.failures += 1
+            link.retry_at = now + TAKEN_RETRY_DELAY_S
+            return
         self.links_by_address[link.member.address] = link
         link.connection = connection
         self._next_sequence(link)
@@ -425,6 +443,7 @@
         return user is not link and user.connection is connection
 
     def _delay_retry(self, link: AgentLink, now: float) -> None:
+        link.failures += 1
         link.retry_at = now + link.retry_delay_s
         link.retry_delay_s = min(MAX_RETRY_DELAY_S, 2 * link.retry_delay_s)
 
@@ -457,6 +476,7 @@
         self.scheduler.schedule()
 
     def _apply_state(self, link: AgentLink, state: WorkerState) -> None:
+        link.fallback = None
         is_reattached = link.runs_expire_at is not None
         link.runs_expire_at = None
         link.retry_delay_s = MIN_RETRY_DELAY_S
@@ -525,6 +545,8 @@
 
     :param clock: Returns seconds of a clock that includes time in system suspend.
     :param own_name: The agent's name; an attach that names another has no effect.
+    :ivar closed_sequences: The highest sequence number received from each owner whose
+        connection has closed.
     """
 
     def __init__(
@@ -539,6 +561,7 @@
         self.clock = clock
         self.own_name = own_name
         self.links: dict[str, OwnerLink] = {}
+        self.closed_sequences: dict[str, int] = {}
         self.links_by_connection: dict[int, OwnerLink] = {}
 
     def message_received(self, connection: Connection, content: Any) -> bool:
@@ -579,6 +602,7 @@
         link = self.links_by_connection.pop(id(connection), None)
         if link is not None and self.links.get(link.owner.incarnation) is link:
             del self.links[link.owner.incarnation]
+            self.closed_sequences[link.owner.incarnation] = link.last_sequence
 
     def deliver(self) -> None:
         """Send pending notifications, and the state to the owners that need it."""
@@ -632,24 +656,39 @@
             self._close(connection)
             return
         current = self.links.get(message.owner.incarnation)
-        if current is not None and message.sequence < current.last_sequence:
+        if message.sequence < self._last_sequence(message.owner.incarnation):
             # The owner has given up this connection and attached on a newer one.
             logger.bind(peer=message.owner.address).info(
                 "late attach of owner {} ignored", message.owner.name
             )
             self._close(connection)
             return
+        if current is not None and current.connection is not connection:
+            # The owner is now told which runs are not here, so that no order that is
+            # still on its way on the older connection may start one of them.
+            self._close(current.connection)
         link = OwnerLink(connection, message.owner, message.sequence)
         self.links[message.owner.incarnation] = link
         self.links_by_connection[id(connection)] = link
-        self.supervisor.attach(
-            message, self._age_s(message.sent_ms) if message.sent_ms else 0.0
-        )
+        age_s = self._age_s(message.sent_ms) if message.sent_ms else 0.0
+        self.supervisor.attach(message, age_s, self.links.keys())
+        self.closed_sequences = {
+            owner: sequence
+            for owner, sequence in self.closed_sequences.items()
+            if owner in self.supervisor.owners and owner not in self.links
+        }
         logger.bind(peer=message.owner.address).info(
             "owner {} attached with {} runs", message.owner.name, len(message.held)
         )
         self._send_state(link, self.supervisor.free_resources, self.supervisor.usable)
 
+    def _last_sequence(self, incarnation: str) -> int:
+        """Return the highest sequence number received from an owner."""
+        link = self.links.get(incarnation)
+        if link is not None:
+            return link.last_sequence
+        return self.closed_sequences.get(incarnation, 0)
+
     def _age_s(self, sent_ms: int) -> float:
         """Return the time since a moment on this agent's clock."""
         return max(0.0, self.clock() - sent_ms / 1000)
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -14,7 +14,7 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import Enum, StrEnum
 
 from loguru import logger
@@ -58,6 +58,9 @@
 LOST_AGENT_TIMEOUT_S = (
     MAX_ORDER_AGE_S + OWNER_LEASE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
 )
+# Time from an owner's last message until no start order of an earlier agent can have an
+# effect: the order carries the end of the worker's lease.
+MAX_START_DELAY_S = MAX_ORDER_AGE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
 # Longest lease granted at a planned stop of the agent: the agent's successor has this
 # long to start and take over the worker's runs.
 MAX_HANDOVER_LEASE_S = 1.0
@@ -167,11 +170,13 @@
 class PendingClaim(Struct):
     """An owner's claim of a run before the first poll.
 
+    :ivar may_start: Whether a start order of an earlier agent may still have an effect.
     :ivar stopping: Whether the owner has ordered the run to stop.
     """
 
     owner: str
     demand: Resources
+    may_start: bool
     stopping: bool = False
 
 
@@ -228,6 +233,7 @@
     report may have been sent by another writer; it counts once a poll has shown its
     boot.
 
+    :ivar identity: Name and service of the worker by the first report of its boot.
     :param clock: Returns monotonic seconds; measures what happens on this machine.
     :param suspended_clock: Returns seconds of a clock that includes time in system
         suspend; measures the leases and orders of owners on other machines.
@@ -252,6 +258,7 @@
         self.suspended_clock = suspended_clock or clock
         self.facts: WorkerFacts | None = None
         self.report_sequence = -1
+        self.identity: tuple[str, str] | None = None
         self.unconfirmed: dict[int, tuple[int, WorkerFacts]] = {}
         self.report_counts: Counter[ReportOutcome] = Counter()
         self.boot = 0
@@ -261,6 +268,7 @@
         self.owners: dict[str, Owner] = {}
         self.pending_claims: dict[RunId, PendingClaim] = {}
         self.recent_events: OrderedDict[RunId, RunEvent] = OrderedDict()
+        self.created_at = clock()
         self.polled_at = float("-inf")
         self.worker_lease_ends_at = float("-inf")
         self.first_polled_at = float("-inf")
@@ -355,7 +363,7 @@
         for run_id, claim in list(self.pending_claims.items()):
             # The worker lists neither the run nor its end.
             del self.pending_claims[run_id]
-            self._notify_end(run_id, claim.owner, RunEnd.LAPSED, 0.0, NOT_LISTED)
+            self._settle_claim(run_id, claim, NOT_LISTED)
 
     def record_poll_failure(self, not_connected: bool = False) -> None:
         """Record a failed poll; no run is started until a poll succeeds.
@@ -405,19 +413,25 @@
 
     # Requests of owners
 
-    def attach(self, message: Attach, age_s: float = 0.0) -> None:
+    def attach(
+        self, message: Attach, age_s: float = 0.0, connected: Collection[str] = ()
+    ) -> None:
         """Register an owner and reconcile its runs with the ones it lists.
 
         Runs of the owner that it does not list are stopped, and so are all runs of
-        earlier incarnations of the same entry.
+        other incarnations of the same entry. Incarnations have no order, so one that
+        is connected and holds its lease is not taken for an earlier one.
 
         :param age_s: Time since the owner's last message that renews its lease.
+        :param connected: The connected incarnations.
         """
         owner = message.owner.incarnation
+        now = self.suspended_clock()
         for other in list(self.owners.values()):
-            if other.name == message.owner.name and other.incarnation != owner:
+            is_other = other.name == message.owner.name and other.incarnation != owner
+            is_alive = other.incarnation in connected and self._has_lease(other, now)
+            if is_other and not is_alive:
                 self._remove_owner(other)
-        now = self.suspended_clock()
         renewed_at = now - age_s
         if owner in self.owners:
             renewed_at = max(renewed_at, self.owners[owner].lease_renewed_at)
@@ -426,8 +440,12 @@
         for run in list(self.runs.values()):
             if run.owner == owner and run.run_id not in held:
                 self._stop(run, RunEnd.STOPPED)
+        may_start = (
+            age_s <= MAX_START_DELAY_S
+            and self.clock() - self.created_at <= MAX_START_DELAY_S
+        )
         for run_id, demand in held.items():
-            self._claim(run_id, owner, demand)
+            self._claim(run_id, PendingClaim(owner, demand, may_start))
         self.adopt_facts(message.facts)
 
     def renew_owner_lease(self, owner: str, age_s: float = 0.0) -> bool:
@@ -503,8 +521,9 @@
             return
         owners_with_runs = {run.owner for run in self.runs.values()}
         for owner in list(self.owners.values()):
-            is_attaching = now - owner.attached_at <= ATTACH_GRACE_S
-            is_expired = not self._has_lease(owner, now) and not is_attaching
+            is_expired = not (
+                self._has_lease(owner, now) or self._may_renew(owner, now)
+            )
             if is_expired and owner.incarnation in owners_with_runs:
                 logger.bind(
                     owner=owner.incarnation,
@@ -622,6 +641,15 @@
     def _has_lease(self, owner: Owner, now: float) -> bool:
         return now - owner.lease_renewed_at <= OWNER_LEASE_S
 
+    def _may_renew(self, owner: Owner, now: float) -> bool:
+        """Return whether an owner that has just attached may still renew its lease.
+
+        Its runs end before it may repeat them elsewhere, even if the renewal is lost.
+        """
+        silent_s = now - owner.lease_renewed_at
+        is_in_time = silent_s < LOST_AGENT_TIMEOUT_S - MAX_ORDER_AGE_S
+        return is_in_time and now - owner.attached_at <= ATTACH_GRACE_S
+
     def _refusal_reason(self, task: TaskId, message: StartRuns) -> str:
         if not self.usable:
             return "worker is not usable"
@@ -655,6 +683,7 @@
                 else:
                     self._finish(run, RunEnd.LAPSED, "the worker has restarted")
         self.boot = boot
+        self.identity = None
         self.report_sequence = -1
         self.last_end = 0
         self.exit_announced = False
@@ -673,7 +702,7 @@
         if facts.boot > self.boot:
             is_kept = self._keep_report(facts, sequence)
             return ReportOutcome.KEPT if is_kept else ReportOutcome.OUTDATED
-        if self.facts is not None and self.facts.worker != facts.worker:
+        if self.identity not in (None, (facts.worker, facts.service)):
             return ReportOutcome.OTHER_WORKER
         if sequence <= self.report_sequence:
             return ReportOutcome.OUTDATED
@@ -681,6 +710,7 @@
         return ReportOutcome.APPLIED
 
     def _apply_report(self, facts: WorkerFacts, sequence: int) -> None:
+        self.identity = facts.worker, facts.service
         self.report_sequence = sequence
         self.exit_announced = False
         self.facts = facts
@@ -713,20 +743,34 @@
         for run in list(self.runs.values()):
             self._finish(run, end, reason)
 
-    def _claim(self, run_id: RunId, owner: str, demand: Resources) -> None:
+    def _claim(self, run_id: RunId, claim: PendingClaim) -> None:
         run = self.runs.get(run_id)
         if run is not None:
             if run.phase == Phase.FOUND:
-                run.owner, run.demand = owner, demand
+                run.owner, run.demand = claim.owner, claim.demand
                 run.phase = Phase.RUNNING
         elif run_id in self.recent_events:
             self.notifications.append(
-                OwnerNotification(owner, self.recent_events[run_id])
+                OwnerNotification(claim.owner, self.recent_events[run_id])
             )
         elif self.reconciled:
-            self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, UNKNOWN_RUN)
+            self._settle_claim(run_id, claim, UNKNOWN_RUN)
         else:
-            self.pending_claims[run_id] = PendingClaim(owner, demand)
+            self.pending_claims[run_id] = claim
+
+    def _settle_claim(self, run_id: RunId, claim: PendingClaim, reason: str) -> None:
+        """Answer the claim of a run that is not on the worker.
+
+        While a start order of an earlier agent may be on its way, the run is stopped
+        first, after which the worker refuses to start it.
+        """
+        if not claim.may_start:
+            self._notify_end(run_id, claim.owner, RunEnd.LAPSED, 0.0, reason)
+            return
+        sent_at = self.suspended_clock()
+        run = Run(run_id, claim.owner, claim.demand, Phase.STARTING, sent_at)
+        self.runs[run_id] = run
+        self._stop(run, RunEnd.STOPPED)
 
     def _update_running(self, row: RunStatus, now: float) -> None:
         run = self.runs.get(row.run_id)
@@ -797,6 +841,9 @@
         claim = self.pending_claims.pop(row.run_id, None)
         if claim is not None:
             self._notify_end(row.run_id, claim.owner, row.end, 0.0)
+        elif row.run_id not in self.recent_events:
+            # Its owner may still claim it: this agent has restarted.
+            self._remember(RunEvent(row.run_id, RunEventKind.ENDED, row.end))
 
     def _finish(self, run: Run, end: RunEnd, reason: str = "") -> None:
         """Remove a run that has ended or can no longer exist, and notify its owner.
@@ -833,6 +880,10 @@
         run_ms = max(0, round(run_s * 1000))
         event = RunEvent(run_id, RunEventKind.ENDED, end, reason, run_ms)
         self.notifications.append(OwnerNotification(owner, event))
-        self.recent_events[run_id] = event
+        self._remember(event)
+
+    def _remember(self, event: RunEvent) -> None:
+        """Keep the end of a run for an owner that claims it later."""
+        self.recent_events[event.run] = event
         if len(self.recent_events) > MAX_RECENT_EVENTS:
             self.recent_events.popitem(last=False)
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -1,5 +1,7 @@
 """Tests of the links between owners and agents: delayed messages, acknowledgements."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from marigoldkeel.fleet.links import (
@@ -25,6 +27,7 @@
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.supervisors import (
     MAX_CLOCK_DRIFT,
+    MAX_START_DELAY_S,
     OWNER_LEASE_S,
     WORKER_LEASE_S,
     RunEndRecord,
@@ -48,6 +51,7 @@
     OWNER,
     Agent,
     Clock,
+    run_id,
     start_message,
 )
 
@@ -210,6 +214,56 @@
     ]
 
 
+def test_late_attach_stops_no_run_after_the_newer_connection_has_closed():
+    # Guards against sound runs that end at once: the agent knew only the sequence
+    # number of an open link, and the late attach did not list the run.
+    agent = LinkedAgent()
+    newer, older = Connection(), Connection()
+    agent.links.message_received(newer, Attach(5, OWNER))
+    agent.connection = newer
+    agent.receive(start_message(0), 0.0)
+    agent.supervisor.take_orders()
+    agent.links.connection_closed(newer)
+    agent.links.message_received(older, Attach(3, OWNER))
+    assert older.closed
+    assert agent.stops() == []
+    held = [HeldRun(run_id(0), CORE)]
+    agent.links.message_received(Connection(), Attach(6, OWNER, held))
+    assert agent.stops() == []
+    assert OWNER.incarnation in agent.links.links
+
+
+def test_late_attach_of_an_earlier_incarnation_stops_no_run_of_the_next():
+    # Guards against sound runs that end at once: an entry was killed and had started
+    # again, and then its earlier attach arrived and counted as that of a newer start.
+    agent = LinkedAgent()
+    restarted = Member(OWNER.name, "entry-1@2", OWNER.address, OWNER.domain)
+    agent.connection = Connection()
+    agent.links.message_received(agent.connection, Attach(1, restarted))
+    agent.receive(start_message(0), 0.0)
+    agent.supervisor.take_orders()
+    agent.links.message_received(Connection(), Attach(9, OWNER))
+    assert agent.stops() == []
+
+
+def test_start_order_that_a_newer_attach_has_overtaken_starts_nothing():
+    # Guards against a task that ran twice: the attach on a newer connection had told
+    # the owner that the run was not there, and then the order arrived on the older one.
+    agent = LinkedAgent()
+    agent.clock.now += 2 * MAX_START_DELAY_S
+    agent.poll()
+    newer = Connection()
+    held = [HeldRun(run_id(0), CORE)]
+    agent.links.message_received(newer, Attach(3, OWNER, held))
+    agent.links.deliver()
+    assert [item.run for item in newer.sent if isinstance(item, RunEvent)] == [
+        run_id(0)
+    ]
+    agent.receive(start_message(0), 0.0)
+    assert agent.supervisor.take_orders() == []
+    assert agent.connection.closed
+
+
 def test_sequence_numbers_of_a_link_continue_when_it_is_created_again():
     clock, fleet = Clock(), FleetView()
     owner = OwnerEndpoint(OWNER, fleet, clock)
@@ -386,6 +440,42 @@
     assert [answer.state for answer in owner.answers] == [JobState.DONE]
 
 
+@pytest.mark.parametrize("reached", ["agent-1", "agent-2"])
+def test_agent_whose_address_another_record_carries_is_connected_in_its_turn(reached):
+    # Guards against a sound worker that stays unused: both links were due at the same
+    # ticks, and the one whose attach is refused always came first.
+    clock, fleet = Clock(), FleetView()
+    owner = OwnerEndpoint(OWNER, fleet, clock)
+    owner.scheduler = Scheduler(fleet, "a", owner.send, clock, lambda: 1, seed=1)
+    connecting = []
+    owner.group = SimpleNamespace(
+        start_soon=lambda action, *arguments: connecting.append(arguments[-1])
+    )
+    for name in ("agent-1", "agent-2"):
+        owner.add(Member(name, f"{name}@1", AGENT.address, "a"))
+    connection = Connection(AGENT.address)
+    for _ in range(round(2.0 / TICK_INTERVAL_S)):
+        clock.now += TICK_INTERVAL_S
+        owner.step()
+        clock.now += 0.001
+        if connection.closed:
+            connection = Connection(AGENT.address)
+        while connecting:
+            link = connecting.pop(0)
+            link.connecting = False
+            owner.attach(link, connection)
+        clock.now += 0.001
+        messages, connection.sent = connection.sent, []
+        attached_to = {item.agent for item in messages if isinstance(item, Attach)}
+        if attached_to - {reached}:
+            connection.closed = True
+            owner.connection_closed(connection)
+        elif messages:
+            state = WorkerState(messages[-1].sequence, FACTS.capacity, True, 1000)
+            owner.message_received(connection, state)
+    assert owner.links[reached].connection is connection
+
+
 @pytest.mark.parametrize(
     ("agent", "is_attached"), [("agent-1", True), ("", True), ("agent-2", False)]
 )
@@ -401,6 +491,23 @@
     assert connection.closed != is_attached
 
 
+def test_link_returns_from_an_address_of_a_record_at_which_nobody_answers():
+    # Guards against a sound worker that stays unused: a stale record arrived, the
+    # connection was reset, and from then on only the stale address was tried.
+    owner = LinkedOwner()
+    owner.end_run()
+    owner.owner.add(MOVED_AGENT)
+    owner.owner.connection_closed(owner.connection)
+    for _ in range(round(3.0 / TICK_INTERVAL_S)):
+        owner.advance_time(TICK_INTERVAL_S, answers=False)
+        link = owner.owner.links["agent-1"]
+        if link.connecting:
+            link.connecting = False
+            owner.owner._delay_retry(link, owner.clock.now)
+    first = owner.connecting.index(MOVED_AGENT.address)
+    assert AGENT.address in owner.connecting[first:]
+
+
 def test_agent_that_has_moved_is_used_at_once_if_it_has_no_runs():
     owner = LinkedOwner()
     owner.end_run()
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -16,6 +16,7 @@
     LOST_AGENT_TIMEOUT_S,
     MAX_CLOCK_DRIFT,
     MAX_HANDOVER_LEASE_S,
+    MAX_START_DELAY_S,
     MAX_UNCONFIRMED_REPORTS,
     MIN_STALL_TIMEOUT_S,
     NOT_LISTED,
@@ -314,6 +315,17 @@
         agent.poll(*running)
         return agent
 
+    def make_with_claim(self, silent_s: float) -> Agent:
+        """Return an agent that an owner attaches to for the first time.
+
+        :param silent_s: Time since the owner's last message to the agent before.
+        """
+        agent = self.make(run_id(0))
+        agent.supervisor.owners.clear()
+        claim = Attach(1, OWNER, [HeldRun(run_id(0), CORE)])
+        agent.supervisor.attach(claim, silent_s)
+        return agent
+
     def test_starts_no_run_while_the_demand_of_another_is_unknown(self):
         agent = self.make(run_id(0))
         agent.supervisor.update_facts(FACTS, 1)
@@ -328,6 +340,30 @@
         agent.poll(ended=[RunEndRecord(1, run_id(0), RunEnd.DONE)])
         assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
 
+    @pytest.mark.parametrize("silent_s", [0.4, 0.6, 0.9])
+    def test_waits_for_the_renewal_of_an_owner_that_claims_its_runs(self, silent_s):
+        # Guards against sound runs that end at once: an owner that was silent for
+        # longer than its lease, as its agent was down, lost its runs at the next tick.
+        agent = self.make_with_claim(silent_s)
+        agent.clock.now += 0.05
+        agent.poll(run_id(0))
+        agent.supervisor.tick()
+        assert agent.stops() == []
+        agent.supervisor.renew_owner_lease(OWNER.incarnation)
+        agent.advance_time(0.6, run_id(0))
+        assert agent.stops() == []
+
+    @pytest.mark.parametrize("silent_s", [0.0, 0.4, 0.6, 0.8, 0.9])
+    def test_stops_runs_before_an_owner_that_does_not_renew_repeats_them(
+        self, silent_s
+    ):
+        agent = self.make_with_claim(silent_s)
+        repeated_at = agent.clock.now - silent_s + LOST_AGENT_TIMEOUT_S
+        while not agent.stops():
+            agent.advance_time(0.05, run_id(0), renews_lease=False)
+        # Stopping a run takes up to 0.1 s.
+        assert agent.clock.now + 0.1 <= repeated_at
+
     def test_stops_unclaimed_runs(self):
         agent = self.make(run_id(0))
         agent.advance_time(CLAIM_TIMEOUT_S + 0.2, run_id(0))
@@ -337,13 +373,39 @@
         new_agent = Agent.__new__(Agent)
         new_agent.clock = Clock()
         new_agent.supervisor = Supervisor(new_agent.clock)
-        new_agent.attach(HeldRun(run_id(0), CORE), HeldRun(run_id(1), CORE))
+        claims = [HeldRun(run_id(0), CORE), HeldRun(run_id(1), CORE)]
+        new_agent.supervisor.attach(Attach(1, OWNER, claims), MAX_START_DELAY_S + 0.01)
         new_agent.poll(ended=[RunEndRecord(4, run_id(0), RunEnd.DONE)])
         assert new_agent.events() == [
             ended(run_id(0), RunEnd.DONE),
             ended(run_id(1), RunEnd.LAPSED),
         ]
 
+    def test_reports_an_end_that_it_read_before_the_owner_attached(self):
+        # Guards against tasks that are repeated although they are done: the restarted
+        # agent had polled its worker before the owner claimed the run.
+        agent = Agent(facts=None)
+        agent.poll(ended=[RunEndRecord(4, run_id(0), RunEnd.DONE)])
+        agent.attach(HeldRun(run_id(0), CORE))
+        assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
+
+    @pytest.mark.parametrize("is_polled_first", [True, False])
+    def test_reports_no_run_as_ended_whose_start_order_may_be_on_its_way(
+        self, is_polled_first
+    ):
+        # Guards against a task that ran twice: the agent was killed after it had sent
+        # the order, which the worker carried out after a poll of the next agent. A
+        # stop order that the worker has answered would make it refuse the start.
+        agent = Agent.__new__(Agent)
+        agent.clock = Clock()
+        agent.supervisor = Supervisor(agent.clock)
+        if is_polled_first:
+            agent.poll()
+        agent.attach(HeldRun(run_id(0), CORE))
+        agent.poll()
+        assert agent.events() == []
+        assert agent.stops() == [run_id(0)]
+
     def test_uses_facts_cached_by_an_owner_of_the_same_boot_only(self):
         agent = Agent(facts=None)
         agent.attach(facts=WorkerFacts("w-1", 6, "service", "a", [], CORE))
@@ -426,7 +488,8 @@
     boot, sequence, accepted
 ):
     agent = Agent()
-    assert agent.supervisor.update_facts(WorkerFacts("w-1", boot), sequence) is accepted
+    facts = WorkerFacts("w-1", boot, "service")
+    assert agent.supervisor.update_facts(facts, sequence) is accepted
 
 
 OTHER_WRITERS = [
@@ -456,6 +519,27 @@
     assert agent.supervisor.runs[run_id(1)].phase == Phase.RUNNING
 
 
+def test_report_with_another_service_hides_no_later_report_of_the_worker():
+    # Guards against a sound worker that stays unused: a report under its name, with a
+    # service that it does not have, replaced its facts and its sequence number.
+    agent = Agent()
+    report = WorkerFacts("w-1", 7, "elsewhere", "a", [], FACTS.capacity)
+    agent.supervisor.update_facts(report, 9)
+    agent.supervisor.update_facts(FACTS, 2)
+    assert agent.supervisor.facts == FACTS
+
+
+def test_late_exit_announcement_lets_no_report_of_another_worker_in():
+    # Guards against a sound worker that stays unused: after the announcement the next
+    # report of its boot, of any name, was taken for its own.
+    agent = Agent()
+    agent.supervisor.record_worker_exit("w-1")
+    report = WorkerFacts("w-other", 7, "elsewhere", "a", [], FACTS.capacity)
+    agent.supervisor.update_facts(report, 9)
+    agent.supervisor.update_facts(FACTS, 2)
+    assert agent.supervisor.facts == FACTS
+
+
 @pytest.mark.parametrize("report", OTHER_WRITERS)
 def test_report_of_another_writer_hides_no_report_of_a_starting_worker(report):
     agent = Agent(facts=None)
