Inject other writers and silent callers' links in the soak test

Cause: in the incident on sound workers a process believed something that only somebody else can know. The soak test had no foreign report, exit announcement or directory record, no worker that comes back with an earlier boot, and never silenced the links of callers.

Change: five kinds of faults, registered by @foreign_fault, and workers that crash with an earlier boot.

Checks: a request that meets a silent or broken link of callers counts as one at a paused entry; only the new faults record this disturbance, so nothing that was a violation before is passed over. New: within the limit of recovery every worker gets a run again, since capacity that stays missing was in the class of the incident and no check saw it. An entry that accepts no connection is still told apart from one that closes it.

--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -149,15 +149,18 @@
         ]
         return WorkerPoll(self.boot, rows, list(self.ended))
 
-    def crash(self) -> None:
-        """Lose all runs and restart with a new boot number."""
+    def crash(self, boot_change: int = 1) -> None:
+        """Lose all runs and restart with another boot number.
+
+        :param boot_change: Negative after the worker's clock was set back.
+        """
         for run in list(self.runs.values()):
             self.ends.append((self.now, run.run_id, RunEnd.LAPSED))
         self.runs.clear()
         self.ended.clear()
         self.highest_run_numbers.clear()
         self.next_end_number = 1
-        self.boot += 1
+        self.boot += boot_change
         self.lease_ends_at = 0.0
 
     def extend_lease(self, lease_ends_at: float) -> None:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
     workers: int = 4,
     jobs: int = 1,
     keep: str = "",
+    kinds: str = "",
 ) -> int:
     """Run seeds and print the violations found; exit with 1 if there are any.
 
@@ -31,16 +32,17 @@
     :param workers: Number of workers, each with an agent.
     :param jobs: Number of seeds to run at the same time.
     :param keep: Directory in which to keep the settings and logs of the processes.
+    :param kinds: Names of the faults to choose from, separated by commas; all if empty.
     """
     first, _, last = seeds.partition("-")
     seed_numbers = range(int(first), int(last or first) + 1)
     if len(seed_numbers) == 1:
-        return _run_in_process(seed_numbers[0], seconds, entries, workers, keep)
+        return _run_in_process(seed_numbers[0], seconds, entries, workers, keep, kinds)
 
     def run_in_subprocess(seed: int) -> int:
         command = [sys.executable, "-m", "soak", "--seeds", str(seed)]
         command += ["--seconds", str(seconds), "--entries", str(entries)]
-        command += ["--workers", str(workers), "--keep", keep]
+        command += ["--workers", str(workers), "--keep", keep, "--kinds", kinds]
         result = subprocess.run(command, capture_output=True, text=True)
         print(result.stdout + result.stderr[-2000:], end="", flush=True)
         return result.returncode
@@ -53,7 +55,7 @@
 
 
 def _run_in_process(
-    seed: int, seconds: float, entries: int, workers: int, keep: str
+    seed: int, seconds: float, entries: int, workers: int, keep: str, kinds: str
 ) -> int:
     with tempfile.TemporaryDirectory() as temporary:
         directory = Path(temporary)
@@ -64,7 +66,8 @@
         # under test.
         logging.disable(logging.CRITICAL)
         logger.disable("marigoldkeel")
-        report = anyio.run(run_seed, seed, directory, seconds, entries, workers)
+        names = kinds.split(",") if kinds else []
+        report = anyio.run(run_seed, seed, directory, seconds, entries, workers, names)
         lag_ms = round(report.lag_s * 1000)
         print(
             f"seed {seed}: {report.jobs} jobs, {dict(report.outcomes)}, lag {lag_ms} ms"
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,7 +7,7 @@
 import httpcore
 import msgspec
 
-from soak.installations import Installation, entry_url
+from soak.installations import NOT_ACCEPTED_STATUS, Installation, entry_url
 from soak.programs import Program
 
 
@@ -94,8 +94,10 @@
 
     async def _submit(self, job: SentJob) -> None:
         content = job_content(job, self.random.choice(WORK_MS))
+        entry = None
         for _ in range(MAX_ATTEMPTS):
-            attempt = await self.send_attempt(job, content)
+            attempt = await self.send_attempt(job, content, entry)
+            entry = self._choose_after(attempt)
             should_retry = (
                 isinstance(attempt.outcome, str) or attempt.outcome in RETRY_STATUSES
             )
@@ -103,6 +105,14 @@
                 return
             await anyio.sleep(RETRY_DELAY_S)
 
+    def _choose_after(self, attempt: Attempt) -> Program | None:
+        """Return another entry after a connection broke, otherwise None for any."""
+        others = [
+            entry for entry in self.installation.entries if entry is not attempt.entry
+        ]
+        is_broken = attempt.outcome == CONNECTION_LOST
+        return self.random.choice(others) if is_broken and others else None
+
     async def wait_until_serving(self, entry: Program) -> None:
         """Submit jobs to one entry until one is done."""
         while True:
@@ -148,6 +158,8 @@
                 response = await self.pool.request(
                     method, url, headers={**host, **(headers or {})}, content=body
                 )
+            if response.status == NOT_ACCEPTED_STATUS:
+                return NOT_CONNECTED, b""
             return response.status, response.content
         except TimeoutError:
             return TIMED_OUT, b""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -36,7 +36,7 @@
 # may not have been read yet.
 LOSS_MARGIN_S = 0.2
 # Disturbances in which a process may lose its connections or not answer.
-DISRUPTIVE_KINDS = {"killed", "paused"}
+DISRUPTIVE_KINDS = {"killed", "paused", "cut off"}
 # Time that an entry may need to notice that it was paused and to answer.
 PAUSE_MARGIN_S = 1.0
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,10 +3,16 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
+import httpcore
+import msgspec
 
+from emulator.addresses import free_address
 from emulator.proxies import Proxy
+from emulator.runners import RunnerEmulator
+from marigoldkeel.fleet.directory import record_key
 from soak.installations import GRACE_S, Installation
 from soak.programs import Program
 
@@ -21,9 +27,18 @@
 REPORT_TIMEOUT_S = 1.5
 # Start-up time of the Python interpreter on a busy machine.
 INTERPRETER_START_S = 0.3
+FOREIGN_INTERVAL_S = (0.0, 0.4)
+OVERWRITTEN_RANGE_S = (0.2, 3.0)
+CRASH_SHARE = 0.5
+# How far the boot of a crashed worker is from its last one, in milliseconds.
+BOOT_CHANGES_MS = (1, 5000)
+# How long before the pause of its process a link of callers may break.
+BREAK_BEFORE_PAUSE_S = 0.5
 
 Fault = Callable[[Installation, random.Random], Awaitable[None]]
 faults: dict[str, Fault] = {}
+# The faults in which a process is told what only another one can know, or is not heard.
+foreign_faults: dict[str, Fault] = {}
 
 
 def fault(function: Fault) -> Fault:
@@ -32,6 +47,12 @@
     return function
 
 
+def foreign_fault(function: Fault) -> Fault:
+    """Register a fault of another writer, or of the links from callers."""
+    foreign_faults[function.__name__] = function
+    return fault(function)
+
+
 async def _with_idle_process(
     installation: Installation,
     rng: random.Random,
@@ -181,7 +202,7 @@
     worker.advance(runner.now)
     kind = rng.choice(("crash", "mute", "lossy", "failing", "hanging"))
     if kind == "crash":
-        worker.crash()
+        _crash(runner, rng)
         return
     if kind == "mute":
         runner.unresponsive = True
@@ -195,6 +216,13 @@
     runner.restore()
 
 
+def _crash(runner: RunnerEmulator, rng: random.Random) -> None:
+    """Crash a worker, whose clock may then be set back."""
+    runner.worker.advance(runner.now)
+    change = rng.randint(*BOOT_CHANGES_MS)
+    runner.worker.crash(change if rng.random() < 0.5 else -change)
+
+
 @fault
 async def empty_worker(installation: Installation, rng: random.Random) -> None:
     runner = rng.choice(installation.runners)
@@ -225,3 +253,124 @@
             current.add(f"/extra-{len(installation.changes)}/")
         installation.configure(current)
         await anyio.sleep(rng.uniform(0.0, 0.8))
+
+
+FOREIGN_REPORTS: dict[str, dict[str, Any]] = {
+    "other service": {"service": "unknown"},
+    "other state": {"state": "unknown"},
+    "zone is no text": {"zone": 7},
+    "capacity is a list": {"capacity": [4000]},
+    "boot is text": {"born": "later"},
+    "no capacity left": {"capacity": {"cpu": 0, "mem_mb": 0, "gpus": 0}},
+}
+
+
+def foreign_report(report: dict, kind: str, boot_change: int) -> bytes:
+    """Return a report of another writer that is made from the worker's own one."""
+    if kind == "unreadable":
+        return b"\xff\x00{"
+    changed = {**report, **FOREIGN_REPORTS.get(kind, {})}
+    if kind not in FOREIGN_REPORTS:
+        changed["born"] = report["born"] + boot_change
+    return msgspec.json.encode(changed)
+
+
+async def _send_to_agent(
+    installation: Installation, number: int, method: str, worker: str, content: bytes
+) -> None:
+    """Send a request about a worker to an agent, which may not be running."""
+    address = installation.agents[number].settings["worker"]["reports"]
+    url = f"http://{address}/api/instances/{worker}"
+    async with httpcore.AsyncConnectionPool() as pool:
+        try:
+            with anyio.move_on_after(REPORT_TIMEOUT_S):
+                await pool.request(method, url, content=content)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return
+
+
+@foreign_fault
+async def report_as_another(installation: Installation, rng: random.Random) -> None:
+    number = rng.randrange(len(installation.agents))
+    runner = installation.runners[number]
+    for _ in range(rng.randint(1, 6)):
+        worker = rng.choice((runner.worker.name, "i-foreign"))
+        kind = rng.choice((*sorted(FOREIGN_REPORTS), "unreadable", "boot", "boot"))
+        change = rng.choice((-1, 1)) * rng.randint(*BOOT_CHANGES_MS)
+        report = {**runner.report(), "seq": runner.sequence + rng.choice((0, 1))}
+        content = foreign_report(report, kind, change)
+        await _send_to_agent(installation, number, "PUT", worker, content)
+        await anyio.sleep(rng.uniform(*FOREIGN_INTERVAL_S))
+
+
+@foreign_fault
+async def announce_exit_late(installation: Installation, rng: random.Random) -> None:
+    """Deliver exit announcements and reports late, or those of another worker."""
+    number = rng.randrange(len(installation.agents))
+    runner = installation.runners[number]
+    report = msgspec.json.encode(runner.report())
+    if rng.random() < CRASH_SHARE:
+        _crash(runner, rng)
+    for _ in range(rng.randint(1, 4)):
+        await anyio.sleep(rng.choice((0.0, rng.uniform(*FOREIGN_INTERVAL_S))))
+        worker = rng.choice((runner.worker.name, runner.worker.name, "i-foreign"))
+        method = rng.choice(("DELETE", "DELETE", "PUT"))
+        await _send_to_agent(installation, number, method, worker, report)
+
+
+@foreign_fault
+async def overwrite_record(installation: Installation, rng: random.Random) -> None:
+    records = installation.records
+    agent, other = rng.sample(installation.agents, 2)
+    key = record_key(agent.settings["name"])
+    addresses = (free_address(installation.host), other.settings["advertise"])
+    for _ in range(rng.randint(1, 3)):
+        own = records.own_value(key)
+        if own is not None:
+            changed = rng.choice(
+                (
+                    *({"address": address} for address in addresses),
+                    {"incarnation": f"{agent.name}@earlier", "worker": None},
+                    msgspec.json.decode(records.first[key]),
+                )
+            )
+            content = {**msgspec.json.decode(own), **changed}
+            records.overwrite(key, msgspec.json.encode(content))
+        await anyio.sleep(rng.uniform(*OVERWRITTEN_RANGE_S))
+        records.set_back(key)
+        await anyio.sleep(rng.choice((0.0, rng.uniform(*FOREIGN_INTERVAL_S))))
+
+
+@foreign_fault
+async def silence_callers(installation: Installation, rng: random.Random) -> None:
+    entry = rng.choice(installation.entries)
+    with entry.disturbed("cut off"):
+        rng.choice((entry.callers_link.silence, lambda: _block(entry, rng)))()
+        await _restore_after_delay(rng, entry.callers_link)
+
+
+def _block(entry: Program, rng: random.Random) -> None:
+    entry.callers_link.block(rng.choice(("towards", "back")))
+
+
+@foreign_fault
+async def break_callers_around_pause(
+    installation: Installation, rng: random.Random
+) -> None:
+    """Break the links of callers, which turn to another entry, around a pause."""
+
+    async def pause(entry: Program) -> None:
+        pause_s = rng.uniform(*PAUSE_RANGE_S)
+        break_after_s = rng.uniform(-BREAK_BEFORE_PAUSE_S, pause_s)
+        with entry.disturbed("cut off"), entry.disturbed("paused"):
+            if break_after_s < 0:
+                entry.callers_link.reset()
+                await anyio.sleep(-break_after_s)
+            entry.signal_process(signal.SIGSTOP)
+            await anyio.sleep(max(0.0, break_after_s))
+            if break_after_s >= 0:
+                entry.callers_link.reset()
+            await anyio.sleep(pause_s - max(0.0, break_after_s))
+            entry.signal_process(signal.SIGCONT)
+
+    await _with_idle_process(installation, rng, pause, installation.entries)
--- a/soak/installations.py
+++ b/soak/installations.py
@@ -18,6 +18,7 @@
 from marigoldkeel.platform.plans import PLAN_KEY
 from marigoldkeel.servers import serve_http
 from soak.programs import Program
+from soak.records import OverwrittenRecords
 
 
 REPORT_INTERVAL_S = 0.5
@@ -26,6 +27,14 @@
 STORE_TIMEOUT_S = 0.5
 LEASE_CHECK_INTERVAL_S = 0.2
 CORES = (4, 6, 8)
+# Leaves room for earlier boots.
+FIRST_BOOT = 1_000_000
+# How the proxy of an entry tells a caller that the entry accepts no connection.
+NOT_ACCEPTED_STATUS = 599
+NOT_ACCEPTED = (
+    f"HTTP/1.1 {NOT_ACCEPTED_STATUS} Not Accepted\r\n"
+    "content-length: 0\r\nconnection: close\r\n\r\n"
+).encode()
 
 
 @dataclass
@@ -56,6 +65,10 @@
     runners: list[RunnerEmulator] = field(default_factory=list)
     changes: list[PlanChange] = field(default_factory=list)
     leaving_periods: list[tuple[str, float, float]] = field(default_factory=list)
+    records: OverwrittenRecords = field(init=False)
+
+    def __post_init__(self):
+        self.records = OverwrittenRecords(self.store)
 
     @classmethod
     @asynccontextmanager
@@ -96,6 +109,11 @@
         """The proxies of all links of the processes."""
         return [proxy for item in self.programs for proxy in item.links.values()]
 
+    @property
+    def callers_links(self) -> list[Proxy]:
+        """The proxies between callers and entries."""
+        return [entry.callers_link for entry in self.entries]
+
     @property
     def prefixes(self) -> set[str]:
         """The prefixes of all queues that were ever configured."""
@@ -118,7 +136,7 @@
 
     def restore(self) -> None:
         """End the faults of all links, of the store and of the workers."""
-        for proxy in self.proxies:
+        for proxy in self.proxies + self.callers_links:
             proxy.restore()
         self.store.restore()
         for runner in self.runners:
@@ -160,6 +178,11 @@
             "address": free_address(self.host),
             "readiness": free_address(self.host),
         }
+        proxy = Proxy(
+            free_address(self.host), entry.settings["callers"]["address"], NOT_ACCEPTED
+        )
+        await self.group.start(proxy.serve)
+        entry.callers_link = proxy
         self.entries.append(entry)
         entry.launch()
 
@@ -168,7 +191,7 @@
         agent = await self._create_program(f"agent-{number}", domain)
         capacity = Resources(1000 * CORES[number % 3], 65_536)
         runner = RunnerEmulator(
-            EmulatedWorker(f"i-{number}", "service", domain, capacity)
+            EmulatedWorker(f"i-{number}", "service", domain, capacity, boot=FIRST_BOOT)
         )
         address = await self.group.start(serve_http, runner.application, self.host, 0)
         agent.settings["worker"] = {
@@ -185,4 +208,4 @@
 
 def entry_url(entry: Program, path: str) -> tuple[str, dict[str, str]]:
     """Return the URL of a path at an entry, and the ``host`` header of its queue."""
-    return f"http://{entry.settings['callers']['address']}{path}", {"host": QUEUE_HOST}
+    return f"http://{entry.callers_link.address}{path}", {"host": QUEUE_HOST}
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -22,7 +22,7 @@
 
 @dataclass
 class Disturbance:
-    """A period in which a process was killed, paused or stopped by a fault."""
+    """A period in which a fault killed, paused, stopped or cut off a process."""
 
     kind: str
     began_at: float
@@ -33,8 +33,10 @@
 class Program:
     """The process of an entry daemon or agent daemon, which may be launched repeatedly.
 
-    :ivar links: The proxies of its links by name.
-    :ivar disturbances: When it was killed, paused or stopped, on the soak test's clock.
+    :ivar links: The proxies of its links by name, without that of its callers.
+    :ivar callers_link: The proxy between callers and an entry.
+    :ivar disturbances: When it was killed, paused, stopped or cut off from its callers,
+        on the soak test's clock.
     :ivar unexpected_exits: One text for each planned stop that did not end as expected:
         the exit code, or that there was none within the time limit.
     :ivar fault_active: Whether a fault is acting on the process now, so that no other
@@ -45,6 +47,7 @@
     settings: dict[str, Any]
     directory: Path
     links: dict[str, Proxy] = field(default_factory=dict)
+    callers_link: Proxy | None = None
     process: subprocess.Popen | None = None
     disturbances: list[Disturbance] = field(default_factory=list)
     unexpected_exits: list[str] = field(default_factory=list)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -5,6 +5,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -58,9 +59,12 @@
     seconds: float = 10.0,
     entries: int = 3,
     workers: int = 4,
+    kinds: Collection[str] = (),
 ) -> Report:
     """Run one seed and return its report.
 
+    :param kinds: Names of the faults to choose from; empty for all.
+
     :param directory: Directory for the settings and logs of the processes.
     :param seconds: Length of the period in which faults are started; they may end
         after it.
@@ -80,7 +84,8 @@
             lag_group.start_soon(_measure_lag, report)
             async with anyio.create_task_group() as group:
                 group.start_soon(callers.run)
-                await _inject_faults(installation, rng, seconds, report)
+                chosen = sorted(kinds or faults)
+                await _inject_faults(installation, rng, seconds, report, chosen)
                 # A precaution: each fault also ends by itself.
                 installation.restore()
                 report.late_violations += await _check_recovery(installation, callers)
@@ -112,7 +117,11 @@
 
 
 async def _inject_faults(
-    installation: Installation, rng: random.Random, seconds: float, report: Report
+    installation: Installation,
+    rng: random.Random,
+    seconds: float,
+    report: Report,
+    kinds: list[str],
 ) -> None:
     """Start faults, which may overlap, for a time and wait until all have ended."""
     ends_at = anyio.current_time() + seconds
@@ -120,27 +129,36 @@
     async with anyio.create_task_group() as group:
         while anyio.current_time() < ends_at:
             await anyio.sleep(rng.choice(FAULT_INTERVALS_S))
-            name = rng.choice(sorted(faults))
+            name = rng.choice(kinds)
             offset_s = anyio.current_time() - began_at
             report.faults.append(f"{offset_s:.2f} {name}")
             group.start_soon(faults[name], installation, random.Random(rng.random()))
 
 
 async def _check_recovery(installation: Installation, callers: Callers) -> list[str]:
-    """Check that jobs are served again and the newest configuration is in force.
+    """Check that entries and workers serve again with the newest configuration.
 
     Queues that a change removed are probed too: entries must no longer know them.
 
     :return: The limits that were not met, as text.
     """
     missed = []
-    with anyio.move_on_after(RECOVERY_LIMIT_S + LOOP_LAG_MARGIN_S) as timeout_scope:
+    workers = [runner.worker for runner in installation.runners]
+    starts_before = [len(worker.starts) for worker in workers]
+    recover_by = anyio.current_time() + RECOVERY_LIMIT_S + LOOP_LAG_MARGIN_S
+    with anyio.CancelScope(deadline=recover_by) as timeout_scope:
         await _wait_until_serving(callers)
     if timeout_scope.cancelled_caught:
         missed.append(
             f"recovery: not every entry served again within {RECOVERY_LIMIT_S} s after "
             "the last fault, plus a margin for the event loop's lag"
         )
+    with anyio.CancelScope(deadline=recover_by) as timeout_scope:
+        for worker, before in zip(workers, starts_before, strict=True):
+            while len(worker.starts) == before:
+                await anyio.sleep(0.05)
+    if timeout_scope.cancelled_caught:
+        missed.append(f"recovery: no run started on {worker.name} in the same time")
     newest = installation.changes[-1]
     with anyio.move_on_after(
         CONFIGURATION_LIMIT_S + LOOP_LAG_MARGIN_S
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,10 +5,14 @@
 from types import SimpleNamespace
 
 import anyio
+import msgspec
 import pytest
 
 from emulator.addresses import free_address
-from marigoldkeel.fleet.work import RunEnd, RunId, TaskId
+from emulator.runners import RunnerEmulator
+from emulator.stores import Lease, StoreEmulator
+from emulator.workers import EmulatedWorker
+from marigoldkeel.fleet.work import Resources, RunEnd, RunId, TaskId
 from soak.callers import (
     CONNECTION_LOST,
     NOT_CONNECTED,
@@ -27,8 +31,10 @@
     pair_ends,
     timed_checks,
 )
+from soak.faults import FOREIGN_REPORTS, faults, foreign_faults, foreign_report
 from soak.installations import PlanChange
 from soak.programs import Disturbance, Program
+from soak.records import OverwrittenRecords
 from soak.runs import run_seed
 
 
@@ -39,6 +45,8 @@
 SHORT_S = 4.0
 # With seeds 8 and 9, a connection that was reset before it was accepted ended an agent.
 REGRESSIONS = (8, 9)
+# With this seed, each fault of another writer occurs within three seconds.
+FOREIGN_SEED = 6
 
 
 class SampleRun:
@@ -188,7 +196,13 @@
 
 @pytest.mark.parametrize(
     "outcome, kind",
-    [(CONNECTION_LOST, "killed"), (TIMED_OUT, "paused"), (NOT_CONNECTED, "stopped")],
+    [
+        (CONNECTION_LOST, "killed"),
+        (TIMED_OUT, "paused"),
+        (NOT_CONNECTED, "stopped"),
+        (TIMED_OUT, "cut off"),
+        (CONNECTION_LOST, "cut off"),
+    ],
 )
 def test_attempts_at_disturbed_entries_are_no_violations(outcome, kind, tmp_path):
     sample = SampleRun(tmp_path)
@@ -200,11 +214,69 @@
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_short_run_has_no_violations(seed, tmp_path):
     """Checks with a time limit are left to manual runs of the soak test."""
-    report = anyio.run(run_seed, seed, tmp_path, SHORT_S)
+    kinds = faults.keys() - foreign_faults.keys()
+    report = anyio.run(run_seed, seed, tmp_path, SHORT_S, 3, 4, kinds)
     assert report.violations == [], report.faults
     assert report.jobs
 
 
+def test_short_run_with_other_writers_has_no_violations(tmp_path):
+    run = (run_seed, FOREIGN_SEED, tmp_path, SHORT_S, 3, 4, foreign_faults)
+    report = anyio.run(*run)
+    assert report.violations == [], report.faults
+    assert {text.split()[1] for text in report.faults} == set(foreign_faults)
+
+
+@pytest.mark.parametrize("kind", [*FOREIGN_REPORTS, "unreadable", "boot"])
+def test_foreign_report_differs_from_that_of_the_worker(kind):
+    own = RunnerEmulator(EmulatedWorker("i-1", "service", "a", Resources(1))).report()
+    content = foreign_report(own, kind, boot_change=-1)
+    if kind == "unreadable":
+        with pytest.raises(UnicodeDecodeError):
+            content.decode()
+        return
+    report = msgspec.json.decode(content)
+    changed = {"born": own["born"] - 1} if kind == "boot" else FOREIGN_REPORTS[kind]
+    assert report == {**own, **changed} != own
+
+
+RECORD_KEY = "marigoldkeel/daemons/agent-0"
+
+
+def restart_owner(store):
+    store.put(RECORD_KEY, b"restarted", lease=1)
+
+
+def end_lease(store):
+    store.leases.clear()
+
+
+@pytest.mark.parametrize(
+    ("meanwhile", "left"),
+    [
+        (lambda store: None, b"second"),
+        (restart_owner, b"restarted"),
+        (end_lease, None),
+    ],
+)
+def test_overwritten_record_is_set_back_to_what_its_owner_wrote_last(meanwhile, left):
+    store = StoreEmulator()
+    store.leases[1] = Lease(10.0, 10.0)
+    records = OverwrittenRecords(store)
+    for own in (b"first", b"second"):
+        store.put(RECORD_KEY, own, lease=1)
+        assert records.own_value(RECORD_KEY) == own
+    for value in (b"elsewhere", records.first[RECORD_KEY]):
+        records.overwrite(RECORD_KEY, value)
+        assert store.items[RECORD_KEY].value == value
+        assert records.own_value(RECORD_KEY) == b"second"
+    meanwhile(store)
+    for _ in range(2):
+        records.set_back(RECORD_KEY)
+        item = store.items.get(RECORD_KEY)
+        assert (item and item.value) == left
+
+
 def test_no_address_is_handed_out_twice(monkeypatch):
     ports = iter([15_000, 15_000, 15_001])
     monkeypatch.setattr(random, "randrange", lambda *bounds: next(ports))
