Hold up closes in the emulator's proxy as it holds up bytes

Cause: a proxy that blocked a direction still passed on the close of a connection on which no bytes waited, and connected a client that had given up during the silence. So a daemon learned through a silent link that its peer had gone, and would have got requests that no network delivers. Needed for silent links between callers and entries.

Change: the close waits with the bytes before it and passes together with them. A client that left during the silence is not connected. A proxy can answer a request that its target refuses, so that a caller still knows that nothing was sent.

--- a/emulator/proxies.py
+++ b/emulator/proxies.py
@@ -12,6 +12,8 @@
 RECEIVE_CHUNK_BYTES = 65_536
 # SO_LINGER value with which close() sends RST instead of an orderly FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# State of an open connection in TCP_INFO.
+TCP_ESTABLISHED = 1
 
 
 class ProxiedConnection:
@@ -68,15 +70,47 @@
             group.start_soon(self._copy, self.server_stream, self.client_stream, "back")
 
     async def _copy(self, source, sink, direction: str) -> None:
-        try:
-            while True:
-                data = await source.receive(RECEIVE_CHUNK_BYTES)
-                if self.delay_s:
-                    await anyio.sleep(self.delay_s)
-                await self.unblocked[direction].wait()
-                await sink.send(data)
-        except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+        while True:
+            chunks = [await _receive(source)]
+            if self.delay_s:
+                await anyio.sleep(self.delay_s)
+            while not self.unblocked[direction].is_set():
+                await self._read_while_blocked(source, direction, chunks)
+            # A close that was held up passes together with the bytes before it.
+            with suppress(anyio.BrokenResourceError, OSError):
+                await sink.send(b"".join(chunks))
+                if chunks[-1]:
+                    continue
+                await sink.send_eof()
             self.scope.cancel()
+            return
+
+    async def _read_while_blocked(
+        self, source, direction: str, chunks: list[bytes]
+    ) -> None:
+        async def read() -> None:
+            while chunks[-1]:
+                chunks.append(await _receive(source))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(read)
+            await self.unblocked[direction].wait()
+            group.cancel_scope.cancel()
+
+
+async def _receive(source) -> bytes:
+    """Return the next bytes, or none at the end of the stream."""
+    try:
+        return await source.receive(RECEIVE_CHUNK_BYTES)
+    except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+        return b""
+
+
+def _has_left(stream) -> bool:
+    """Return whether the other end has closed a connection."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    state = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    return state != TCP_ESTABLISHED
 
 
 class Proxy:
@@ -91,9 +125,11 @@
     :ivar silent: Whether new connections are accepted but not forwarded, as behind a
         network partition.
     :ivar blocked: Blocked directions; ``towards`` the target, or ``back``.
+    :param refusal: Sent in answer to a request if the target accepts no connection.
     """
 
-    def __init__(self, address: str, target: str):
+    def __init__(self, address: str, target: str, refusal: bytes = b""):
+        self.refusal = refusal
         self.address = address
         self.target = target
         self.silent = False
@@ -145,11 +181,18 @@
     async def _accept(self, client_stream: anyio.abc.SocketStream) -> None:
         while self.silent:
             await self.restored.wait()
+        if _has_left(client_stream):
+            # Its connection never came about, so the target sees nothing of it.
+            await anyio.aclose_forcefully(client_stream)
+            return
         host, port = parse_address(self.target)
         try:
             server_stream = await anyio.connect_tcp(host, port)
         except OSError:
-            await anyio.aclose_forcefully(client_stream)
+            if self.refusal and await _receive(client_stream):
+                with suppress(anyio.BrokenResourceError):
+                    await client_stream.send(self.refusal)
+            await client_stream.aclose()
             return
         connection = ProxiedConnection(client_stream, server_stream)
         connection.delay_s = self.delay_s
