Let leases of owners expire on an agent that is paused again and again

What callers saw: nothing yet; found by reading: a task can run twice.

Cause: a tick more than 0.25 s after the last one expires no lease, since messages of owners may be unread after a pause. On a machine that is slowed down, every tick can come that late, so the runs of an owner that was cut off were kept, and the worker's lease renewed, for as long as that lasted.

Ruled out: expiring leases at a late tick as of now, which would stop sound runs after one pause.

Change: a late tick expires the leases that had expired at the tick before; what had arrived by then has been read.

Evidence: the test with ticks every 0.26 and 0.3 s fails before (no stop within 1.16 s) and passes after; test_paused_agent_reads_pending_messages_before_it_expires_owners and the plays of paused entries and agents (30 cases) pass.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -513,12 +513,13 @@
 
     def tick(self) -> None:
         """Stop unclaimed runs, stalled runs, and runs whose owner's lease expired."""
-        now = self.suspended_clock()
-        was_paused = now - self.last_tick_at > OWNER_LEASE_S / 2
+        now, last_tick_at = self.suspended_clock(), self.last_tick_at
         self.last_tick_at = now
+        was_paused = now - last_tick_at > OWNER_LEASE_S / 2
         if was_paused:
-            # This process was paused; messages from owners may still be unread.
-            return
+            # This process was paused; messages from owners may still be unread, but
+            # those from before the last tick have been read.
+            now = last_tick_at
         owners_with_runs = {run.owner for run in self.runs.values()}
         for owner in list(self.owners.values()):
             is_expired = not (
@@ -533,6 +534,8 @@
                     ),
                 ).info("owner {} dropped: its lease has expired", owner.name)
                 self._remove_owner(owner)
+        if was_paused:
+            return
         now = self.clock()
         for run in list(self.runs.values()):
             if (
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -220,6 +220,24 @@
     assert agent.stops() == []
 
 
+@pytest.mark.parametrize("interval_s", [0.05, 0.2, 0.26, 0.3])
+def test_agent_that_is_paused_again_and_again_stops_the_runs_of_a_lost_owner(
+    interval_s,
+):
+    # Guards against a task that ran twice: on a machine that is slowed down, each tick
+    # came after a pause, so the lease of an owner that was cut off never expired.
+    agent = Agent()
+    agent.start(0)
+    lost_at = agent.clock.now
+    agent.supervisor.tick()
+    while not agent.stops():
+        agent.clock.now += interval_s
+        agent.poll(run_id(0))
+        agent.supervisor.tick()
+        # Stopping a run takes up to 0.1 s.
+        assert agent.clock.now + 0.1 < lost_at + LOST_AGENT_TIMEOUT_S
+
+
 def test_runs_of_an_earlier_incarnation_of_an_owner_are_stopped():
     agent = Agent()
     agent.start(0)
