Do not repeat runs that the next boot of a worker has started

Cause: a worker that crashes is up again before its agent notices, which takes up to the 0.2 s of a poll, and carries out and answers start orders meanwhile. The poll that showed the new boot ended all runs whose orders had been answered, although it listed them. Their owner repeated them, while the agent only stopped them as unknown ones.

Not shown by the logs, which do not list the starts on a worker: that no order was repeated.

Change: a run that the poll shows as running or ended is one of the new boot and goes on. One whose order was answered only after this poll was sent, and which it does not show, is stopped at the new boot before its owner is told. Its end is "lapsed" and not "refused", since it may have run. Others end with the restart, as before.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -342,7 +342,7 @@
             if not poll.boot or requested_at <= self.polled_at:
                 self._log_ignored_poll(poll)
                 return
-            self._reset_for_boot(poll.boot)
+            self._reset_for_boot(poll, requested_at)
         now = self.clock()
         if self.polled_at == float("-inf"):
             self.first_polled_at = now
@@ -672,19 +672,31 @@
             return "too many tasks of the step are here"
         return ""
 
-    def _reset_for_boot(self, boot: int) -> None:
+    def _reset_for_boot(self, poll: WorkerPoll, requested_at: float) -> None:
         """Discard the state of the previous boot, whose runs ended with the restart.
 
-        A start order that is still unanswered, or whose run was never shown to exist,
-        may still reach the new boot, so its run is stopped there.
+        The new boot may have carried out orders already: a run that the poll shows goes
+        on. A start order that is unanswered, or was answered after the poll was sent,
+        may have reached the new boot or may still do so. Its run is stopped there.
         """
+        boot = poll.boot
         if self.boot:
             logger.bind(runs=len(self.runs)).info("worker restarted, boot {}", boot)
+            shown = {row.run_id for row in [*poll.running, *poll.ended]}
             for run in list(self.runs.values()):
-                if run.started_at is None or run.order_answered_at is None:
-                    self._stop_again(run)
-                else:
+                is_answered = (
+                    run.started_at is not None and run.order_answered_at is not None
+                )
+                is_shown = run.run_id in shown
+                is_gone = (
+                    is_answered
+                    and not is_shown
+                    and run.order_answered_at < requested_at
+                )
+                if is_gone:
                     self._finish(run, RunEnd.LAPSED, "the worker has restarted")
+                elif not (is_answered and is_shown and run.phase == Phase.RUNNING):
+                    self._stop_again(run)
         self.boot = boot
         self.identity = None
         self.report_sequence = -1
@@ -863,7 +875,7 @@
 
     def _settle_missing(self, run: Run) -> None:
         """Remove a run that the worker no longer lists, and notify its owner."""
-        if run.confirmed or run.phase == Phase.RUNNING:
+        if run.confirmed or run.started_at is not None:
             self._finish(run, RunEnd.LAPSED, NOT_LISTED)
         else:
             # The worker refuses a start order that arrives after the stop order.
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -486,6 +486,39 @@
     assert agent.events() == [ended(run_id(0), RunEnd.STOPPED)]
 
 
+def test_run_that_the_next_boot_has_started_goes_on():
+    # Guards against a task that ran twice: between a restart and the poll that showed
+    # it, the next boot had answered a start order, and its run counted as ended.
+    agent = Agent()
+    agent.start(0)
+    agent.poll(run_id(0), boot=8)
+    assert agent.events() == []
+    assert agent.stops() == []
+    agent.poll(boot=8, ended=[RunEndRecord(1, run_id(0), RunEnd.DONE)])
+    assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
+
+
+def test_run_that_the_next_boot_has_ended_is_not_repeated():
+    agent = Agent()
+    agent.start(0)
+    agent.poll(boot=8, ended=[RunEndRecord(1, run_id(0), RunEnd.DONE)])
+    assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
+
+
+def test_run_that_the_next_boot_may_have_started_is_stopped_there():
+    # The order was answered while the poll was on its way.
+    agent = Agent()
+    requested_at = agent.clock.now + 0.001
+    agent.clock.now += 0.002
+    agent.start(0)
+    agent.supervisor.record_poll(WorkerPoll(8), requested_at)
+    assert agent.events() == []
+    assert agent.stops() == [run_id(0)]
+    agent.supervisor.record_stop_outcome(agent.supervisor.runs[run_id(0)], True)
+    agent.poll(boot=8)
+    assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
+
+
 def test_start_order_that_never_reaches_the_next_boot_is_refused():
     agent = Agent()
     agent.start(0, answer=None)
