--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -264,6 +264,31 @@
     assert agent.connection.closed
 
 
+@pytest.mark.parametrize(
+    "late",
+    [start_message(0), StopRuns(2, start_message(1).run_ids()), Renew(2)],
+    ids=["start order", "stop order", "renewal"],
+)
+def test_message_of_an_earlier_connection_has_no_effect_after_an_attach(late):
+    # Guards against a task that ran twice: an agent told an owner that it did not know
+    # a run, and then read its start order from the connection before.
+    agent = LinkedAgent()
+    agent.receive(start_message(1), 0.0)
+    agent.supervisor.take_orders()
+    agent.clock.now += 0.3
+    renewed_at = agent.clock.now - 0.2
+    attach = Attach(
+        5, OWNER, [HeldRun(run, CORE) for run in start_message(1).run_ids()]
+    )
+    attach.sent_ms = round((agent.boot_time_s() - 0.2) * 1000)
+    agent.links.message_received(Connection(), attach)
+    agent.receive(late, 0.05)
+    assert agent.supervisor.take_orders() == []
+    owner = agent.supervisor.owners[OWNER.incarnation]
+    assert owner.lease_renewed_at == pytest.approx(renewed_at, abs=0.002)
+    assert agent.connection.closed
+
+
 def test_sequence_numbers_of_a_link_continue_when_it_is_created_again():
     clock, fleet = Clock(), FleetView()
     owner = OwnerEndpoint(OWNER, fleet, clock)
