Read what has arrived before a stopping server closes its connections

Cause: the cancelled server closes its idle connections in the first round of the event loop after the drain, and the listener with the connections that wait there. What arrived during the round before is unread; if that round was late by more than 0.2 s, so are the callers that lose their request. asyncio besides drops connections that it has accepted and not yet handed over when their listener closes.

Ruled out: a longer pause before the end, which delays every stop and only moves the moment.

Change: the server stops accepting in the loop, takes the connections that wait, closes the listener in the same step, and closes idle connections only when nothing unread is on them, looking at most 20 rounds. Requests read so are answered as before.

Evidence: the new test sends 300 requests, one each 10 ms, over the end of a stop.

--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -1,9 +1,11 @@
 """A minimal HTTP framework on uvicorn for the daemons and the stand-in servers."""
 
+import asyncio
 import re
+import select
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import anyio
 import anyio.lowlevel
@@ -23,6 +25,11 @@
 # Rounds of the event loop in which it accepts a connection, reads a request and then
 # the end of the connection, and passes it on to the application.
 READ_ROUNDS = 6
+# Rounds until an accepted connection is among those of the server.
+ACCEPT_ROUNDS = 3
+# Rounds in which a stopping server waits for requests to be read, so that callers that
+# send again and again cannot keep it from stopping.
+MAX_UNREAD_CHECKS = 20
 
 
 async def read_pending_events() -> None:
@@ -240,6 +247,58 @@
         while not await self.on_tick(0):
             await anyio.sleep(TICK_INTERVAL_S)
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Read what has arrived, then shut down.
+
+        uvicorn closes idle connections whether or not a request on them is unread; if
+        the event loop is late, that request may have been sent long before.
+        """
+        if self.started:
+            await self._stop_accepting(sockets or [])
+            for _ in range(MAX_UNREAD_CHECKS):
+                if not self._has_unread_connections():
+                    break
+                await anyio.lowlevel.checkpoint()
+        await super().shutdown(sockets)
+
+    async def _stop_accepting(self, listeners: list[socket.socket]) -> None:
+        """Accept the connections that wait at the listeners, and close these."""
+        loop = asyncio.get_running_loop()
+        for listener in listeners:
+            loop.remove_reader(listener)
+        # asyncio drops connections that it has accepted if their server is closed.
+        for _ in range(ACCEPT_ROUNDS):
+            await anyio.lowlevel.checkpoint()
+        accepted = []
+        for listener in listeners:
+            with suppress(OSError):
+                while True:
+                    accepted.append(listener.accept()[0])
+        for server in self.servers:
+            server.close()
+        connecting = []
+        for connection in accepted:
+            connection.setblocking(False)
+            connecting.append(
+                loop.connect_accepted_socket(self._make_protocol, connection)
+            )
+        await asyncio.gather(*connecting, return_exceptions=True)
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        return self.config.http_protocol_class(
+            self.config, self.server_state, self.lifespan.state
+        )
+
+    def _has_unread_connections(self) -> bool:
+        """Return whether anything has arrived on a connection without a request."""
+        poller = select.poll()
+        for connection in self.server_state.connections:
+            is_idle = connection.cycle is None or connection.cycle.response_complete
+            if is_idle and not connection.transport.is_closing():
+                sock = connection.transport.get_extra_info("socket")
+                poller.register(sock, select.POLLIN)
+        return bool(poller.poll(0))
+
 
 async def serve_http(
     application: HttpApplication,
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,7 +1,11 @@
 """End-to-end tests over loopback, with emulated platform services and runners."""
 
+import asyncio
+import select
 import socket
 import struct
+import threading
+import time
 
 import anyio
 import httpcore
@@ -15,6 +19,8 @@
 
 
 pytestmark = pytest.mark.anyio
+# Later than this after its last byte, a request may not end without an answer.
+LOSS_SLACK_S = 0.2
 
 
 async def wait_for(condition, limit_s: float = 10.0) -> None:
@@ -416,3 +422,95 @@
         answer = await site.request(entry, "POST", site.job_path(), job)
         assert answer[0] == status
         assert len(site.started()) == (status == 200)
+
+
+class LateCallers:
+    """Connections on each of which a thread sends one job, one after the other.
+
+    :ivar lost: How long after its job was sent each connection ended without an answer.
+    """
+
+    INTERVAL_S = 0.01
+
+    def __init__(self, site: Site, entry, number: int, keeps_open: bool):
+        host, port = entry.settings.callers.address.split(":")
+        self.address = (host, int(port))
+        self.requests = []
+        for _ in range(number):
+            body = msgspec.json.encode(site.job(work_ms=10))
+            head = (
+                f"POST {site.job_path()} HTTP/1.1\r\nhost: {QUEUE_HOST}\r\n"
+                f"content-length: {len(body)}\r\n\r\n"
+            )
+            self.requests.append(head.encode() + body)
+        self.open = [self.connect() for _ in self.requests] if keeps_open else []
+        self.answered = 0
+        self.lost = []
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(self.address)
+
+    def run(self) -> None:
+        """Send until the entry has ended all connections or accepts no more."""
+        sent_at = {}
+        try:
+            for request in self.requests:
+                try:
+                    connection = self.open.pop() if self.open else self.connect()
+                    connection.sendall(request)
+                except OSError:
+                    break
+                sent_at[connection] = time.monotonic()
+                self.receive(sent_at, self.INTERVAL_S)
+            while sent_at:
+                self.receive(sent_at, 1.0)
+        finally:
+            for connection in (*sent_at, *self.open):
+                connection.close()
+
+    def receive(self, sent_at: dict, timeout_s: float) -> None:
+        until = time.monotonic() + timeout_s
+        while sent_at and (left_s := until - time.monotonic()) > 0:
+            for connection in select.select(list(sent_at), [], [], left_s)[0]:
+                try:
+                    answer = connection.recv(65536)
+                except ConnectionError:
+                    answer = b""
+                waited_s = time.monotonic() - sent_at.pop(connection)
+                connection.close()
+                # 504: the job had begun and was abandoned at the end of the stop.
+                if answer[:12] in (b"HTTP/1.1 200", b"HTTP/1.1 503", b"HTTP/1.1 504"):
+                    self.answered += 1
+                else:
+                    self.lost.append(waited_s)
+        if not sent_at:
+            time.sleep(max(0.0, until - time.monotonic()))
+
+
+@pytest.mark.parametrize("keeps_open", [True, False])
+@pytest.mark.parametrize("late_s", [0.0, 0.1, 0.25])
+async def test_planned_stop_answers_requests_that_a_late_event_loop_has_not_read(
+    monkeypatch, late_s, keeps_open
+):
+    # Guards against connections closed with requests unread that were sent more than
+    # 0.2 s before, when the event loop was late at the end of a planned stop.
+    monkeypatch.setattr(daemons, "BALANCER_DELAY_S", 0.1)
+    async with Site.open(entries=1, workers=1) as site:
+        (entry,) = site.entries
+        entry.settings.grace_s = 2.0
+        callers = LateCallers(site, entry, 300, keeps_open)
+        thread = threading.Thread(target=callers.run)
+
+        def delay_event_loop() -> None:
+            if thread.is_alive():
+                time.sleep(late_s)
+                loop.call_soon(delay_event_loop)
+
+        entry.stop()
+        await wait_for(lambda: entry.closing)
+        thread.start()
+        loop = asyncio.get_running_loop()
+        loop.call_soon(delay_event_loop)
+        await wait_for(lambda: not thread.is_alive(), 60.0)
+    assert callers.answered
+    assert [waited_s for waited_s in callers.lost if waited_s > LOSS_SLACK_S] == []
