Give reports of another worker another boot in the soak test

Cause: the fault also sent reports under another name with the worker's own boot. An agent that has no facts, as after an exit announcement, takes such a report for its worker's and from then on ignores the worker's own as another's; no run starts there until the worker restarts. Boots are milliseconds of the time of day, so no other worker has this one, and tests/fleet/test_supervisors.py already states that such a report counts.

Change: a report under another name has another boot, and late reports have the worker's own name. The agent still gets those under its own name with its own boot.

Evidence: tests/test_soak.py -k foreign passes.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,7 @@
 FOREIGN_INTERVAL_S = (0.0, 0.4)
 OVERWRITTEN_RANGE_S = (0.2, 3.0)
 CRASH_SHARE = 0.5
+LATE_REPORT_SHARE = 0.3
 # How far the boot of a crashed worker is from its last one, in milliseconds.
 BOOT_CHANGES_MS = (1, 5000)
 # How long before the pause of its process a link of callers may break.
@@ -266,13 +267,14 @@
 
 
 def foreign_report(report: dict, kind: str, boot_change: int) -> bytes:
-    """Return a report of another writer that is made from the worker's own one."""
+    """Return a report of another writer that is made from the worker's own one.
+
+    One of another worker has another boot, as no two start in the same millisecond.
+    """
     if kind == "unreadable":
         return b"\xff\x00{"
-    changed = {**report, **FOREIGN_REPORTS.get(kind, {})}
-    if kind not in FOREIGN_REPORTS:
-        changed["born"] = report["born"] + boot_change
-    return msgspec.json.encode(changed)
+    born = {"born": report["born"] + boot_change}
+    return msgspec.json.encode({**report, **born, **FOREIGN_REPORTS.get(kind, {})})
 
 
 async def _send_to_agent(
@@ -297,6 +299,8 @@
         worker = rng.choice((runner.worker.name, "i-foreign"))
         kind = rng.choice((*sorted(FOREIGN_REPORTS), "unreadable", "boot", "boot"))
         change = rng.choice((-1, 1)) * rng.randint(*BOOT_CHANGES_MS)
+        if worker == runner.worker.name and kind != "boot":
+            change = 0
         report = {**runner.report(), "seq": runner.sequence + rng.choice((0, 1))}
         content = foreign_report(report, kind, change)
         await _send_to_agent(installation, number, "PUT", worker, content)
@@ -313,9 +317,11 @@
         _crash(runner, rng)
     for _ in range(rng.randint(1, 4)):
         await anyio.sleep(rng.choice((0.0, rng.uniform(*FOREIGN_INTERVAL_S))))
-        worker = rng.choice((runner.worker.name, runner.worker.name, "i-foreign"))
-        method = rng.choice(("DELETE", "DELETE", "PUT"))
-        await _send_to_agent(installation, number, method, worker, report)
+        if rng.random() < LATE_REPORT_SHARE:
+            name, method = runner.worker.name, "PUT"
+        else:
+            name, method = rng.choice((runner.worker.name, "i-foreign")), "DELETE"
+        await _send_to_agent(installation, number, method, name, report)
 
 
 @foreign_fault
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -230,7 +230,7 @@
 @pytest.mark.parametrize("kind", [*FOREIGN_REPORTS, "unreadable", "boot"])
 def test_foreign_report_differs_from_that_of_the_worker(kind):
     own = RunnerEmulator(EmulatedWorker("i-1", "service", "a", Resources(1))).report()
-    content = foreign_report(own, kind, boot_change=-1)
+    content = foreign_report(own, kind, -1 if kind == "boot" else 0)
     if kind == "unreadable":
         with pytest.raises(UnicodeDecodeError):
             content.decode()
