Keep what the first agent of a read-only call may have run

What callers saw: a read-only call answered "not run" although its task may have run.

Cause: when the first agent may have run the call, the entry tries a second one, and only the result of the last agent decided. A second agent that refused the call or could not be reached turned "may have run" into "not run".

Change: a result "not started" does not replace the result of an earlier agent that may have run the call.

Evidence: three of the six cases of the new test fail before (not_run instead of failed) and all pass after, with the rest of tests/test_entries.py.

--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -401,8 +401,14 @@
             if remaining_s <= 0:
                 break
             self.board.detector.record_start(state.member.name, self.board.clock())
-            result = await self._run_on_agent(caller_request, state, remaining_s)
-            self.board.record_result(state.member.name, caller_request.kind, result)
+            latest = await self._run_on_agent(caller_request, state, remaining_s)
+            self.board.record_result(state.member.name, caller_request.kind, latest)
+            # A retry that was not started does not show that the first one was not.
+            if (
+                result.state == TaskState.NOT_STARTED
+                or latest.state != TaskState.NOT_STARTED
+            ):
+                result = latest
             if result.state in (TaskState.SUCCEEDED, TaskState.FAILED):
                 break
             # Unlimited retries would double the load on an overloaded fleet.
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -7,13 +7,25 @@
 import msgspec
 import pytest
 
+from marigoldkeel.admissions import CallerRequest
 from marigoldkeel.demo import LocalSystem
-from marigoldkeel.exceptions import Conflict, JobFailed, PeerUnavailable, Refused
+from marigoldkeel.entries import Entry
+from marigoldkeel.exceptions import (
+    Conflict,
+    JobFailed,
+    PeerLost,
+    PeerUnavailable,
+    Refused,
+)
+from marigoldkeel.heartbeats import PeerState
 from marigoldkeel.identifiers import mint_submission_id, wall_clock_ms
+from marigoldkeel.messages import Ran, TaskResult
+from marigoldkeel.models import Member, Outcome, Priority, TaskState
 from marigoldkeel.partitions import PartitionTable
 from marigoldkeel.revisions import RevisionRegister
 from marigoldkeel.runners import Faults
 from marigoldkeel.servers import MAX_BODY_BYTES
+from marigoldkeel.settings import Settings, StoreSettings
 
 
 pytestmark = pytest.mark.anyio
@@ -366,3 +378,52 @@
         headers = {"Marigoldkeel-Submission": str(submission_id)}
         _, answer, _ = await post(system, "/v1/jobs", headers, b"[1]")
         assert answer["outcome"] == outcome
+
+
+class AnsweringAgents:
+    """Replies to each read-only call with the next of ``replies``, or raises it."""
+
+    def __init__(self, replies):
+        self.replies = list(replies)
+
+    async def request(self, address, run, timeout_s):
+        reply = self.replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return Ran([TaskResult(0, reply, b"1")])
+
+
+LOST = PeerLost("connection lost", "request", "a")
+UNREACHABLE = PeerUnavailable("connection refused", "connect", "a")
+
+
+@pytest.mark.parametrize(
+    ("replies", "outcome"),
+    [
+        ([TaskState.NOT_STARTED, UNREACHABLE], Outcome.NOT_RUN),
+        ([TaskState.NOT_STARTED, LOST], Outcome.FAILED),
+        ([LOST, TaskState.NOT_STARTED], Outcome.FAILED),
+        ([LOST, UNREACHABLE], Outcome.FAILED),
+        ([TaskState.MAY_HAVE_RUN, TaskState.NOT_STARTED], Outcome.FAILED),
+        ([LOST, TaskState.SUCCEEDED], Outcome.COMPLETE),
+    ],
+)
+async def test_retry_that_was_not_started_does_not_hide_a_read_only_call_that_ran(
+    replies, outcome
+):
+    """Guards against a "not run" for a call whose first agent may have run it."""
+    settings = Settings(
+        name="e", domain="x", listen="", http="", store=StoreSettings("")
+    )
+    entry = Entry.from_settings(settings)
+    entry.peers = AnsweringAgents(replies)
+    for name in "ab":
+        state = PeerState(Member(name, f"{name}@1", name), 0.0, 4, kinds=["quote"])
+        entry.board.peers.observe(state, entry.board.clock())
+    call = CallerRequest()
+    call.submission_id, call.kind, call.body = mint_submission_id().bytes, "quote", b""
+    call.priority, call.deadline_s, call.unanswered = Priority.NORMAL, 10.0, 0
+    answer = await entry._run_read_only(call)
+    assert not entry.peers.replies
+    assert answer.outcome is outcome
+    assert answer.may_have_run == ([0] if outcome is Outcome.FAILED else [])
