Answer a read-only call "not run" only if no other entry can have it

What callers saw: "not run" for a read-only call that had run through another entry while this one restarted.

Cause: read-only calls have no claim, and their refusal looked only at what the caller stated, not at whether the id is older than the entry.

Change: their refusal counts the possible attempts, like every other refusal by the entry itself.

Evidence: the case of a read-only call with an id that is 60 s old fails before (not_run) and passes after, with the rest of tests/test_entries.py.

--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -414,7 +414,7 @@
             # Unlimited retries would double the load on an overloaded fleet.
             if not self.retry_budget.try_retry(self.board.clock()):
                 break
-        return answer_from_result(result, caller_request.unanswered)
+        return answer_from_result(result, caller_request.possible_attempts)
 
     async def _run_on_agent(
         self, caller_request: CallerRequest, state, remaining_s
@@ -497,13 +497,13 @@
         raise InvalidInput(f"body is not JSON: {error}", "parse body") from error
 
 
-def answer_from_result(result: TaskResult, unanswered: int) -> Answer:
+def answer_from_result(result: TaskResult, possible_attempts: int) -> Answer:
     """Return the answer to a read-only call with the given result."""
     if result.state == TaskState.SUCCEEDED:
         body = b"[" + result.payload + b"]"
         return Answer(Outcome.COMPLETE, body, run_ms=result.run_ms)
     if result.state == TaskState.NOT_STARTED:
-        return refusal(result.message, unanswered, "run")
+        return refusal(result.message, possible_attempts, "run")
     answer = Answer(Outcome.FAILED, b"", result.message, "run", run_ms=result.run_ms)
     # The only task of a call has index 0.
     certainly_ran = result.state == TaskState.FAILED
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -360,8 +360,9 @@
 
 
 @pytest.mark.parametrize(("age_s", "outcome"), [(0.0, "not_run"), (60.0, "unknown")])
+@pytest.mark.parametrize("path", ["/v1/jobs", "/v1/calls/stock-check"])
 async def test_refusal_of_an_id_older_than_the_entry_is_unknown(
-    monkeypatch, age_s, outcome
+    monkeypatch, path, age_s, outcome
 ):
     """Guards against a "not run" for an id that ran elsewhere during a restart.
 
@@ -376,7 +377,7 @@
         monkeypatch.setattr(system.entries[0].peers, "connect", fail)
         submission_id = mint_submission_id(wall_clock_ms() - round(1000 * age_s))
         headers = {"Marigoldkeel-Submission": str(submission_id)}
-        _, answer, _ = await post(system, "/v1/jobs", headers, b"[1]")
+        _, answer, _ = await post(system, path, headers, b"[1]")
         assert answer["outcome"] == outcome
 
 
@@ -422,7 +423,7 @@
         entry.board.peers.observe(state, entry.board.clock())
     call = CallerRequest()
     call.submission_id, call.kind, call.body = mint_submission_id().bytes, "quote", b""
-    call.priority, call.deadline_s, call.unanswered = Priority.NORMAL, 10.0, 0
+    call.priority, call.deadline_s, call.possible_attempts = Priority.NORMAL, 10.0, 0
     answer = await entry._run_read_only(call)
     assert not entry.peers.replies
     assert answer.outcome is outcome
