Give up an agent's work only after a later start of it was heard

What callers saw: "agent c@2 was lost with task 0" for a job whose task runs on a sound agent.

Cause: any incarnation other than the last one heard under a name counted as restarted, so its work was given up at once. That was wrong in two orders of events. An offer sent to the address of an agent that has just been restarted is taken by the new process, up to a heartbeat before it is heard: its tasks were given up at the next check (0.25 s). And a heartbeat of the earlier process that arrives late (after a pause, or from a second process of the name) took the place of the restarted one, whose work was then given up.

Ruled out: telling the two apart by the incarnation (it has no order), and giving up a restarted agent's work only after silence (jobs would wait 10 s for work that is gone).

Change: the table notes which incarnations were followed by another one. These are given up at once, as before, and their heartbeats are disregarded unless the later one is lost (10 s). An incarnation that was not heard yet is given the same time as a silent one.

Evidence: three of the five cases of the new test in tests/test_memberships.py, the test of a peer that was never heard and the one in tests/test_primaries.py fail before (the last with "agent c@2 was lost with task 0") and pass after, with the other tests of both files and those of the claim protocol, the followers and the ejection.

--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -1,10 +1,11 @@
 """Failure detection by heartbeats, with a bounded table of peers.
 
 Guarantees: a peer that has sent nothing for ``suspect_after_s`` is suspected, and a
-restarted peer is known under its new incarnation only. `PeerTable.is_suspected` states
-from when this time is counted. A suspicion may be wrong: it may trigger a change of
-members, but must never be taken as proof that a peer has stopped. A peer that is silent
-for ``lost_after_s`` counts as lost: what it may be running is given up.
+restarted peer is known under its new incarnation only; a late heartbeat of an earlier
+incarnation changes nothing. `PeerTable.is_suspected` states from when this time is
+counted. A suspicion may be wrong: it may trigger a change of members, but must never be
+taken as proof that a peer has stopped. A peer that is silent for ``lost_after_s``
+counts as lost: what it may be running is given up.
 
 Assumptions: the local clock is monotonic. Nothing is assumed about the network.
 
@@ -30,6 +31,8 @@
 # This limit bounds the heartbeat traffic. Two peers exchange one heartbeat and its
 # reply per HEARTBEAT_INTERVAL_S, or one each way if they are members of a partition.
 MAX_PEERS = 16
+# A restart is forgotten after this many others.
+MAX_REPLACED = 256
 HEARTBEAT_INTERVAL_S = 1.0
 # Heartbeat interval that a daemon with a full table requests from senders without a
 # place in it. Their heartbeats ask whether there is a place by now. If 3,900 agents
@@ -63,6 +66,7 @@
     There are more than ``max_peers`` only if `observe` was told to keep them.
 
     :ivar states: The states of the peers by name.
+    :ivar replaced: The incarnations after which another one of the same name was heard.
     :ivar expected_since: Time since which a peer that is not in ``states`` is expected
         to send a heartbeat, by incarnation.
     :ivar entries_heard_at: Time of the last heartbeat of each entry, by name.
@@ -79,6 +83,7 @@
         self.lost_after_s = LOST_AFTER_S
         self.max_peers = max_peers
         self.states: dict[str, PeerState] = {}
+        self.replaced: dict[str, None] = {}
         self.expected_since: dict[str, float] = {}
         self.entries_heard_at: dict[str, float] = {}
         self.no_answer_since: dict[str, float] = {}
@@ -96,11 +101,16 @@
         In a full table, a new peer replaces the one heard from least recently, provided
         that it is silent for longer than ``suspect_after_s``.
 
+        A heartbeat of an incarnation that was replaced is late, or two processes have
+        one name. It is disregarded unless the incarnation that replaced it is lost.
+
         :param must_keep: Whether the peer is added even if the table is full.
         :return: False if the table is full and the peer was not added.
         """
         state.heard_at = now
         name = state.member.name
+        if not self._supersede(state.member, now):
+            return True
         # The time before this heartbeat is not silence. If the peer is not added or is
         # removed later, the next call of is_suspected() records a new time.
         self.expected_since.pop(state.member.incarnation, None)
@@ -115,6 +125,22 @@
         self.states[name] = state
         return True
 
+    def _supersede(self, member: Member, now: float) -> bool:
+        """Record that another incarnation of a peer is replaced by ``member``.
+
+        :return: False if ``member`` itself was replaced.
+        """
+        known = self.states.get(member.name)
+        if known is not None and known.member.incarnation != member.incarnation:
+            current = known.member.incarnation
+            if member.incarnation in self.replaced and not self.is_lost(current, now):
+                return False
+            self.replaced[current] = None
+            if len(self.replaced) > MAX_REPLACED:
+                del self.replaced[next(iter(self.replaced))]
+        self.replaced.pop(member.incarnation, None)
+        return True
+
     def expect_heartbeat(self, incarnation: str, now: float) -> None:
         """Record that a peer is expected to send a heartbeat from ``now`` on.
 
@@ -156,8 +182,8 @@
     def is_suspected(self, incarnation: str, now: float) -> bool:
         """Return whether a peer has been silent for too long or was restarted.
 
-        Silence is counted from the last heartbeat or, for a peer that is not in the
-        table, from the first call that does not find it. A peer is therefore not
+        Silence is counted from the last heartbeat or, for an incarnation that is not in
+        the table, from the first call that does not find it. A peer is therefore not
         suspected right after `remove_expired` has removed it.
         """
         return self._is_replaced_or_silent(incarnation, now, self.suspect_after_s)
@@ -165,9 +191,9 @@
     def is_lost(self, incarnation: str, now: float) -> bool:
         """Return whether what a peer was running is to be given up.
 
-        That is the case at once if it was restarted. A peer that is only silent may be
-        paused or cut off and still complete its work, so it is given more time than
-        until it is suspected.
+        That is the case at once if a later start of it was heard. A peer that is only
+        silent may be paused or cut off and still complete its work, so it is given more
+        time than until it is suspected.
         """
         silence_s = max(self.suspect_after_s, self.lost_after_s)
         return self._is_replaced_or_silent(incarnation, now, silence_s)
@@ -175,13 +201,14 @@
     def _is_replaced_or_silent(
         self, incarnation: str, now: float, silence_s: float
     ) -> bool:
-        state = self.states.get(incarnation.partition("@")[0])
-        if state is None:
-            self.expect_heartbeat(incarnation, now)
-            return now - self.expected_since[incarnation] > silence_s
-        if state.member.incarnation != incarnation:
+        state = self.state_of(incarnation)
+        if state is not None:
+            return now - state.heard_at > silence_s
+        if incarnation in self.replaced:
             return True
-        return now - state.heard_at > silence_s
+        # A start that was not heard of yet may be a later one than that in the table.
+        self.expect_heartbeat(incarnation, now)
+        return now - self.expected_since[incarnation] > silence_s
 
     def record_answer(self, incarnation: str, now: float) -> None:
         """Record that a peer answered a request sent to its address."""
--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -7,7 +7,12 @@
 from marigoldkeel import failover
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.demo import LocalSystem
-from marigoldkeel.heartbeats import FULL_TABLE_INTERVAL_S, PeerState, PeerTable
+from marigoldkeel.heartbeats import (
+    FULL_TABLE_INTERVAL_S,
+    MAX_REPLACED,
+    PeerState,
+    PeerTable,
+)
 from marigoldkeel.memberships import (
     CHECK_INTERVAL_S,
     MAX_LEARNED_CONTACTS,
@@ -93,6 +98,48 @@
     assert not table.is_suspected("a@2", 0.2)
 
 
+@pytest.mark.parametrize(
+    ("heard", "given_up", "live"),
+    [
+        # A restart.
+        ([("a@1", 0.0), ("a@2", 0.1)], ["a@1"], ["a@2"]),
+        # A heartbeat of the earlier start arrives late, or that process still runs.
+        ([("a@1", 0.0), ("a@2", 0.1), ("a@1", 0.2)], ["a@1"], ["a@2"]),
+        # The same while the restarted agent is paused.
+        ([("a@1", 0.0), ("a@2", 0.1), ("a@1", 9.0)], ["a@1"], []),
+        # The earlier start is the one that goes on running.
+        ([("a@1", 0.0), ("a@2", 0.1), ("a@1", 10.2)], ["a@2"], ["a@1"]),
+        # Nothing was heard yet of the restarted agent.
+        ([("a@1", 0.0)], [], ["a@1"]),
+    ],
+)
+def test_heartbeat_of_an_earlier_start_does_not_end_the_work_of_a_sound_agent(
+    heard, given_up, live
+):
+    """Guards against sound work that is given up because of an outdated heartbeat."""
+    table = PeerTable()
+    for incarnation, now in heard:
+        table.observe(PeerState(Member("a", incarnation)), now)
+    lost = [name for name in ("a@1", "a@2") if table.is_lost(name, now)]
+    assert lost == given_up
+    assert [state.member.incarnation for state in table.live_agents(now)] == live
+
+
+def test_peer_that_never_sends_a_heartbeat_is_lost_in_the_end():
+    table = PeerTable()
+    table.observe(PeerState(Member("a", "a@1")), 0.0)
+    suspected = [table.is_suspected("a@2", now) for now in (0.0, 2.9, 3.1)]
+    lost = [table.is_lost("a@2", now) for now in (9.9, 10.1)]
+    assert (suspected, lost) == ([False, False, True], [False, True])
+
+
+def test_starts_of_a_peer_that_restarts_all_the_time_take_bounded_memory():
+    table = PeerTable()
+    for number in range(10 * MAX_REPLACED):
+        table.observe(PeerState(Member("a", f"a@{number}")), 0.1 * number)
+    assert len(table.replaced) == MAX_REPLACED
+
+
 @pytest.mark.parametrize("down_share", [0.0, 0.1, 0.2])
 def test_a_change_reaches_the_design_scale_within_eight_seconds(down_share):
     rows = {row["shape"]: row for row in simulate_fleet(3900, down_share, seed=1)}
--- a/tests/test_primaries.py
+++ b/tests/test_primaries.py
@@ -9,8 +9,16 @@
 from marigoldkeel.exceptions import ProtocolError
 from marigoldkeel.heartbeats import PeerState
 from marigoldkeel.identifiers import mint_submission_id, partition_of
-from marigoldkeel.messages import Claimed, Ran, Submit, TaskResult
-from marigoldkeel.models import Member, Outcome, PartitionRecord, TaskState
+from marigoldkeel.jobs import Job
+from marigoldkeel.messages import Claimed, Ran, Submit, Take, TaskResult
+from marigoldkeel.models import (
+    Member,
+    Outcome,
+    PartitionRecord,
+    Priority,
+    Submission,
+    TaskState,
+)
 from marigoldkeel.primaries import PrimaryController
 
 
@@ -191,6 +199,46 @@
     assert [answer.outcome for answer in answers] == [outcome]
 
 
+def make_running_job(board: Blackboard, tasks: int = 1) -> Job:
+    submission = Submission(
+        mint_submission_id().bytes,
+        0,
+        1,
+        "team",
+        "quote",
+        Priority.NORMAL,
+        board.clock() + 20,
+        [b"1"] * tasks,
+    )
+    job = Job(submission, b"digest", board.clock())
+    job.claimed = True
+    board.jobs[submission.submission_id] = job
+    return job
+
+
+@pytest.mark.anyio
+async def test_task_that_a_restarted_agent_takes_before_its_heartbeat_is_not_given_up():
+    """Guards against a job that fails although its task runs on a sound agent.
+
+    The offer goes to the address of the agent that was restarted in the meantime.
+    """
+    now = [100.0]
+    board = Blackboard(Member("a", "a@1", "a"), lambda: now[0])
+    board.registers[0] = ClaimRegister.as_primary(0, 1)
+    board.peers.observe(PeerState(Member("c", "c@1", "c")), now[0])
+    job = make_running_job(board)
+    primary = PrimaryController(board, None, make_policy("late_binding"), None)
+    grant = await primary.take(Take(job.submission.submission_id, "c@2", 1, 1))
+    assert [task.index for task in grant.tasks] == [0]
+    primary.reap()
+    now[0] += 1
+    board.peers.observe(PeerState(Member("c", "c@2", "c")), now[0])
+    primary.reap()
+    results = [TaskResult(0, TaskState.SUCCEEDED, b"1")]
+    await primary.take(Take(job.submission.submission_id, "c@2", 2, 0, results))
+    assert job.answer.outcome is Outcome.COMPLETE
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("submission_id", [b"", bytes(15), b"\xff" * 40])
 async def test_submission_with_an_invalid_id_claims_nothing(submission_id):
