Grant no task to an agent that is known to have been restarted

What callers saw: a failed job ("agent c@1 was lost with task 0") of which nothing had started.

Cause: a request for tasks that an agent sent before its restart may be read after the heartbeat of its next start, or come from a process that resumes after it was replaced. The task was granted, and given up at the next check because its holder had been replaced.

Change: such a request gets no task and is told that none is left; its results still count.

Evidence: the new test fails before (a grant with task 0) and passes after, with the rest of tests/test_primaries.py.

--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -392,6 +392,9 @@
         if job is None:
             return Grant()
         self._record(job, message.results, message.incarnation, message.sequence)
+        if message.incarnation in self.board.peers.replaced:
+            # Its tasks would be given up at the next check.
+            return Grant()
         register = self.board.registers.get(job.submission.partition)
         want = message.want
         if register is None or not register.is_primary:
--- a/tests/test_primaries.py
+++ b/tests/test_primaries.py
@@ -10,7 +10,7 @@
 from marigoldkeel.heartbeats import PeerState
 from marigoldkeel.identifiers import mint_submission_id, partition_of
 from marigoldkeel.jobs import Job
-from marigoldkeel.messages import Claimed, Ran, Submit, Take, TaskResult
+from marigoldkeel.messages import Claimed, Grant, Ran, Submit, Take, TaskResult
 from marigoldkeel.models import (
     Member,
     Outcome,
@@ -239,6 +239,24 @@
     assert job.answer.outcome is Outcome.COMPLETE
 
 
+@pytest.mark.anyio
+async def test_late_request_of_an_agent_that_was_restarted_gets_no_task():
+    """Guards against a job that fails because its task is granted to no one."""
+    board = Blackboard(Member("a", "a@1", "a"))
+    board.registers[0] = ClaimRegister.as_primary(0, 1)
+    for incarnation in ("c@1", "c@2"):
+        board.peers.observe(PeerState(Member("c", incarnation, "c")), board.clock())
+    job = make_running_job(board, tasks=2)
+    primary = PrimaryController(board, None, make_policy("late_binding"), None)
+    assert (
+        await primary.take(Take(job.submission.submission_id, "c@1", 1, 1)) == Grant()
+    )
+    grant = await primary.take(Take(job.submission.submission_id, "c@2", 1, 2))
+    assert [task.index for task in grant.tasks] == [0, 1]
+    primary.reap()
+    assert job.answer is None
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("submission_id", [b"", bytes(15), b"\xff" * 40])
 async def test_submission_with_an_invalid_id_claims_nothing(submission_id):
