Return a task that was pushed to an earlier start of the agent

What callers saw: a failed call although its task runs and succeeds on a sound agent.

Cause: a primary addresses a pushed task to the address of an agent. Until the first heartbeat of a restarted agent, or of another one at that address, the new process runs the task under the name of the old one. With that heartbeat the primary gives up what the old process held, while the task runs.

Ruled out: not giving up pushed tasks at a restart, since a host that ends without closing its connections would hold them until their deadline.

Change: a pushed task names the incarnation that it is meant for, and any other process returns it unstarted, so that it goes to another agent. Without a name (read-only calls, primaries of earlier versions) it runs as before.

Evidence: two of the four cases of the new test fail before (the task runs) and pass after. The fake agents in tests/test_primaries.py check the name: three of their tests fail without it. Pass with the change: tests of executors, primaries, transports, stragglers, cancellation and fuzz.

--- a/marigoldkeel/executors.py
+++ b/marigoldkeel/executors.py
@@ -133,6 +133,10 @@
         :raises ProtocolError: If the message is invalid; no task is started then.
         """
         check_submission_id(message.submission_id)
+        if message.incarnation not in ("", self.board.member.incarnation):
+            # The primary will give up what it pushed to the other process.
+            reason = "the task was pushed to another agent or an earlier start"
+            return Ran([not_started(task.index, reason) for task in message.tasks])
         deadline = self.board.clock() + message.deadline_ms / 1000
         pushed = [PushedTask(message, task, deadline) for task in message.tasks]
         for item in pushed:
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -145,6 +145,7 @@
   priority @4 :UInt8;
   deadlineMs @5 :UInt32;
   tasks @6 :List(TaskItem);
+  incarnation @7 :Text;
 }
 
 struct Ran {
--- a/marigoldkeel/messages.py
+++ b/marigoldkeel/messages.py
@@ -154,7 +154,8 @@
 class Run(Struct):
     """Pushes tasks to an agent, which replies with `Ran` when all have ended.
 
-    Generation 0 marks a read-only call, which needs no claim.
+    Generation 0 marks a read-only call, which needs no claim. ``incarnation`` is that
+    of the agent that is to run the tasks, or empty for whichever has the address.
     """
 
     partition: int = 0
@@ -164,6 +165,7 @@
     priority: int = 0
     deadline_ms: int = 0
     tasks: list[TaskItem] = field(default_factory=list)
+    incarnation: str = ""
 
 
 @message("ran")
--- a/marigoldkeel/primaries.py
+++ b/marigoldkeel/primaries.py
@@ -353,6 +353,7 @@
             submission.priority,
             int(remaining_s * 1000),
             [TaskItem(index, submission.payloads[index])],
+            member.incarnation,
         )
         try:
             reply = await self.peers.request(
--- a/tests/test_executors.py
+++ b/tests/test_executors.py
@@ -8,7 +8,16 @@
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.exceptions import ProtocolError
 from marigoldkeel.executors import Executor
-from marigoldkeel.messages import Grant, Probe, Run, TaskItem, TaskResult
+from marigoldkeel.messages import (
+    Envelope,
+    Grant,
+    Probe,
+    Run,
+    TaskItem,
+    TaskResult,
+    decode_frame,
+    encode_frame,
+)
 from marigoldkeel.models import Member, TaskState
 from marigoldkeel.queues import WorkQueue
 from marigoldkeel.targets import TargetInfo, TargetTable
@@ -83,6 +92,36 @@
     assert executor.adapter.started == started
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("incarnation", "state", "started"),
+    [
+        ("a@1", TaskState.NOT_STARTED, []),
+        ("b@1", TaskState.NOT_STARTED, []),
+        ("a@2", TaskState.SUCCEEDED, [0]),
+        # A primary of an earlier version, or a read-only call.
+        ("", TaskState.SUCCEEDED, [0]),
+    ],
+)
+async def test_task_pushed_to_an_earlier_start_of_the_agent_is_returned(
+    incarnation, state, started
+):
+    """Guards against a job that fails while its task runs on a restarted agent."""
+    board = Blackboard(Member("a", "a@2"))
+    with anyio.fail_after(HANG_LIMIT_S):
+        async with anyio.create_task_group() as group:
+            executor = make_executor(None, board, group)
+            group.start_soon(executor.run_forever)
+            tasks = [TaskItem(0, b"1")]
+            run = Run(PARTITION, 1, SUBMISSION, "quote", 1, 10_000, tasks)
+            run.incarnation = incarnation
+            (copy,) = decode_frame(encode_frame([Envelope(1, False, run)]))
+            ran = await executor.run(copy.content)
+            group.cancel_scope.cancel()
+    assert [result.state for result in ran.results] == [state]
+    assert executor.adapter.started == started
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     ("generation", "state", "started"),
--- a/tests/test_primaries.py
+++ b/tests/test_primaries.py
@@ -93,6 +93,7 @@
         if not hasattr(message, "tasks"):
             return Claimed(Verdict.ACCEPTED, message.generation)
         self.pushes.append(address)
+        assert message.incarnation == f"{address}@1"
         index = message.tasks[0].index
         if address in self.without_target:
             return Ran([TaskResult(index, TaskState.NOT_STARTED, b"", "no target")])
