Send heartbeats to a new partition peer whose table was full before

What callers would see: a partition that changes its members every few seconds in a large fleet, and refuses ids meanwhile.

Cause: a daemon with a full peer table tells a sender to come back after 300 s. The sender kept to that when both became members of a partition: it sent nothing to its new standby, took it for unreachable after 3 s because it had not answered, and replaced it; the standby, which heard nothing, suspected the sender. A new table version is announced early only within 60 s.

Change: a heartbeat to a partition peer is due after the usual interval, whatever it asked for earlier. The choice of due contacts is a method without I/O.

Evidence: the new test fails without the change ([0] instead of [0, 5, 6, 7, 8, 9], the seconds of the heartbeats) and passes with it; the contact that is no partition peer still gets one. Pass: tests/test_memberships.py. Not measured in a large fleet.

--- a/marigoldkeel/memberships.py
+++ b/marigoldkeel/memberships.py
@@ -61,22 +61,33 @@
             peers.lost_after_s = setting("lost_after_ms") / 1000
             for name in self.board.peers.remove_expired(now):
                 self.board.detector.remove(name, now)
-            contacts = self.contacts()
-            partition_peers = self._partition_peers()
-            self._prune(contacts, now)
-            has_new_version = self._has_new_version()
-            for address in contacts:
-                wait_s = self.due_at.get(address, 0.0) - now
-                # A contact whose full peer table lacks this daemon gets none early.
-                is_due = wait_s <= (EARLY_SEND_WINDOW_S if has_new_version else 0.0)
-                if address in self.in_flight or not is_due:
-                    continue
-                must_send = has_new_version or address in partition_peers
-                if must_send or not self._is_redundant(address, now):
-                    self.in_flight.add(address)
-                    self.group.start_soon(self._send, address)
+            for address in self._due_contacts(now):
+                self.in_flight.add(address)
+                self.group.start_soon(self._send, address)
             await anyio.sleep(CHECK_INTERVAL_S)
 
+    def _due_contacts(self, now: float) -> list[str]:
+        """Return the addresses to which a heartbeat is to be sent now."""
+        contacts = self.contacts()
+        partition_peers = self._partition_peers()
+        self._prune(contacts, now)
+        has_new_version = self._has_new_version()
+        due = []
+        for address in contacts - self.in_flight:
+            is_partition_peer = address in partition_peers
+            if is_partition_peer:
+                # A member of a partition always has a place in the table of the other.
+                latest = now + self._interval_s()
+                self.due_at[address] = min(latest, self.due_at.get(address, 0.0))
+            wait_s = self.due_at.get(address, 0.0) - now
+            # A contact whose full peer table lacks this daemon gets none early.
+            if wait_s > (EARLY_SEND_WINDOW_S if has_new_version else 0.0):
+                continue
+            must_send = has_new_version or is_partition_peer
+            if must_send or not self._is_redundant(address, now):
+                due.append(address)
+        return due
+
     def _has_new_version(self) -> bool:
         """Whether the configuration or the partition table changed since the last call.
 
--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -18,8 +18,8 @@
     MAX_LEARNED_CONTACTS,
     MembershipController,
 )
-from marigoldkeel.messages import Heartbeat
-from marigoldkeel.models import Member
+from marigoldkeel.messages import Heartbeat, HeartbeatReply
+from marigoldkeel.models import Member, PartitionRecord
 from marigoldkeel.transports import parse_address
 
 
@@ -209,6 +209,42 @@
     assert len(peers.live_agents(now[0])) == 1
 
 
+class FullPeer:
+    """Answers each heartbeat that there is no place in its table."""
+
+    def __init__(self, member):
+        self.member = member
+
+    async def request(self, address, message, timeout_s):
+        interval_ms = int(FULL_TABLE_INTERVAL_S * 1000)
+        return HeartbeatReply(self.member, is_agent=True, interval_ms=interval_ms)
+
+
+@pytest.mark.parametrize(
+    ("is_partition_peer", "seconds"), [(False, [0]), (True, [0, 5, 6, 7, 8, 9])]
+)
+async def test_new_partition_peer_with_a_full_table_gets_heartbeats_at_once(
+    is_partition_peer, seconds
+):
+    """Guards against a sound standby that is replaced because it was asked nothing.
+
+    Before both were members of a partition, it had no place for this daemon.
+    """
+    now = [0.0]
+    peer = member(1, "y")
+    controller = make_controller(now, contacts=[peer.address])
+    controller.peers = FullPeer(peer)
+    board, sent_at = controller.board, []
+    for tenth in range(100):
+        now[0] = tenth / 10
+        if tenth == 40 and is_partition_peer:
+            board.partitions.apply(PartitionRecord(0, 1, board.member, peer))
+        for address in controller._due_contacts(now[0]):
+            sent_at.append(tenth // 10)
+            await controller._send(address)
+    assert sent_at == seconds
+
+
 async def wait_until_closed(address: str) -> None:
     host, port = parse_address(address)
     while True:
