Count the silence of a new partition peer from when it is asked

What callers saw: a standby that was chosen in a failover is replaced at once although it is sound, again and again until one is chosen that has answered lately; ids are refused meanwhile.

Cause: of two contacts only one sends heartbeats, so the last answer of the other one may be long ago (an answer is forgotten after 60 s). When it became the standby, that time counted as "has not answered for 3 s".

Change: answers of peers that are not asked at every interval are forgotten, so the time of a new partition peer starts with the first check.

Evidence: three of the four cases of the new test in which the peer was asked before fail without the change in both variants (unreachable in the moment that it becomes the standby) and pass with it; a new standby that does not answer is still unreachable after 3.1 s.

--- a/marigoldkeel/heartbeats.py
+++ b/marigoldkeel/heartbeats.py
@@ -214,6 +214,16 @@
         """Record that a peer answered a request sent to its address."""
         self.no_answer_since[incarnation] = now
 
+    def forget_answers(self, except_of: set[str]) -> None:
+        """Forget when peers answered, except those that are asked at every interval.
+
+        The last answer of any other may be long ago although it is sound.
+
+        :param except_of: The incarnations that are asked at every interval.
+        """
+        for incarnation in self.no_answer_since.keys() - except_of:
+            del self.no_answer_since[incarnation]
+
     def is_unreachable(self, incarnation: str, now: float) -> bool:
         """Return whether a peer's last answer to a request is too long ago.
 
--- a/marigoldkeel/memberships.py
+++ b/marigoldkeel/memberships.py
@@ -69,7 +69,9 @@
     def _due_contacts(self, now: float) -> list[str]:
         """Return the addresses to which a heartbeat is to be sent now."""
         contacts = self.contacts()
-        partition_peers = self._partition_peers()
+        members = self._partition_members()
+        partition_peers = {member.address for member in members}
+        self.board.peers.forget_answers({member.incarnation for member in members})
         self._prune(contacts, now)
         has_new_version = self._has_new_version()
         due = []
@@ -116,12 +118,15 @@
         )
         return addresses - {own.address, ""}
 
-    def _partition_peers(self) -> set[str]:
+    def _partition_members(self) -> set[Member]:
         own = self.board.member
-        addresses = set()
+        members = set()
         for record in self.board.partitions.records_of_member(own.incarnation):
-            addresses |= {record.primary.address, record.standby.address}
-        return addresses
+            members |= {record.primary, record.standby}
+        return members
+
+    def _partition_peers(self) -> set[str]:
+        return {member.address for member in self._partition_members()}
 
     def add_contacts(self, members: list[Member]) -> None:
         """Add members to the learned contacts and drop those above the limit.
--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -7,6 +7,7 @@
 from marigoldkeel import failover
 from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.demo import LocalSystem
+from marigoldkeel.exceptions import PeerTimeout
 from marigoldkeel.heartbeats import (
     FULL_TABLE_INTERVAL_S,
     MAX_REPLACED,
@@ -209,15 +210,18 @@
     assert len(peers.live_agents(now[0])) == 1
 
 
-class FullPeer:
-    """Answers each heartbeat that there is no place in its table."""
+class AnsweringPeer:
+    """Answers each heartbeat with the interval that it asks for."""
 
-    def __init__(self, member):
+    def __init__(self, member, interval_s=1.0):
         self.member = member
+        self.interval_ms = int(interval_s * 1000)
+        self.answers = True
 
     async def request(self, address, message, timeout_s):
-        interval_ms = int(FULL_TABLE_INTERVAL_S * 1000)
-        return HeartbeatReply(self.member, is_agent=True, interval_ms=interval_ms)
+        if not self.answers:
+            raise PeerTimeout("no reply", "heartbeat", address)
+        return HeartbeatReply(self.member, is_agent=True, interval_ms=self.interval_ms)
 
 
 @pytest.mark.parametrize(
@@ -233,7 +237,7 @@
     now = [0.0]
     peer = member(1, "y")
     controller = make_controller(now, contacts=[peer.address])
-    controller.peers = FullPeer(peer)
+    controller.peers = AnsweringPeer(peer, FULL_TABLE_INTERVAL_S)
     board, sent_at = controller.board, []
     for tenth in range(100):
         now[0] = tenth / 10
@@ -245,6 +249,35 @@
     assert sent_at == seconds
 
 
+@pytest.mark.parametrize("answers_again", [True, False])
+@pytest.mark.parametrize("asked_before_s", [0, 5, 30, 70])
+async def test_new_partition_peer_has_time_to_answer(asked_before_s, answers_again):
+    """Guards against a sound standby that is replaced at once after a failover.
+
+    Its name is the lower one, so it sends the heartbeats, and the last one that it
+    answered is long ago.
+    """
+    now = [0.0]
+    peer = member(1, "y")
+    controller = make_controller(now, contacts=[peer.address])
+    controller.peers = AnsweringPeer(peer)
+    board = controller.board
+    unreachable_at = []
+    for tenth in range(10 * asked_before_s + 50):
+        now[0] = tenth / 10
+        if tenth == 10 * asked_before_s:
+            board.partitions.apply(PartitionRecord(0, 1, board.member, peer))
+        if board.partitions.records:
+            if board.peers.is_unreachable(peer.incarnation, now[0]):
+                unreachable_at.append(tenth - 10 * asked_before_s)
+            controller.peers.answers = answers_again
+        elif tenth % 10 == 5:
+            await controller.receive(Heartbeat(peer, is_agent=True))
+        for address in controller._due_contacts(now[0]):
+            await controller._send(address)
+    assert unreachable_at[:1] == ([] if answers_again else [31])
+
+
 async def wait_until_closed(address: str) -> None:
     host, port = parse_address(address)
     while True:
