Let a malformed partition record hide no other partition

What callers would see: requests that go to members that were replaced, in every partition, once one record in the store cannot be read.

Cause: one unreadable record failed the whole read and every watch. A daemon that had just started learned no partition from the store, and the others learned no further change: the members apply their own swaps, but their table version does not rise, so nobody pulls them. A record under the key of another partition took the place of that partition's own.

Change: such records are logged and skipped. A repaired record has a new revision and is read.

--- a/marigoldkeel/followers.py
+++ b/marigoldkeel/followers.py
@@ -13,7 +13,7 @@
 
 from marigoldkeel.audit import CONFIGURATION_KEY, VersionedConfiguration
 from marigoldkeel.blackboard import Blackboard
-from marigoldkeel.exceptions import MarigoldkeelError, StoreUnavailable
+from marigoldkeel.exceptions import MarigoldkeelError, ProtocolError, StoreUnavailable
 from marigoldkeel.heartbeats import PeerState
 from marigoldkeel.messages import Pull, Pulled
 from marigoldkeel.models import PartitionRecord
@@ -21,6 +21,7 @@
     PARTITION_COUNT_KEY,
     PARTITION_PREFIX,
     decode_record,
+    partition_key,
     rendezvous_score,
 )
 from marigoldkeel.stores import KeyValueStore, StoredValue
@@ -164,9 +165,21 @@
             if value.key == PARTITION_COUNT_KEY:
                 self.board.partitions.set_partition_count(int(value.data))
             else:
-                records.append(decode_record(value.data, value.revision))
+                records += self._decode(value)
         self._apply(records, above, version)
 
+    def _decode(self, value: StoredValue) -> list[PartitionRecord]:
+        """Return the record, or nothing if it is not one that a member has written."""
+        try:
+            record = decode_record(value.data, value.revision)
+        except ProtocolError as error:
+            logger.error("{} ignored: {}", value.key, error)
+            return []
+        if value.key != partition_key(record.partition):
+            logger.error("{} ignored: it is of {}", value.key, record.partition)
+            return []
+        return [record]
+
     def _apply(self, records: list[PartitionRecord], above: int, version: int) -> None:
         for record in self.board.partitions.apply_changes(records, above, version):
             self.on_record(record)
