Enter the generation that this member swapped before an error

What callers would see: every id of one partition refused until its primary is restarted, after one unreadable answer of the store.

Cause: a member that had stopped for a swap, made it, and then met an error (a record that could not be read or was missing) gave the change up. The next attempt found its own generation in the store and passed the record to apply_record, which leaves it to the change in progress; that is, to itself. Once a peer had told it the record, no attempt was made at all, as the table no longer had the generation of the register. Its new standby waits for the state and cannot replace it, and the operator's command refuses since the member is alive.

Change: a change that finds a newer generation of this member enters it, whoever completed the swap, and a stopped register always needs a change. A stored generation that is older than the register's is never entered.

Evidence: the four cases of the new test fail before and pass after, with tests/ test_claim_protocol.py (its random faults and interleavings) and tests/test_mutations.py.

--- a/marigoldkeel/failover.py
+++ b/marigoldkeel/failover.py
@@ -127,11 +127,11 @@
     def _needs_change(self, register: ClaimRegister) -> bool:
         if register.phase is Phase.RECEIVING or self.board.leaving:
             return False
+        if register.phase is Phase.STOPPED:
+            return True
         record = self.board.partitions.records.get(register.partition)
         if record is None or record.generation != register.generation:
             return False
-        if register.phase is Phase.STOPPED:
-            return True
         other = record.standby if register.is_primary else record.primary
         now = self.board.clock()
         if register.is_primary and self.board.peers.is_leaving(other.incarnation):
@@ -190,7 +190,7 @@
         if register is None or record is None:
             return
         if record.generation != register.generation:
-            self.apply_record(record)
+            self._leave_generation(register, record)
             return
         planned = self._plan(record)
         if planned is None or not register.stop():
@@ -201,7 +201,15 @@
             if record.generation != register.generation:
                 break
             planned = self._plan(record) or planned
-        if record.primary == self.board.member:
+        self._leave_generation(register, record)
+
+    def _leave_generation(
+        self, register: ClaimRegister, record: PartitionRecord
+    ) -> None:
+        """Enter the stored generation, if this member is its primary, or leave."""
+        is_newer = record.generation > register.generation
+        is_primary = record.primary.incarnation == self.board.member.incarnation
+        if is_newer and is_primary and register.stop():
             self._enter_as_primary(register, record)
         else:
             self.apply_record(record)
--- a/tests/test_claim_protocol.py
+++ b/tests/test_claim_protocol.py
@@ -1,6 +1,7 @@
 """Guards against double starts and wrong "not run" answers under random faults."""
 
 import os
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import HealthCheck, seed, settings
@@ -13,6 +14,7 @@
 )
 from hypothesis.strategies import booleans, integers, sampled_from
 
+from marigoldkeel.blackboard import Blackboard
 from marigoldkeel.claims import (
     MAX_CLOCK_SKEW_MS,
     ClaimRegister,
@@ -21,7 +23,14 @@
     RegisterSnapshot,
     Verdict,
 )
+from marigoldkeel.exceptions import MarigoldkeelError
+from marigoldkeel.failover import FailoverController
+from marigoldkeel.heartbeats import PeerState
 from marigoldkeel.messages import Transfer, Transferred
+from marigoldkeel.models import Member, PartitionRecord
+from marigoldkeel.partitions import decode_record, encode_record
+from marigoldkeel.primaries import PrimaryController
+from marigoldkeel.stores import StoredValue
 from tests.protocol_model import (
     AGENTS,
     PARTICIPANTS,
@@ -461,3 +470,52 @@
     assert cluster.counts["start"] == TASKS
     assert "answer not_run" not in cluster.counts
     assert cluster.checker.violations == []
+
+
+class ForgetfulStore:
+    """Applies a swap, then once returns ``bad_value`` instead of the record."""
+
+    def __init__(self, record, bad_value):
+        self.value = StoredValue("", encode_record(record), 1)
+        self.bad_value = bad_value
+        self.swapped = False
+
+    async def get(self, key):
+        if self.swapped:
+            self.swapped = False
+            return self.bad_value
+        return self.value
+
+    async def compare_and_swap(self, writes):
+        self.value = StoredValue("", writes[0].data, self.value.revision + 1)
+        self.swapped = True
+        return self.value.revision
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("learns_record", [False, True])
+@pytest.mark.parametrize("bad_value", [None, StoredValue("", b"{", 2)])
+async def test_member_enters_the_generation_that_it_swapped_before_an_error(
+    bad_value, learns_record
+):
+    """Guards against a partition that is closed until its primary is restarted."""
+    primary, standby, other = (Member(name, f"{name}@1", name) for name in "abc")
+    board = Blackboard(standby)
+    board.partitions.apply(PartitionRecord(PARTITION, 1, primary, standby, revision=1))
+    board.peers.observe(PeerState(other), board.clock())
+    register = ClaimRegister.as_standby(PARTITION, 1)
+    register.install(RegisterSnapshot(0, []))
+    board.registers[PARTITION] = register
+    store = ForgetfulStore(board.partitions.records[PARTITION], bad_value)
+    group = SimpleNamespace(start_soon=lambda *arguments: None)
+    primaries = PrimaryController(board, None, None, group)
+    controller = FailoverController(board, None, store, primaries, group)
+    controller.changing.add(PARTITION)
+    with pytest.raises((MarigoldkeelError, AttributeError)):
+        await controller.replace_member(PARTITION)
+    if learns_record:
+        controller.apply_record(decode_record(store.value.data, store.value.revision))
+    assert controller._needs_change(register)
+    await controller.replace_member(PARTITION)
+    assert (register.generation, register.phase) == (2, Phase.TRANSFERRING)
+    assert board.partitions.records[PARTITION].primary == standby
