Count the age of an entry from when it accepts requests

Cause: an entry answers its own refusals of an id older than itself with "unknown", as the caller may have sent the id through another entry while this one was down. Its age counted from its creation, but it accepts connections only later; the ids minted in between were taken for new. A session that is refused the connection repeats with "no attempt unanswered".

Ruled out, by reading the code for other orders of events of a stopping or starting entry: what a request gets while the entry stops (an answer of the members, or no answer, which the client counts as unanswered); the standby's refusal after an unreachable primary (it knows the claim, or records the refusal before it could); an answer without the id (no answer to the client).

Change: the age counts from the moment at which the entry has begun to accept requests.

Evidence: the new test, an id minted 0.1 s before the entry listens, no member reachable: "not run" before, "unknown" now.

--- a/marigoldkeel/entries.py
+++ b/marigoldkeel/entries.py
@@ -5,6 +5,7 @@
 
 import anyio
 import msgspec
+from anyio.abc import TaskGroup
 from loguru import logger
 
 from marigoldkeel.admissions import QUOTA_STEP, CallerRequest, EntryAdmission
@@ -63,7 +64,8 @@
 class Entry(Daemon):
     """An entry process.
 
-    :ivar started_ms: When it was created, as a wall-clock time in milliseconds.
+    :ivar started_ms: When it began to accept requests, as a wall-clock time in
+        milliseconds; infinite before.
 
     Usage::
 
@@ -77,7 +79,7 @@
 
     def __init__(self, settings: Settings, board: Blackboard):
         super().__init__(settings, board)
-        self.started_ms = board.wall_ms()
+        self.started_ms = float("inf")
         self.in_progress = 0
         self.admissions = EntryAdmission(board)
         self.retry_budget = RetryBudget()
@@ -89,6 +91,11 @@
             ConfigurationFollower(self.board, self.store, self.peers),
         ]
 
+    async def _start(self, group: TaskGroup) -> None:
+        await super()._start(group)
+        # Until now, callers were refused a connection and may have used another entry.
+        self.started_ms = self.board.wall_ms()
+
     async def finish_work(self) -> None:
         """Wait until all requests in progress have been answered."""
         while self.in_progress:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -428,3 +428,33 @@
     assert not entry.peers.replies
     assert answer.outcome is outcome
     assert answer.may_have_run == ([0] if outcome is Outcome.FAILED else [])
+
+
+async def test_refusal_of_an_id_minted_while_the_entry_started_is_unknown(monkeypatch):
+    """Guards against a "not run" for an id that ran elsewhere during a restart.
+
+    The process runs for a while before it accepts connections.
+    """
+    async with LocalSystem.open(agents=3, entries=1, partitions=4) as system:
+        start = Entry._start
+        minted = []
+
+        async def start_late(entry, group):
+            minted.append(mint_submission_id(wall_clock_ms() + 1))
+            await anyio.sleep(0.1)
+            await start(entry, group)
+
+        monkeypatch.setattr(Entry, "_start", start_late)
+        late = await system.start_entry("entry-late", "x")
+        with anyio.fail_after(10):
+            while not late.board.partitions.count_confirmed:
+                await anyio.sleep(0.01)
+
+        async def fail(address):
+            raise PeerUnavailable("connect timed out", "connect", address)
+
+        monkeypatch.setattr(late.peers, "connect", fail)
+        system.entries[0] = late
+        headers = {"Marigoldkeel-Submission": str(minted[0])}
+        _, answer, _ = await post(system, "/v1/jobs", headers, b"[1]")
+        assert answer["outcome"] == "unknown", answer
