Deliver in order in simulated fleets, and play late messages and moved records

Cause: a simulated partition delivered what it held up in any order, and a close took effect at both ends at once, so that what had been sent before it was lost. No play could show what a late message does after its connection was given up.

Change: content arrives in the order in which it was sent, and the close last.

--- a/emulator/event_loop.py
+++ b/emulator/event_loop.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +12,9 @@
 
 NETWORK_LATENCY_S = 0.001
 INITIAL_WALL_MS = 1_700_000_000_000
+RETRANSMIT_INTERVAL_S = 0.05
+# Follows the last content of a connection.
+END = object()
 
 
 class EventLoop:
@@ -53,7 +57,11 @@
 class SimulatedConnection:
     """One end of a simulated connection.
 
+    As with TCP, what a partition holds up arrives in order once it has healed, and an
+    end learns that the other one has closed after all that was sent before.
+
     :ivar owner: The process at this end.
+    :ivar arriving: What was sent to this end and has not been delivered yet.
     :ivar other: The other end.
     :ivar listener: Called when messages arrive and when the connection closes.
     :ivar latency_s: How long messages from this end take.
@@ -67,39 +75,47 @@
         self.listener: Any = None
         self.latency_s = NETWORK_LATENCY_S
         self.closed = False
+        self.arriving: deque[Any] = deque()
 
     def send(self, content: Any) -> None:
         if self.closed:
             raise PeerUnavailable("connection closed", step="send", peer=self.peer)
-        self.loop.call_later(self.latency_s, lambda: self.other.deliver(content))
+        self._transmit(content)
+
+    def _transmit(self, content: Any) -> None:
+        self.loop.call_later(self.latency_s, lambda: self.other.arrive(content))
 
-    def deliver(self, content: Any) -> None:
+    def arrive(self, content: Any) -> None:
+        """Deliver what the other end has sent, after all that it sent before."""
+        self.arriving.append(content)
+        if len(self.arriving) == 1:
+            self._deliver()
+
+    def _deliver(self) -> None:
+        while self.arriving:
+            if self.owner.is_partitioned_from(self.other.owner):
+                self.loop.call_later(RETRANSMIT_INTERVAL_S, self._deliver)
+                return
+            content = self.arriving.popleft()
+            self.owner.run_when_resumed(lambda content=content: self._receive(content))
+
+    def _receive(self, content: Any) -> None:
         if self.closed:
             return
-        if self.owner.is_partitioned_from(self.other.owner):
-            # TCP retransmits, so data is delivered once the partition has healed.
-            self.loop.call_later(0.05, lambda: self.deliver(content))
+        if content is END:
+            self.closed = True
+            self.listener.connection_closed(self)
             return
-        self.owner.run_when_resumed(lambda: self._receive(content))
-
-    def _receive(self, content: Any) -> None:
         self.listener.message_received(self, content)
         self.listener.frame_processed(self)
 
     def close(self) -> None:
-        """Close both ends."""
-        for end in (self, self.other):
-            end._close_end()
-
-    def close_here(self) -> None:
-        """Close this end; the other one receives what was sent before it closes."""
-        self._close_end()
-        self.loop.call_later(self.latency_s, self.other._close_end)
-
-    def _close_end(self) -> None:
-        if not self.closed:
-            self.closed = True
-            self.owner.run_when_resumed(lambda: self.listener.connection_closed(self))
+        """Close this end; the other one follows when it has received what was sent."""
+        if self.closed:
+            return
+        self.closed = True
+        self._transmit(END)
+        self.owner.run_when_resumed(lambda: self.listener.connection_closed(self))
 
     def close_after_flush(self) -> None:
         self.loop.call_later(NETWORK_LATENCY_S, self.close)
@@ -180,7 +196,7 @@
         connections, self.connections = self.connections, []
         if not silently:
             for connection in connections:
-                self.loop.call_later(NETWORK_LATENCY_S, connection.close)
+                connection.close()
 
     def start(self) -> None:
         """Start a new incarnation of the process."""
--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -100,6 +100,11 @@
         self.supervisor.update_facts(facts, sequence)
         self.flush()
 
+    def receive_exit(self, worker: str) -> None:
+        """Receive an exit announcement that the worker may not have sent."""
+        self.supervisor.record_worker_exit(worker)
+        self.flush()
+
     def tick(self) -> None:
         self.supervisor.tick()
         self.flush()
@@ -331,6 +336,7 @@
         self.connections.append(entry_end)
         agent.connections.append(agent_end)
         self.run_when_resumed(lambda: self.links.attach(link, entry_end))
+        self.simulation.on_connected(self, agent)
 
 
 @dataclass(slots=True)
@@ -410,6 +416,19 @@
 
     def __post_init__(self):
         self.loop = EventLoop(self.seed)
+        # Called with the entry and the agent of each new connection.
+        self.on_connected: Callable[[SimulatedEntry, SimulatedAgent], None] = (
+            lambda entry, agent: None
+        )
+
+    def separate(
+        self, first: SimulatedProcess, second: SimulatedProcess, seconds: float
+    ) -> None:
+        """Separate two processes by a partition for a time."""
+        first.partitioned_from.add(second.name)
+        self.loop.call_later(
+            seconds, lambda: first.partitioned_from.discard(second.name)
+        )
 
     def find_agent(self, name: str) -> SimulatedAgent:
         """Return the agent with a name."""
--- a/tests/fleet/test_plays.py
+++ b/tests/fleet/test_plays.py
@@ -178,7 +178,7 @@
         for entry in simulation.entries:
             links = [link for link in entry.links.links.values() if link.connection]
             for link in simulation.loop.random.sample(links, min(2, len(links))):
-                link.connection.close_here()
+                link.connection.close()
 
     for number in range(40):
         simulation.loop.call_at(2.0 + number / 10, lose_connections)
@@ -246,6 +246,144 @@
     assert all(submitted.answer is not None for submitted in simulation.jobs)
 
 
+def separate_in_series(simulation, ends_at: float, longest_s: float = 0.9) -> None:
+    """Separate random entries and agents for short times until a time."""
+    rng = simulation.loop.random
+
+    def separate() -> None:
+        entry, agent = rng.choice(simulation.entries), rng.choice(simulation.agents)
+        simulation.separate(entry, agent, rng.uniform(0.05, longest_s))
+        if simulation.loop.now < ends_at:
+            simulation.loop.call_later(rng.uniform(0.01, 0.15), separate)
+
+    simulation.loop.call_at(3.0, separate)
+
+
+@pytest.mark.parametrize(
+    ("begins_after_s", "lasts_s"),
+    [(0.0, 0.3), (0.0, 0.9), (0.0, 1.3), (0.0015, 0.45), (0.0015, 1.1)],
+    ids=["late", "later", "latest", "unanswered", "long unanswered"],
+)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_attaches_that_are_late_or_unanswered_renew_no_lapsed_lease(
+    seed, begins_after_s, lasts_s
+):
+    # A partition follows each new connection of three agents, until the link has been
+    # given up: before the attach arrives, or before its answer does.
+    simulation = make_fleet(seed)
+    offer_mixed_load(simulation, 1.0, 1.0, 8.0)
+    agents = simulation.agents[:3]
+
+    def hold_up(entry, agent) -> None:
+        if agent in agents and 4.0 <= simulation.loop.now < 7.0:
+            simulation.loop.call_later(
+                begins_after_s, lambda: simulation.separate(entry, agent, lasts_s)
+            )
+
+    simulation.on_connected = hold_up
+    for number, agent in enumerate(agents):
+        for entry in simulation.entries:
+            simulation.loop.call_at(
+                4.0 + number / 2,
+                lambda entry=entry, agent=agent: simulation.separate(entry, agent, 0.6),
+            )
+    simulation.run(20.0)
+    check_invariants(simulation)
+    assert all(submitted.answer is not None for submitted in simulation.jobs)
+
+
+@pytest.mark.parametrize("interval_s", [0.1, 0.3])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_attaches_whose_answers_are_lost_renew_no_lapsed_lease(seed, interval_s):
+    # Each connection to three agents is reset after its attach has arrived and before
+    # the answer has.
+    simulation = make_fleet(seed)
+    offer_mixed_load(simulation, 1.0, 1.0, 8.0)
+    agents = simulation.agents[:3]
+
+    def lose_answer(entry, agent) -> None:
+        if agent in agents and 4.0 <= simulation.loop.now < 7.0:
+            call_later = simulation.loop.call_later
+            call_later(0.0015, lambda: simulation.separate(entry, agent, interval_s))
+            call_later(0.02, entry.connections[-1].close)
+
+    def reset_links() -> None:
+        for agent in agents:
+            for connection in list(agent.connections):
+                connection.close()
+
+    simulation.on_connected = lose_answer
+    simulation.loop.call_at(4.0, reset_links)
+    simulation.run(20.0)
+    check_invariants(simulation)
+    assert all(submitted.answer is not None for submitted in simulation.jobs)
+
+
+@pytest.mark.parametrize("longest_s", [0.2, 0.9, 1.8])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_short_partitions_in_series_repeat_no_running_task(seed, longest_s):
+    simulation = make_fleet(seed)
+    offer_mixed_load(simulation, 1.0, 1.0, 8.0)
+    separate_in_series(simulation, 8.0, longest_s)
+    simulation.run(20.0)
+    check_invariants(simulation)
+    assert all(submitted.answer is not None for submitted in simulation.jobs)
+
+
+@pytest.mark.parametrize("set_back", [False, True], ids=["later", "earlier"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_late_exit_announcements_around_crashes_repeat_no_running_task(seed, set_back):
+    # The announcement, and a report, of the boot before reach an agent in the time from
+    # the crash of its worker until after the poll that shows it.
+    simulation = make_fleet(seed)
+    offer_mixed_load(simulation, 1.0, 1.0, 8.0)
+    rng = simulation.loop.random
+
+    def crash(agent) -> None:
+        report = agent.worker.facts
+        agent.worker.advance(simulation.loop.now)
+        agent.worker.crash(-1 if set_back else 1)
+        for _ in range(3):
+            delay_s = rng.uniform(0.0, 0.4)
+            simulation.loop.call_later(
+                delay_s, lambda: agent.receive_exit(agent.worker.name)
+            )
+            simulation.loop.call_later(delay_s, lambda: agent.receive_report(report))
+
+    for number, agent in enumerate(simulation.agents[:6]):
+        agent.worker.boot = 100
+        simulation.loop.call_at(2.0 + number, lambda agent=agent: crash(agent))
+    simulation.run(20.0)
+    check_invariants(simulation)
+    assert all(submitted.answer is not None for submitted in simulation.jobs)
+
+
+@pytest.mark.parametrize("to_another", [False, True], ids=["elsewhere", "another"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_records_that_move_under_partitions_repeat_no_running_task(seed, to_another):
+    simulation = make_fleet(seed)
+    offer_mixed_load(simulation, 1.0, 1.0, 8.0)
+    separate_in_series(simulation, 8.0)
+    rng, agents = simulation.loop.random, simulation.agents
+
+    def move_record() -> None:
+        agent = rng.choice(agents)
+        address = rng.choice(agents).name if to_another else "elsewhere"
+        for entry in simulation.entries:
+            entry.read_record(agent, address)
+            simulation.loop.call_later(
+                rng.uniform(0.2, 3.0),
+                lambda entry=entry: entry.read_record(agent, agent.name),
+            )
+        if simulation.loop.now < 8.0:
+            simulation.loop.call_later(rng.uniform(0.1, 0.6), move_record)
+
+    simulation.loop.call_at(3.0, move_record)
+    simulation.run(24.0)
+    check_invariants(simulation)
+    assert all(submitted.answer is not None for submitted in simulation.jobs)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_crashed_worker_has_its_tasks_repeated(seed):
     simulation = make_fleet(seed)
