Let time pass between start and restart in a test of the driver

The test answered the order and sent the poll at the same reading of its clock, which counts as after. One millisecond lies in between now; what it asserts is the same.

--- a/tests/fleet/test_drivers.py
+++ b/tests/fleet/test_drivers.py
@@ -210,6 +210,7 @@
     # Guards against a restart that is noticed only when the poll in progress returns.
     agent = Agent()
     agent.start(0)
+    agent.clock.now += 0.001
 
     class Client(ScriptedClient):
         async def poll(self, lease_s, wait_s, last_end):
