--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -233,10 +233,10 @@
     report may have been sent by another writer; it counts once a poll has shown its
     boot.
 
-    :ivar identity: Name and service of the worker by the first report of its boot.
     :param clock: Returns monotonic seconds; measures what happens on this machine.
     :param suspended_clock: Returns seconds of a clock that includes time in system
         suspend; measures the leases and orders of owners on other machines.
+    :ivar identity: Name and service of the worker by the first report of its boot.
 
     Usage::
 
