--- /dev/null
+++ b/review/harness2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the store, the runners, the clients and the platform."""
