--- a/review/harness2/installation.py
+++ b/review/harness2/installation.py
@@ -5,6 +5,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -112,6 +113,8 @@
 class Installation:
     """The daemons, the store and the runners.
 
+    The folder with settings and logs is removed at the end, unless KEEP=1 is set.
+
     Usage::
 
         async with Installation(record, entries=2, runners=3) as installation:
@@ -170,6 +173,8 @@
             if daemon.process is not None:
                 daemon.process.kill()
                 daemon.process.wait()
+        if os.environ.get("KEEP") != "1":
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def configure(self, version: int, timeout_ms: int = 1500, **route) -> None:
         """Write the configuration, as the operator does."""
