--- a/review/harness2/installation.py
+++ b/review/harness2/installation.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from harness2 import web
+from harness2.proxy import Proxy
 from harness2.record import Record
 from harness2.runner import Runner
 from harness2.store import Store
@@ -50,7 +51,10 @@
 
 
 class Daemon:
-    """An entry or agent as a process."""
+    """An entry or agent as a process.
+
+    :ivar advertise: The address of a proxy at which other daemons reach it, if any.
+    """
 
     def __init__(self, role: str, name: str, fields: dict, folder: Path, record):
         self.role = role
@@ -60,6 +64,7 @@
         self.folder = folder
         self.settings = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
+        self.advertise = ""
         self.process: subprocess.Popen | None = None
 
     @property
@@ -70,7 +75,10 @@
     def launch(self) -> None:
         """Start the process with its settings."""
         template = (ROOT / f"deploy/{self.role}.toml").read_text()
-        self.settings.write_text(render(template, self.fields))
+        text = render(template, self.fields)
+        if self.advertise:
+            text = f'advertise = "{self.advertise}"\n{text}'
+        self.settings.write_text(text)
         arguments = run_arguments(self.role)
         arguments[-1] = str(self.settings)
         environment = {
@@ -113,6 +121,8 @@
 class Installation:
     """The daemons, the store and the runners.
 
+    :param proxied: Numbers of the entries that the others reach through a proxy.
+
     The folder with settings and logs is removed at the end, unless KEEP=1 is set.
 
     Usage::
@@ -121,8 +131,12 @@
             await installation.wait_until_ready()
     """
 
-    def __init__(self, record: Record, entries: int, runners: int):
+    def __init__(
+        self, record: Record, entries: int, runners: int, proxied: tuple[int, ...] = ()
+    ):
         self.record = record
+        self.proxied = proxied
+        self.proxies: dict[str, Proxy] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
         self.net = f"127.{random.randint(20, 240)}.{random.randint(1, 250)}"
@@ -161,6 +175,11 @@
             entry.fields["seeds"] = seeds
         for number in range(runners):
             await self.add_runner(f"side-{number + 1}", zones[number % 3], seeds)
+        for number in self.proxied:
+            entry = self.entries[number]
+            self.proxies[entry.name] = await self.add_proxy(entry)
+            control = entry.fields["listen.control"]
+            seeds[:] = [entry.advertise if seed == control else seed for seed in seeds]
         # "All machines start within 0.3 s of each other, in any order."
         daemons = [*self.entries, *self.agents]
         for daemon in daemons:
@@ -237,6 +256,13 @@
         self.agents.append(agent)
         self.runners.append(runner)
 
+    async def add_proxy(self, daemon: Daemon) -> Proxy:
+        """Put a proxy between a daemon and the others, before it is launched."""
+        proxy = Proxy(daemon.fields["listen.control"])
+        daemon.advertise = self.free_address(daemon.fields["ip"])
+        await proxy.open(daemon.advertise)
+        return proxy
+
     async def is_ready(self, entry: Daemon) -> bool:
         """Return whether the balancer would use an entry."""
         try:
--- a/review/harness2/runner.py
+++ b/review/harness2/runner.py
@@ -16,6 +16,8 @@
 STOP_S = 0.02
 CHECK_S = 0.01
 HEARTBEAT_S = 1.5
+# What a draining runner says of the time that is left.
+REMAINING_MS = 2000
 
 
 class Run:
@@ -34,6 +36,7 @@
     :ivar lost_share: The share of starts and stops that get no answer and are carried
         out ``late_s`` later; 0 without a disruption.
     :ivar down: Whether it is down.
+    :ivar draining_acknowledged_at: When its agent first confirmed that it drains.
     """
 
     def __init__(self, name: str, address: str, control: str, domain: str, record):
@@ -57,6 +60,8 @@
         self.late_s = (2.0, 12.0)
         self.random = random.Random(0)
         self.down = False
+        self.state = "ready"
+        self.draining_acknowledged_at: float | None = None
         self.orders = 0
         self.lost = 0
 
@@ -98,7 +103,7 @@
                 "zone": self.domain,
                 "version": "v1",
                 "slots": 8,
-                "state": "ready",
+                "state": self.state,
                 "cold_left_ms": 0,
                 "capacity": self.capacity,
                 "labels": self.labels,
@@ -106,10 +111,16 @@
                 "seq": self.seq,
                 "born": self.born,
             }
+            if self.state == "draining":
+                report["remaining_ms"] = REMAINING_MS
             try:
-                await web.call(
+                status, _ = await web.call(
                     self.control, "PUT", f"/api/instances/{self.name}", {}, report
                 )
+                if status == 200 and report["state"] == "draining":
+                    self.draining_acknowledged_at = (
+                        self.draining_acknowledged_at or self.record.now
+                    )
                 await asyncio.sleep(HEARTBEAT_S)
             except (ConnectionError, OSError, TimeoutError):
                 await asyncio.sleep(0.2)
