Move the stand-ins of the second review beside the cases

Cause: a folder of their own is not one of the review's folders. Change: review/rig_*.py instead of review/harness2; no other change.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,14 +9,14 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from harness2.installation import (  # noqa: E402
+from rig_installation import (  # noqa: E402
     Daemon,
     Installation,
     job_id,
     submit,
 )
-from harness2.record import Record  # noqa: E402
-from harness2.script import SEED, TROUBLE, run_case  # noqa: E402
+from rig_record import Record  # noqa: E402
+from rig_script import SEED, TROUBLE, run_case  # noqa: E402
 
 
 CLIENTS = 110
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
-python3 -m compileall -q harness2
+python3 -m compileall -q rig_*.py
 test -d ../target/deps
--- a/review/harness2/cancels.py
+++ b/review/rig_cancels.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from harness2 import web
-from harness2.installation import HOST, PREFIX, Daemon
-from harness2.record import Record
+import rig_web as web
+from rig_installation import HOST, PREFIX, Daemon
+from rig_record import Record
 
 
 RETRY_S = 0.02
--- a/review/harness2/installation.py
+++ b/review/rig_installation.py
@@ -13,14 +13,14 @@
 import time
 from pathlib import Path
 
-from harness2 import web
-from harness2.proxy import Proxy
-from harness2.record import Record
-from harness2.runner import Runner
-from harness2.store import Store
+import rig_web as web
+from rig_proxy import Proxy
+from rig_record import Record
+from rig_runner import Runner
+from rig_store import Store
 
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 METRICS_PORT = 9464
 GRACE_S = 6
 SERVICE = "huvo11a"
--- a/review/harness2/runner.py
+++ b/review/rig_runner.py
@@ -8,8 +8,8 @@
 import random
 import time
 
-from harness2 import web
-from harness2.record import Record
+import rig_web as web
+from rig_record import Record
 
 
 MAX_HOLD_MS = 1000
--- a/review/harness2/script.py
+++ b/review/rig_script.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from harness2.record import Record
+from rig_record import Record
 
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
--- a/review/harness2/store.py
+++ b/review/rig_store.py
@@ -5,7 +5,7 @@
 import json
 import time
 
-from harness2 import web
+import rig_web as web
 
 
 ANSWER_S = 0.004
