--- a/marigoldkeel/fleet/cancellations.py
+++ b/marigoldkeel/fleet/cancellations.py
@@ -7,8 +7,8 @@
 from loguru import logger
 
 from marigoldkeel.exceptions import MarigoldkeelError, PeerTimeout
+from marigoldkeel.fleet.cancelled import CANCELLED_MEMORY_S
 from marigoldkeel.fleet.messages import DropJob
-from marigoldkeel.fleet.schedulers import CANCELLED_MEMORY_S
 from marigoldkeel.guards import run_guarded
 from marigoldkeel.transports import PeerPool
 
--- /dev/null
+++ b/marigoldkeel/fleet/capacity.py
@@ -0,0 +1,14 @@
+"""How much of the workers' capacity an entry counts on. Performs no I/O."""
+
+from collections.abc import Iterable
+
+from marigoldkeel.fleet.views import WorkerView
+
+
+def share_of_cores(views: Iterable[WorkerView], entries_per_worker: float) -> float:
+    """Return an entry's share of the cores of some workers.
+
+    :param entries_per_worker: How many entries share a worker on average.
+    """
+    cpu_milli = sum(view.facts.capacity.cpu_milli for view in views)
+    return cpu_milli / 1000 / entries_per_worker
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -13,7 +13,7 @@
 """
 
 import random
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Callable
 
 from loguru import logger
@@ -25,7 +25,14 @@
     refusal_reason,
     waiting_times,
 )
+from marigoldkeel.fleet.cancelled import CancelledIds
+from marigoldkeel.fleet.capacity import share_of_cores
 from marigoldkeel.fleet.forecasts import Forecaster, Sample
+from marigoldkeel.fleet.learning import (
+    duration_hints,
+    learn_critical_path,
+    learn_run_time,
+)
 from marigoldkeel.fleet.messages import (
     HeldRun,
     Progress,
@@ -35,6 +42,7 @@
     StartRuns,
     StopRuns,
 )
+from marigoldkeel.fleet.order import URGENT_PRIORITY, order_by_precedence
 from marigoldkeel.fleet.owned import (
     OwnedJob,
     TaskPhase,
@@ -48,6 +56,7 @@
     count_outside_reserve,
     find_packing,
 )
+from marigoldkeel.fleet.placement import eligible_workers, find_candidates
 from marigoldkeel.fleet.subsets import is_suitable
 from marigoldkeel.fleet.supervisors import StartOutcome
 from marigoldkeel.fleet.views import FleetView
@@ -72,16 +81,10 @@
 # An interval between ticks above this is a pause of this process. A caller that left
 # during it has submitted its job elsewhere by now, 1.3 s after it left at the earliest.
 MAX_TICK_INTERVAL_S = 0.5
-# How long a cancelled id is remembered, since its job may still arrive at this entry,
-# and how many ids are.
-CANCELLED_MEMORY_S = 60.0
-MAX_REMEMBERED_CANCELLATIONS = 20_000
 # Shortest retry delay given to a refused caller; longer if the forecast wait is longer.
 RETRY_AFTER_S = 1.0
 # Loads change within seconds, so forecasts that reach further are unreliable.
 MAX_RETRY_AFTER_S = 10.0
-# Queues of this priority are served before all others.
-URGENT_PRIORITY = 0
 # A worker is ejected when this many of its last ten runs failed or stalled. A single
 # failure says little: a task that always fails does so once on each of several workers.
 EJECT_AFTER_FAILURES = 4
@@ -157,7 +160,7 @@
         self.last_urgent_at: dict[str, float] = {}
         self.jobs: dict[str, OwnedJob] = {}
         self.waiting: dict[str, OwnedJob] = {}
-        self.cancelled_at: OrderedDict[str, float] = OrderedDict()
+        self.cancelled_ids = CancelledIds()
         self.last_run_number = 0
         self.requeued: Counter[str] = Counter()
         self.last_tick_at = self.started_at
@@ -211,27 +214,13 @@
 
         :return: False if it is not known here or already answered.
         """
-        self._remember_cancelled(job_id)
+        self.cancelled_ids.add(job_id, self.clock())
         owned = self.jobs.get(job_id)
         if owned is None or owned.answered:
             return False
         self._finish(owned, JobAnswer(JobState.CANCELLED, "cancelled"))
         return True
 
-    def _remember_cancelled(self, job_id: str) -> None:
-        now = self.clock()
-        self.cancelled_at[job_id] = now
-        self.cancelled_at.move_to_end(job_id)
-        while (
-            len(self.cancelled_at) > MAX_REMEMBERED_CANCELLATIONS
-            or now - next(iter(self.cancelled_at.values())) > CANCELLED_MEMORY_S
-        ):
-            self.cancelled_at.popitem(last=False)
-
-    def _is_cancelled(self, job_id: str) -> bool:
-        cancelled_at = self.cancelled_at.get(job_id, float("-inf"))
-        return self.clock() - cancelled_at <= CANCELLED_MEMORY_S
-
     def pending(self, queue: str) -> int:
         """Return how many jobs of a queue have not started."""
         return sum(
@@ -264,7 +253,9 @@
             task = owned.find(row.run) if owned is not None else None
             if task is not None:
                 predicted_s = row.elapsed_ms / 10 / row.percent
-                self._learn_run_time(owned, task, Sample(worker, predicted_s))
+                learn_run_time(
+                    self.forecaster, owned, task, Sample(worker, predicted_s)
+                )
 
     def handle_worker_lost(self, worker: str, reason: str) -> None:
         """Requeue the runs of an unreachable worker, which has stopped them by now."""
@@ -345,7 +336,13 @@
                 continue
             service = owned.job.queue.service
             if service not in candidates_by_service:
-                candidates_by_service[service] = self._candidates(service)
+                candidates_by_service[service] = find_candidates(
+                    self.fleet.ready(service),
+                    self.detector,
+                    self.forecaster,
+                    self.domain,
+                    now,
+                )
             try:
                 for number in range(len(owned.job.steps)):
                     self._place_step(owned, number, candidates_by_service[service])
@@ -360,7 +357,7 @@
         estimates_s = [step.estimate_s for step in job.steps]
         hinted_s = critical_path_length(job.steps, estimates_s)
         owned.critical_path_s = self.forecaster.critical_path_s(
-            job.queue.name, self._duration_hints(job)
+            job.queue.name, duration_hints(job)
         )
         scale = owned.critical_path_s / hinted_s if hinted_s > 0 else 0.0
         share_s = owned.critical_path_s / len(job.steps)
@@ -370,25 +367,13 @@
         queue = job.queue
         owned.objective_s = queue.stretch * owned.critical_path_s + queue.allowance_s
 
-    def _duration_hints(self, job: RepeatableJob) -> list[float]:
-        """Return the caller's hints of a job's duration, in seconds.
-
-        The first is the critical path of the caller's estimates, the second the part of
-        the caller's time-out that exceeds the queue's.
-        """
-        estimates_s = [step.estimate_s for step in job.steps]
-        return [
-            critical_path_length(job.steps, estimates_s),
-            max(0.0, job.caller_timeout_s - job.queue.timeout_s),
-        ]
-
     def _refusal_answer(self, owned: OwnedJob) -> JobAnswer | None:
         """Return the answer to a new job that cannot be accepted, or None."""
         if owned.job.job_id in self.jobs:
             # NOT_RUN would be wrong: runs of the earlier attempt may still be active.
             reason = "an earlier attempt is in progress"
             return JobAnswer(JobState.UNKNOWN, reason)
-        if self._is_cancelled(owned.job.job_id):
+        if self.cancelled_ids.contains(owned.job.job_id, self.clock()):
             return JobAnswer(JobState.CANCELLED, "cancelled before it arrived")
         reason = self._unservable_reason(owned)
         return JobAnswer(JobState.NOT_RUN, reason, RETRY_AFTER_S) if reason else None
@@ -447,33 +432,18 @@
 
     def available_cores(self, service: str) -> float:
         """Return this entry's share of the cores of a service's usable workers."""
-        cpu_milli = sum(
-            view.facts.capacity.cpu_milli
+        usable = [
+            view
             for view in self.fleet.ready(service)
             if view.name not in self.detector.ejected
-        )
-        return cpu_milli / 1000 / self.entries_per_worker()
+        ]
+        return share_of_cores(usable, self.entries_per_worker())
 
     def _waiting_in_order(self) -> list[OwnedJob]:
-        """Return the waiting jobs in the order in which they are served.
-
-        Jobs that have started come first, as they occupy capacity until they are done.
-        Of the others, those that will miss their objective in any case come last.
-        Within each group urgent queues precede others, and then the job that has to
-        start earliest to meet its objective comes first.
-        """
-        now = self.clock() + OVERHEAD_S
-        max_speed = self.forecaster.max_speed
-
-        def sort_key(owned: OwnedJob) -> tuple:
-            will_be_late = (
-                now + owned.critical_path_s / max_speed > owned.objective_deadline
-            )
-            urgent = owned.job.queue.priority == URGENT_PRIORITY
-            latest_start = owned.objective_deadline - owned.critical_path_s
-            return (not owned.has_started, will_be_late, not urgent, latest_start)
-
-        return sorted(self.waiting.values(), key=sort_key)
+        """Return the waiting jobs in the order in which they are served."""
+        return order_by_precedence(
+            self.waiting.values(), self.clock() + OVERHEAD_S, self.forecaster.max_speed
+        )
 
     def _place_step(
         self, owned: OwnedJob, number: int, candidates: list[Candidate]
@@ -496,7 +466,7 @@
         if not owned.has_started and self._keeps_reserve(owned):
             request.count = count_outside_reserve(request, candidates)
         chosen = self.pack(
-            request, self._eligible_workers(owned, number, candidates), self.random
+            request, eligible_workers(owned, number, candidates), self.random
         )
         by_worker: dict[str, list[TaskRecord]] = {}
         for task, candidate in zip(waiting, chosen, strict=False):
@@ -507,28 +477,6 @@
         for worker, tasks in by_worker.items():
             self._start_runs(owned, step, worker, tasks, request.task_s)
 
-    def _eligible_workers(
-        self, owned: OwnedJob, number: int, candidates: list[Candidate]
-    ) -> list[Candidate]:
-        """Return the candidates for a step.
-
-        Workers on which a run of the step did not complete are left out, unless no
-        other worker has enough capacity.
-        """
-        step, tasks = owned.job.steps[number], owned.tasks[number]
-        if step.spread_limit:
-            for item in candidates:
-                item.step_tasks = sum(task.worker == item.name for task in tasks)
-        avoided = set().union(*(task.avoided for task in tasks))
-        if not avoided:
-            return candidates
-        others = [item for item in candidates if item.name not in avoided]
-        return (
-            others
-            if any(step.demand.fits(item.free) for item in others)
-            else candidates
-        )
-
     def _keeps_reserve(self, owned: OwnedJob) -> bool:
         """Return whether a job must leave the reserve for urgent jobs free.
 
@@ -540,22 +488,6 @@
         last_urgent_at = self.last_urgent_at.get(queue.service, float("-inf"))
         return self.clock() - last_urgent_at < URGENT_RESERVE_S
 
-    def _candidates(self, service: str) -> list[Candidate]:
-        now = self.clock()
-        return [
-            Candidate(
-                view.name,
-                view.free,
-                view.facts.capacity,
-                view.facts.labels,
-                self.forecaster.speed(view.name),
-                view.facts.domain == self.domain,
-                is_probe=view.name in self.detector.ejected,
-            )
-            for view in self.fleet.ready(service)
-            if self.detector.available(view.name, now)
-        ]
-
     def _start_runs(
         self,
         owned: OwnedJob,
@@ -591,39 +523,6 @@
 
     # Outcomes
 
-    def _learn_run_time(
-        self, owned: OwnedJob, task: TaskRecord, sample: Sample
-    ) -> None:
-        """Learn from a run time in comparison with the other tasks of its step."""
-        number = task.task_id.step
-        siblings = [
-            other.sample
-            for other in owned.tasks[number]
-            if other.sample is not None and other is not task
-        ]
-        self.forecaster.learn_speed(sample, siblings, owned.task_s[number])
-        task.sample = sample
-
-    def _learn_critical_path(self, owned: OwnedJob) -> None:
-        """Learn from the length of a completed job's critical path."""
-        lengths_s = [
-            max(
-                (
-                    self.forecaster.work_s(task.sample)
-                    for task in tasks
-                    if task.sample is not None
-                ),
-                default=0.0,
-            )
-            for tasks in owned.tasks
-        ]
-        actual_s = critical_path_length(owned.job.steps, lengths_s)
-        if actual_s > 0:
-            job = owned.job
-            self.forecaster.learn_critical_path(
-                job.queue.name, self._duration_hints(job), actual_s
-            )
-
     def _requeue(self, owned: OwnedJob, task: TaskRecord, cause: str) -> None:
         self.requeued[cause] += 1
         owned.release(task)
@@ -636,7 +535,9 @@
         self._record_run_outcome(owned, worker, event.end)
         if event.end == RunEnd.DONE:
             if event.run_ms:
-                self._learn_run_time(owned, task, Sample(worker, event.run_ms / 1000))
+                learn_run_time(
+                    self.forecaster, owned, task, Sample(worker, event.run_ms / 1000)
+                )
             owned.finish(task)
             if owned.is_waiting and not owned.answered:
                 self.waiting[owned.job.job_id] = owned
@@ -664,7 +565,8 @@
         if not owned.answered:
             attempt_limit = owned.job.queue.max_attempts
             if owned.is_done:
-                self._learn_critical_path(owned)
+                hints_s = duration_hints(owned.job)
+                learn_critical_path(self.forecaster, owned, hints_s)
                 self._finish(owned, JobAnswer(JobState.DONE))
             elif any(task.failures >= attempt_limit for task in owned.all_tasks()):
                 self._finish(owned, JobAnswer(JobState.FAILED, "a task has failed"))
--- a/tests/fleet/test_cancellations.py
+++ b/tests/fleet/test_cancellations.py
@@ -6,7 +6,7 @@
 from marigoldkeel.exceptions import PeerLost, PeerTimeout, PeerUnavailable
 from marigoldkeel.fleet import cancellations
 from marigoldkeel.fleet.cancellations import CancellationForwarder
-from marigoldkeel.fleet.schedulers import CANCELLED_MEMORY_S
+from marigoldkeel.fleet.cancelled import CANCELLED_MEMORY_S
 from marigoldkeel.messages import Done
 from tests.fleet.test_supervisors import Clock
 
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -5,6 +5,10 @@
 import pytest
 
 from marigoldkeel.fleet.admission import LATE_FACTOR, WAIT_SHARE
+from marigoldkeel.fleet.cancelled import (
+    CANCELLED_MEMORY_S,
+    MAX_REMEMBERED_CANCELLATIONS,
+)
 from marigoldkeel.fleet.links import TICK_INTERVAL_S
 from marigoldkeel.fleet.messages import (
     RunEvent,
@@ -16,8 +20,6 @@
 )
 from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.schedulers import (
-    CANCELLED_MEMORY_S,
-    MAX_REMEMBERED_CANCELLATIONS,
     MAX_RETRY_AFTER_S,
     MAX_TICK_INTERVAL_S,
     RENUMBER_MS,
@@ -447,10 +449,12 @@
     entry = Entry({"w": 4})
     for number in range(MAX_REMEMBERED_CANCELLATIONS + 5):
         entry.scheduler.cancel(str(number))
-    assert len(entry.scheduler.cancelled_at) == MAX_REMEMBERED_CANCELLATIONS
+    assert (
+        len(entry.scheduler.cancelled_ids.cancelled_at) == MAX_REMEMBERED_CANCELLATIONS
+    )
     entry.now += CANCELLED_MEMORY_S + 1.0
     entry.scheduler.cancel("last")
-    assert list(entry.scheduler.cancelled_at) == ["last"]
+    assert list(entry.scheduler.cancelled_ids.cancelled_at) == ["last"]
 
 
 PAUSED_S = MAX_TICK_INTERVAL_S + 1.0
