Simulated loads with varying demands, long tasks and leaving callers

The new options are off by default and draw no random number then, so that the jobs of existing simulations stay the same.

--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -54,6 +54,8 @@
 ORDER_LATENCY_S = 0.0005
 POLL_TIMEOUT_S = 0.06
 STOP_TIMEOUT_S = 0.1
+# How much longer than its job's other tasks a long task takes.
+LONG_TASK_FACTOR = 7
 # A delayed order arrives after this time, and its answer is lost.
 DELAYED_ORDER_S = 3.0
 
@@ -381,6 +383,10 @@
     :ivar work_s: Mean run time of a task at speed 1.
     :ivar spread: Standard deviation of the logarithm of the run time.
     :ivar estimate_spread: Standard deviation of the logarithm of the estimate's error.
+    :ivar demand_spread: Largest relative deviation of a job's CPU demand.
+    :ivar long_task_ratio: Probability that a task takes `LONG_TASK_FACTOR` times as
+        long.
+    :ivar extra_wait_s: How much longer than the run a caller waits; None for 30 s.
     """
 
     queue: Queue
@@ -392,6 +398,9 @@
     estimate_spread: float = 0.4
     starts_at: float = 0.0
     ends_at: float = float("inf")
+    demand_spread: float = 0.0
+    long_task_ratio: float = 0.0
+    extra_wait_s: float | None = None
 
 
 @dataclass
@@ -502,7 +511,21 @@
             task_work_s = [work_s * rng.uniform(0.85, 1.15) for _ in range(width)]
             estimate_s = work_s * rng.lognormvariate(0, load.estimate_spread)
             entry = rng.choice([entry for entry in self.entries if entry.alive])
-            self.submit(entry, load.queue, task_work_s, load.demand, estimate_s)
+            demand, caller_timeout_s = load.demand, 30.0
+            if load.long_task_ratio:
+                task_work_s = [
+                    task_s
+                    * (LONG_TASK_FACTOR if rng.random() < load.long_task_ratio else 1)
+                    for task_s in task_work_s
+                ]
+            if load.demand_spread:
+                factor = 1 + load.demand_spread * rng.uniform(-1, 1)
+                demand = replace(demand, cpu_milli=round(factor * demand.cpu_milli))
+            if load.extra_wait_s is not None:
+                caller_timeout_s = work_s + load.extra_wait_s
+            self.submit(
+                entry, load.queue, task_work_s, demand, estimate_s, caller_timeout_s
+            )
             self.loop.call_later(rng.expovariate(load.jobs_per_s), arrive)
 
         self.loop.call_at(load.starts_at + rng.expovariate(load.jobs_per_s), arrive)
