config check: a check of a configuration before it is applied

Cause: config apply accepts entries that have no effect, such as an expired exception or one for a scope for which no daemon reads the setting (ageing_ms and long_task_ms of a kind, max_inflight_tasks and retry_budget_ratio of a team), and limits that contradict each other.

Exit codes: 0 nothing found; 1 something found, another revision in force, or no answer from the store; 2 invalid file.

Ruled out: refusing such entries in config apply, which would reject documents that are accepted today.

--- a/marigoldkeel/operators.py
+++ b/marigoldkeel/operators.py
@@ -15,8 +15,10 @@
 from typing import Any, TypeVar
 
 import anyio
+from msgspec.structs import replace
 
 from marigoldkeel.audit import (
+    MAX_DOCUMENT_BYTES,
     AuditRecord,
     ChangeOutcome,
     ChangeResult,
@@ -28,7 +30,9 @@
     ConfigurationError,
     ExceptionRule,
     convert,
+    diff_configurations,
 )
+from marigoldkeel.configuration_checks import find_problems
 from marigoldkeel.exceptions import InvalidInput, StoreUnavailable
 from marigoldkeel.identifiers import mint_submission_id
 from marigoldkeel.stores import open_store
@@ -124,6 +128,49 @@
     )
 
 
+def config_check(file: Path, *, store: str) -> int:
+    """Check a TOML file with the whole configuration against the current one.
+
+    Prints errors, entries that can never match, limits that contradict each other, and
+    the differences. Nothing is written. The exit code is 0 if the file would be
+    accepted and nothing was found, and 1 if it needs attention.
+
+    :param file: TOML file with the whole configuration.
+    :param store: URL of the store.
+    """
+    try:
+        text = file.read_text()
+        configuration = Configuration.from_toml(text)
+    except (OSError, UnicodeDecodeError, InvalidInput) as error:
+        return print_invalid(error)
+    match = REVISION_LINE.match(text)
+
+    async def check(configurations: ConfigurationStore) -> int:
+        current = await configurations.read()
+        size = len(replace(current, configuration=configuration).to_json())
+        if size > MAX_DOCUMENT_BYTES:
+            return print_invalid(
+                f"the document is too large ({size} of {MAX_DOCUMENT_BYTES} bytes)"
+            )
+        findings = find_problems(configuration, datetime.now(UTC))
+        for finding in findings:
+            print(f"{finding.path}: {finding.message}")
+        print(f"differences to revision {current.revision}:")
+        print_difference(*diff_configurations(current.configuration, configuration))
+        if match is None:
+            print("the file names no revision; config apply needs --revision")
+        elif int(match[1]) != current.revision:
+            print(
+                f"not accepted: based on revision {match[1]}, but the current one is "
+                f"{current.revision}",
+                file=sys.stderr,
+            )
+            return ExitCode.NOT_ACCEPTED
+        return ExitCode.NOT_ACCEPTED if findings else ExitCode.ACCEPTED
+
+    return run_read(store, check)
+
+
 def config_history(*, store: str, change: str = "", limit: int = 20) -> int:
     """Print accepted changes, newest first.
 
@@ -265,6 +312,7 @@
         "show": config_show,
         "set": config_set,
         "apply": config_apply,
+        "check": config_check,
         "history": config_history,
         "diff": config_diff,
     },
