Follow the operators' evacuation of failure domains

Change: the follower of the plan also follows the keys op/evacuate/ZONE, with one watch of their common prefix, where the settings have [evacuation]. The set of evacuated domains has the store's revision and the highest one wins at entries and agents. Entries announce it and pull it like the plan; one without it does not accept jobs. Attach and Renew carry it to agents, which refuse start orders while their domain is evacuated. Entries leave the workers out of placement, capacity, and the choice of the subset.

Ruled out: a message of its own to the agents, which closes the link to an agent of the previous version; new fields of Attach and Renew are ignored there.

--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -25,6 +25,7 @@
     RETRY_DELAY_S,
     START_TIMEOUTS_S,
 )
+from marigoldkeel.fleet.evacuations import EvacuatedDomains
 from marigoldkeel.fleet.links import AgentEndpoint, AgentLink, OwnerEndpoint
 from marigoldkeel.fleet.messages import WorkerFacts
 from marigoldkeel.fleet.owned import OwnedJob
@@ -73,7 +74,7 @@
 
     def initialize(self) -> None:
         """Create the state of a new process and start its periodic tasks."""
-        self.supervisor = Supervisor(self.loop.clock)
+        self.supervisor = Supervisor(self.loop.clock, domain=self.domain)
         self.links = AgentEndpoint(
             self.supervisor, self.flush, self.loop.clock, self.name
         )
@@ -275,7 +276,8 @@
     def initialize(self) -> None:
         """Create the state of a new process and start its periodic tasks."""
         loop = self.loop
-        self.fleet = FleetView()
+        self.evacuations = EvacuatedDomains()
+        self.fleet = FleetView(self.evacuations)
         self.links = OwnerEndpoint(
             self.member,
             self.fleet,
@@ -295,6 +297,7 @@
         )
         self.links.scheduler = self.scheduler
         self.links.group = self
+        self.evacuations.on_update = self.links.update_evacuations
         for agent in self.simulation.agents:
             self.discover(agent)
         self.every(TICK_INTERVAL_S, self.links.step)
@@ -430,6 +433,15 @@
             seconds, lambda: first.partitioned_from.discard(second.name)
         )
 
+    def evacuate(self, revision: int, *domains: str, entries=None) -> None:
+        """State to entries which domains are evacuated as of a revision.
+
+        :param entries: The entries that are told; all that are alive by default.
+        """
+        for entry in self.entries if entries is None else entries:
+            if entry.alive:
+                entry.evacuations.offer(revision, domains, "test")
+
     def find_agent(self, name: str) -> SimulatedAgent:
         """Return the agent with a name."""
         return next(agent for agent in self.agents if agent.name == name)
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -19,6 +19,7 @@
 from marigoldkeel.fleet.cancellations import CancellationForwarder
 from marigoldkeel.fleet.directory import Directory, DirectoryController
 from marigoldkeel.fleet.drivers import WorkerClient, WorkerDriver
+from marigoldkeel.fleet.evacuations import EvacuatedDomains
 from marigoldkeel.fleet.following import PlanFollower
 from marigoldkeel.fleet.links import AgentEndpoint, OwnerEndpoint
 from marigoldkeel.fleet.messages import Announce, DropJob
@@ -209,6 +210,7 @@
 
     :param plan_key: Key of the operators' plan in the store.
     :param decode_plan: Decodes the stored plan.
+    :param evacuation_prefix: Prefix of the keys of evacuated domains in the store.
     """
 
     def __init__(
@@ -218,11 +220,14 @@
         plan_key: str,
         decode_plan: Callable[[bytes], Plan],
         settings_path: str = "",
+        evacuation_prefix: str = "",
     ):
         super().__init__(settings, store, settings_path)
         self.plan_key = plan_key
         self.decode_plan = decode_plan
-        self.fleet = FleetView()
+        self.evacuation_prefix = evacuation_prefix
+        self.evacuations = EvacuatedDomains()
+        self.fleet = FleetView(self.evacuations)
         self.links = OwnerEndpoint(
             self.own_member, self.fleet, self.clock, self.count_entries
         )
@@ -236,6 +241,7 @@
             connect_workers=self.links.connect_workers,
         )
         self.links.scheduler = self.scheduler
+        self.evacuations.on_update = self.links.update_evacuations
         self.job_durations = JobDurations()
         self.scheduler.on_answer = self.job_durations.observe
         self.serve_metrics(ENTRY_METRICS, self.job_durations.histogram)
@@ -271,7 +277,12 @@
         self.links.group = group
         self.cancellations = CancellationForwarder(self.peers, group, self.clock)
         self.follower = PlanFollower(
-            self.store, self.peers, self.plan_key, self.decode_plan
+            self.store,
+            self.peers,
+            self.plan_key,
+            self.decode_plan,
+            self.evacuations if self.settings.evacuation is not None else None,
+            self.evacuation_prefix,
         )
         self.directory = Directory(
             self.own_member, self.links.add, self.links.remove, self.links.describe
@@ -280,6 +291,8 @@
             group,
             plan_version=lambda: self.follower.version,
             is_alive=self._is_connected,
+            evacuation_revision=lambda: self.follower.evacuation_revision,
+            evacuation_changes=lambda: self.follower.evacuation_changes,
         )
 
     def start(self, group: TaskGroup) -> None:
@@ -306,7 +319,11 @@
         if isinstance(message, Announce):
             self.controller.receive(message)
             if not message.is_agent:
-                await self.follower.pull(message.member.address, message.plan_version)
+                await self.follower.pull(
+                    message.member.address,
+                    message.plan_version,
+                    message.evacuation_revision,
+                )
             return None
         if isinstance(message, Pull):
             return self.follower.answer(message)
@@ -356,7 +373,7 @@
     ):
         super().__init__(settings, store, settings_path)
         self.client = client
-        self.supervisor = Supervisor(self.clock, boot_time_s)
+        self.supervisor = Supervisor(self.clock, boot_time_s, settings.domain)
         self.run_durations = RunDurations()
         self.supervisor.on_run_end = self.run_durations.observe
         self.serve_metrics(AGENT_METRICS, self.run_durations.histogram)
--- a/marigoldkeel/fleet/directory.py
+++ b/marigoldkeel/fleet/directory.py
@@ -236,18 +236,27 @@
 
     :ivar waiting: The addresses whose turn comes before that of all others.
     :ivar announced_version: The version of the plan in the last round.
+    :ivar announced_changes: The number of changes of the evacuations in that round.
     """
 
     waiting: list[str] = field(default_factory=list)
     announced_version: int = 0
+    announced_changes: int = 0
 
-    def next_round(self, addresses: set[str], plan_version: int) -> list[str]:
+    def next_round(
+        self, addresses: set[str], plan_version: int, evacuation_changes: int = 0
+    ) -> list[str]:
         """Return the addresses of the next round.
 
-        A newer plan is announced to all entries at once.
+        A newer plan and a change of the evacuations are announced to all entries at
+        once.
         """
-        has_news = plan_version > self.announced_version
+        has_news = (
+            plan_version > self.announced_version
+            or evacuation_changes > self.announced_changes
+        )
         self.announced_version = plan_version
+        self.announced_changes = evacuation_changes
         if has_news:
             return sorted(addresses)
         rounds = ANNOUNCE_CYCLE_S / ANNOUNCE_INTERVAL_S
@@ -271,6 +280,8 @@
     :param is_alive: Returns whether the daemon of a name is connected.
     :param is_discovered: Returns whether other daemons have discovered this one.
     :param describe_worker: Returns what is known of this daemon's worker.
+    :param evacuation_revision: Returns the revision of the evacuations known here.
+    :param evacuation_changes: Returns how often they have changed.
     """
 
     def __init__(
@@ -286,6 +297,8 @@
         is_alive: Callable[[str], bool] = lambda name: False,
         is_discovered: Callable[[], bool] = lambda: True,
         describe_worker: Callable[[], WorkerFacts | None] = lambda: None,
+        evacuation_revision: Callable[[], int] = lambda: 0,
+        evacuation_changes: Callable[[], int] = lambda: 0,
     ):
         self.directory = directory
         self.store = store
@@ -298,6 +311,8 @@
         self.is_alive = is_alive
         self.is_discovered = is_discovered
         self.describe_worker = describe_worker
+        self.evacuation_revision = evacuation_revision
+        self.evacuation_changes = evacuation_changes
         self.written_worker: WorkerRecord | None = None
         self.rounds = AnnouncementRounds()
         self.listed_at: dict[str, float] = {}
@@ -416,7 +431,9 @@
         while True:
             if not self.leaving:
                 addresses = self.rounds.next_round(
-                    self._announce_addresses(), self.plan_version()
+                    self._announce_addresses(),
+                    self.plan_version(),
+                    self.evacuation_changes(),
                 )
                 for address in addresses:
                     self._start_announcement(address, include_agents=False)
@@ -449,6 +466,7 @@
             self.plan_version(),
             self.directory.digest(),
             known,
+            self.evacuation_revision(),
         )
         try:
             await self.peers.send(address, message)
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -9,6 +9,7 @@
 
 from marigoldkeel.exceptions import MarigoldkeelError, PeerUnavailable
 from marigoldkeel.fleet.supervisors import (
+    EVACUATED,
     MAX_ORDER_AGE_S,
     WORKER_LEASE_S,
     CheckBootOrder,
@@ -220,6 +221,11 @@
                     return StartOutcome.REFUSED, reason
                 break
             lease_s = lease_ends_at - clock()
+            if self.supervisor.evacuated:
+                reason = EVACUATED
+                if attempt == 0:
+                    return StartOutcome.REFUSED, reason
+                break
             outcome, reason = await self.client.start(run, lease_s, timeout_s)
             if outcome == StartOutcome.STARTED:
                 return outcome, reason
--- a/marigoldkeel/fleet/following.py
+++ b/marigoldkeel/fleet/following.py
@@ -1,19 +1,31 @@
-"""Keeps an entry's copy of the operators' plan current, from the store and peers."""
+"""Keeps an entry's copy of the operators' orders current, from the store and peers.
+
+The orders are the plan and, if the settings enable it, the evacuated failure domains.
+One watch covers both.
+"""
 
 from collections.abc import Callable
+from os.path import commonprefix
 
 import anyio
 from loguru import logger
 
 from marigoldkeel.exceptions import InvalidInput, MarigoldkeelError, StoreUnavailable
+from marigoldkeel.fleet.evacuations import (
+    EvacuatedDomains,
+    decode_domains,
+    domain_of_key,
+    evacuated_by,
+)
 from marigoldkeel.fleet.plans import Plan
 from marigoldkeel.messages import Pull, Pulled
 from marigoldkeel.revisions import RevisionRegister
-from marigoldkeel.stores import LeasedStore
+from marigoldkeel.stores import Change, LeasedStore
 from marigoldkeel.transports import PeerPool
 
 
 PLAN_DOCUMENT = "plan"
+EVACUATIONS_DOCUMENT = "evacuations"
 # A change must be in force on all entries within two seconds, even if a watch has
 # stopped delivering events without an error.
 WATCH_IDLE_TIMEOUT_S = 0.8
@@ -26,6 +38,10 @@
 
     :param key: The key of the plan in the store.
     :param decode: Decodes the stored plan; raises `InvalidInput` if it is malformed.
+    :param evacuations: Follows the evacuated domains too; None to read the plan only.
+    :param evacuation_prefix: Prefix of the keys that name an evacuated domain each.
+    :ivar prefix: What is read and watched. A prefix that covers the plan and the
+        evacuations saves the calls of a second watch; other keys below it are ignored.
     """
 
     def __init__(
@@ -34,19 +50,32 @@
         peers: PeerPool,
         key: str,
         decode: Callable[[bytes], Plan],
+        evacuations: EvacuatedDomains | None = None,
+        evacuation_prefix: str = "",
     ):
         self.store = store
         self.peers = peers
         self.key = key
         self.decode = decode
+        self.evacuations = evacuations
+        self.evacuation_prefix = evacuation_prefix
+        self.prefix = (
+            key if evacuations is None else commonprefix([key, evacuation_prefix])
+        )
+        self.set_back = False
         self.register = RevisionRegister()
         self.data = b""
-        self.pulling = False
+        self.pulling: set[str] = set()
         self.store_reachable: bool | None = None
 
     @property
     def plan(self) -> Plan | None:
-        """The plan in force, or None before the first one was received."""
+        """The plan in force, or None before the first one was received.
+
+        If evacuations are followed, no job may start before they are known too.
+        """
+        if self.evacuations is not None and not self.evacuations.known:
+            return None
         return self.register.document
 
     @property
@@ -83,41 +112,121 @@
                 await anyio.sleep(STORE_RETRY_DELAY_S)
 
     async def _follow(self) -> None:
-        snapshot = await self.store.get_prefix(self.key)
+        known_revision = self.evacuation_revision
+        snapshot = await self.store.get_prefix(self.prefix)
         self._set_store_reachable(True)
+        if self.evacuations is not None:
+            self.set_back = snapshot.revision < known_revision
+            keys = [value.key for value in snapshot.values]
+            self.evacuations.record_read(
+                snapshot.revision,
+                set(evacuated_by(keys, self.evacuation_prefix)),
+                known_revision,
+            )
         for value in snapshot.values:
             if value.key == self.key:
                 self.apply_if_newer(value.data, "store")
         changes = self.store.watch_changes(
-            self.key, snapshot.revision, WATCH_IDLE_TIMEOUT_S
+            self.prefix, snapshot.revision, WATCH_IDLE_TIMEOUT_S
         )
         async for change in changes:
-            if change.key == self.key and change.data is not None:
-                self.apply_if_newer(change.data, "store")
+            if change.key == self.key:
+                if change.data is not None:
+                    self.apply_if_newer(change.data, "store")
+            elif self.evacuations is not None:
+                self._apply_evacuation(change)
+
+    def _apply_evacuation(self, change: Change) -> None:
+        """Apply a change of a key below the evacuation prefix; ignore other keys."""
+        if not change.key.startswith(self.evacuation_prefix):
+            return
+        domain = domain_of_key(change.key, self.evacuation_prefix)
+        is_evacuated = change.data is not None
+        if not domain:
+            return
+        if not self.set_back or change.revision >= self.evacuations.revision:
+            self.evacuations.record_change(domain, is_evacuated, change.revision)
+        elif is_evacuated:
+            self.evacuations.add_restored([domain])
+
+    @property
+    def evacuation_revision(self) -> int:
+        """The revision of the known evacuations; 0 if none are known or followed."""
+        return self.evacuations.revision if self.evacuations is not None else 0
+
+    @property
+    def evacuation_changes(self) -> int:
+        """How often the set of evacuated domains has changed here."""
+        return self.evacuations.changes if self.evacuations is not None else 0
 
     def answer(self, message: Pull) -> Pulled:
-        """Return the plan in force to a peer.
+        """Return the plan in force or the evacuations to a peer.
 
         :raises StoreUnavailable: If the peer asks for another document.
         """
+        if message.what == EVACUATIONS_DOCUMENT and self.evacuation_revision:
+            return Pulled(
+                message.above, self.evacuations.revision, self.evacuations.encode()
+            )
         if message.what != PLAN_DOCUMENT:
             raise StoreUnavailable(f"no document {message.what!r}", step="pull")
         return Pulled(message.above, self.version, self.data)
 
-    async def pull(self, address: str, version: int) -> None:
-        """Fetch the plan from a peer that announced a newer version."""
-        if self.pulling or version <= self.version:
+    async def pull(
+        self, address: str, version: int, evacuation_revision: int = 0
+    ) -> None:
+        """Fetch what a peer has announced to be newer than what is known here.
+
+        Evacuations come first: with the plan, this entry accepts jobs.
+        """
+        if evacuation_revision > self.evacuation_revision:
+            await self._pull_evacuations(address)
+        if version > self.version and (
+            not evacuation_revision
+            or self.evacuations is None
+            or self.evacuations.known
+        ):
+            await self._pull_plan(address)
+        # The peer has a plan, but follows no evacuations: its version or its settings
+        # are without them. An entry that follows them knows them before the plan.
+        peer_has_none = version > 0 and not evacuation_revision
+        if self.evacuations is not None and peer_has_none and self.register.ready:
+            self.evacuations.assume_none(address)
+
+    async def _pull_plan(self, address: str) -> None:
+        reply = await self._request(address, PLAN_DOCUMENT, self.version)
+        if reply is not None and reply.document:
+            self.apply_if_newer(reply.document, address)
+
+    async def _pull_evacuations(self, address: str) -> None:
+        if self.evacuations is None:
+            return
+        reply = await self._request(
+            address, EVACUATIONS_DOCUMENT, self.evacuations.revision
+        )
+        if reply is None:
             return
-        self.pulling = True
         try:
-            request = Pull(PLAN_DOCUMENT, self.version)
-            reply = await self.peers.request(address, request, PULL_TIMEOUT_S)
-            if reply.document:
-                self.apply_if_newer(reply.document, address)
+            domains = decode_domains(reply.document)
+        except InvalidInput as error:
+            logger.warning("evacuations of {} ignored: {}", address, error)
+            return
+        self.evacuations.offer(reply.version, domains, address)
+
+    async def _request(self, address: str, document: str, above: int) -> Pulled | None:
+        """Ask a peer for a document; return None if that fails or is in progress."""
+        if document in self.pulling:
+            return None
+        self.pulling.add(document)
+        try:
+            return await self.peers.request(
+                address, Pull(document, above), PULL_TIMEOUT_S
+            )
         except MarigoldkeelError as error:
-            logger.info("could not fetch the plan from a peer: {}", error)
+            logger.info("could not fetch the {} from a peer: {}", document, error)
+            return None
         finally:
-            self.pulling = False
+            self.pulling.discard(document)
 
     def _set_store_reachable(
         self, is_reachable: bool, error: Exception | str = ""
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -74,6 +74,10 @@
 # Retry delay of a link whose connection another link uses: shorter than the longest
 # one, so that a link whose attaches are refused does not come first each time.
 TAKEN_RETRY_DELAY_S = 0.2
+# An agent is told within this time that known evacuations hold as of a later revision,
+# so that an entry that was cut off cannot replace them by older ones. A change of the
+# evacuations is sent at once.
+RESTATE_EVACUATIONS_S = 1.0
 # A change of the free CPU capacity by more than this fraction of the total is sent to
 # the owners immediately, a smaller one after STATE_INTERVAL_S. Owners account for their
 # own runs themselves.
@@ -99,6 +103,8 @@
     :ivar usable_at: When the agent last had a usable worker, or the link was created.
     :ivar connected_at: When the agent was last connected, or the link was created.
     :ivar wanted_at: When the subset last contained the agent.
+    :ivar stated_revision: The revision of the evacuations that were last sent on the
+        connection; 0 if there are none.
     """
 
     member: Member
@@ -119,6 +125,8 @@
     facts: WorkerFacts | None = None
     agent_clock_ms: int = 0
     agent_clock_read_at: float = 0.0
+    stated_revision: int = 0
+    stated_at: float = float("-inf")
 
     def record_sent(self, now: float) -> None:
         """Record that the message with the current sequence number has been sent."""
@@ -153,6 +161,7 @@
         links continue, so that an agent can tell a late `Attach` from a newer one.
     :ivar connected_racks: Racks whose workers were added for a job since the subset was
         last chosen.
+    :ivar evacuated_agents: The agents of workers on which no run may start.
     """
 
     def __init__(
@@ -170,6 +179,7 @@
         self.choose_at = float("-inf")
         self.last_sequence = 0
         self.connected_racks: set[str] = set()
+        self.evacuated_agents: set[str] = set()
         self.links: dict[str, AgentLink] = {}
         self.links_by_address: dict[str, AgentLink] = {}
         self.scheduler: Scheduler | None = None
@@ -183,6 +193,7 @@
         which the agent answers, or on whose worker this owner may still have runs.
         """
         self.subset.add(member)
+        self.fleet.agent_domains[member.name] = member.domain
         self.choose_at = float("-inf")
         link = self.links.get(member.name)
         if link is None:
@@ -207,6 +218,7 @@
         That is the case while it is connected and until ``runs_expire_at``.
         """
         self.subset.remove(name)
+        self.fleet.agent_domains.pop(name, None)
         self.fleet.described.pop(name, None)
         link = self.links.get(name)
         if link is not None and link.connection is None and link.runs_expire_at is None:
@@ -218,7 +230,31 @@
 
     def entries_per_agent(self) -> float:
         """Return how many entries are connected to one agent on average."""
-        return self.subset.entries_per_agent(self.count_entries())
+        return self.subset.entries_per_agent(
+            self.count_entries(), len(self.evacuated_agents)
+        )
+
+    def update_evacuations(self, is_changed: bool) -> None:
+        """Act on a newer state of the evacuations.
+
+        :param is_changed: Whether the set of evacuated domains has changed.
+        """
+        if not is_changed:
+            return  # The agents are told with `RESTATE_EVACUATIONS_S`.
+        self._find_evacuated()
+        self.choose_at = float("-inf")
+        for link in list(self.links.values()):
+            if link.connection is not None:
+                self._renew(link)
+        self.scheduler.schedule()
+
+    def _find_evacuated(self) -> None:
+        is_evacuated = self.fleet.is_evacuated
+        self.evacuated_agents = (
+            {name for name in self.subset.agents if is_evacuated(name)}
+            if self.fleet.evacuations.since
+            else set()
+        )
 
     def connect_workers(self, job: RepeatableJob) -> bool:
         """Connect to the workers that a job needs beside those of the subset.
@@ -227,7 +263,9 @@
         """
         if len(self.links) >= len(self.subset.agents):
             return False
-        views = [self.fleet.view(name) for name in self.links]
+        views = [
+            self.fleet.view(name) for name in self.links.keys() - self.evacuated_agents
+        ]
         connected = [view.facts for view in views if view.facts is not None]
         racks = {step.data_rack for step in job.steps} - {""} - self.connected_racks
         if not racks and all(has_enough_workers(step, connected) for step in job.steps):
@@ -267,6 +305,7 @@
             link.connection.send(message)
         except PeerUnavailable as error:
             logger.info("could not send to agent {}: {}", name, error)
+            link.stated_revision = 0
             return link.sequence
         link.record_sent(now)
         return link.sequence
@@ -313,6 +352,8 @@
             if now - link.usable_at > MISSING_AFTER_S
             or now - link.connected_at > UNCONNECTED_AFTER_S
         }
+        self._find_evacuated()
+        missing |= self.evacuated_agents
         chosen = self.subset.choose(self.count_entries(), missing, now)
         added = chosen - self.links.keys()
         for name in chosen - added:
@@ -387,8 +428,26 @@
             return
         has_runs = bool(self.fleet.view(link.member.name).placed)
         interval_s = RENEW_INTERVAL_S if has_runs else IDLE_RENEW_INTERVAL_S
-        if now - link.last_sent_at >= interval_s:
-            self.send(link.member.name, Renew())
+        is_due = now - link.last_sent_at >= interval_s
+        if is_due or self._must_restate(link, now):
+            self._renew(link)
+
+    def _must_restate(self, link: AgentLink, now: float) -> bool:
+        """Return whether an agent must be told that the evacuations still hold."""
+        return (
+            self.fleet.evacuations.revision > link.stated_revision
+            and now - link.stated_at >= RESTATE_EVACUATIONS_S
+        )
+
+    def _renew(self, link: AgentLink) -> None:
+        """Renew the lease; state the evacuations if the agent may not know them."""
+        message = Renew()
+        evacuations = self.fleet.evacuations
+        if evacuations.revision > link.stated_revision:
+            message.evacuation_revision = evacuations.revision
+            message.evacuated = evacuations.domains
+            link.stated_revision, link.stated_at = evacuations.revision, self.clock()
+        self.send(link.member.name, message)
 
     async def connect(self, link: AgentLink) -> None:
         """Connect to an agent and attach; a failed attempt is retried with backoff."""
@@ -426,9 +485,18 @@
             # arrived, the runs expire as before it.
             sent_at = link.lease_sent_at(now)
             sent_ms = max(1, link.estimate_agent_clock_ms(sent_at))
+        evacuations = self.fleet.evacuations
         attach = Attach(
-            link.sequence, self.own_member, held, facts, sent_ms, link.member.name
+            link.sequence,
+            self.own_member,
+            held,
+            facts,
+            sent_ms,
+            link.member.name,
+            evacuations.revision,
+            evacuations.domains,
         )
+        link.stated_revision, link.stated_at = evacuations.revision, now
         connection.send(attach)
         if stopping:
             # The order or the end of these runs may have been lost with the last link.
@@ -463,7 +531,7 @@
             if link.facts is not None and link.facts.boot != content.boot:
                 self.scheduler.clear_failures(name)
             link.facts = content
-            self.fleet.view(name).facts = content
+            self.fleet.view(name).describe(content, self.scheduler.clock())
         elif isinstance(content, RunEvent):
             self.scheduler.handle_event(name, content)
         elif isinstance(content, Progress):
@@ -565,6 +633,11 @@
         self.links_by_connection: dict[int, OwnerLink] = {}
 
     def message_received(self, connection: Connection, content: Any) -> bool:
+        if isinstance(content, Attach | Renew) and content.evacuation_revision:
+            # Whoever sends it, the state with the highest revision is the latest one.
+            self.supervisor.evacuations.offer(
+                content.evacuation_revision, content.evacuated, connection.peer
+            )
         if isinstance(content, Attach):
             self._attach(connection, content)
             return True
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -24,6 +24,8 @@
     :ivar is_agent: Whether the sender is an agent.
     :ivar digest: Hash of the set of agents that the sender knows.
     :ivar known: These agents; only sent to an entry whose digest differs.
+    :ivar evacuation_revision: The revision of the evacuations that the sender knows; 0
+        if it knows or follows none.
     """
 
     member: Member = field(default_factory=Member)
@@ -32,6 +34,7 @@
     plan_version: int = 0
     digest: int = 0
     known: list[Member] = field(default_factory=list)
+    evacuation_revision: int = 0
 
 
 @message("workerFacts")
@@ -40,6 +43,7 @@
 
     :ivar boot: Identifies one start of the worker; a higher value is later.
     :ivar leaves_in_ms: Minimum time until a leaving worker exits.
+    :ivar cold_ms: How much longer the worker is slow after its start.
     """
 
     worker: str = ""
@@ -50,6 +54,7 @@
     capacity: Resources = NO_RESOURCES
     leaving: bool = False
     leaves_in_ms: int = 0
+    cold_ms: int = 0
 
 
 class HeldRun(Struct):
@@ -69,6 +74,9 @@
         its lease: this one or, after a lost link, the last one on that link. 0 if the
         owner does not know the clock.
     :ivar agent: The name of the agent that the owner means to reach; empty for any.
+    :ivar evacuation_revision: The revision of the evacuations that the owner knows; 0
+        if it states none.
+    :ivar evacuated: The evacuated domains as of that revision.
     """
 
     sequence: int = 0
@@ -77,6 +85,8 @@
     facts: WorkerFacts = field(default_factory=WorkerFacts)
     sent_ms: int = 0
     agent: str = ""
+    evacuation_revision: int = 0
+    evacuated: list[str] = field(default_factory=list)
 
 
 class RunNumber(Struct):
@@ -129,10 +139,15 @@
 
 @message("renew")
 class Renew(Struct):
-    """Renews the owner's lease; ``sent_ms`` is as in `StartRuns`."""
+    """Renews the owner's lease; ``sent_ms`` is as in `StartRuns`.
+
+    The evacuations are as in `Attach`, and only stated when they are news to the agent.
+    """
 
     sequence: int = 0
     sent_ms: int = 0
+    evacuation_revision: int = 0
+    evacuated: list[str] = field(default_factory=list)
 
 
 @message("workerState")
--- a/marigoldkeel/fleet/settings.py
+++ b/marigoldkeel/fleet/settings.py
@@ -32,6 +32,15 @@
     readiness: str
 
 
+class EvacuationSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Evacuation of failure domains.
+
+    :ivar within_ms: Time from the operators' order until no task may start there.
+    """
+
+    within_ms: Annotated[float, Meta(gt=0)]
+
+
 class FleetSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Settings of an entry or agent of a fleet.
 
@@ -42,6 +51,7 @@
     :ivar grace_s: Time from a planned stop to the end of the process, in seconds.
     :ivar callers: Present for an entry.
     :ivar worker: Present for an agent.
+    :ivar evacuation: Present for an entry that follows the operators' evacuations.
     """
 
     name: ProcessName
@@ -54,6 +64,7 @@
     grace_s: Annotated[float, Meta(gt=0, le=600)] = 6.0
     callers: CallerSettings | None = None
     worker: WorkerSettings | None = None
+    evacuation: EvacuationSettings | None = None
     log_lines_per_s: Annotated[float, Meta(gt=0)] = 200.0
 
     def check(self) -> None:
--- a/marigoldkeel/fleet/subsets.py
+++ b/marigoldkeel/fleet/subsets.py
@@ -85,10 +85,15 @@
         shared = math.ceil(MIN_ENTRIES_PER_AGENT * total / max(1, entries))
         return min(total, max(MIN_SUBSET_SIZE, shared))
 
-    def entries_per_agent(self, entries: int) -> float:
-        """Return the mean number of entries that are connected to one agent."""
-        total = len(self.agents)
-        return max(1.0, entries * self.size(entries) / total) if total else 1.0
+    def entries_per_agent(self, entries: int, unavailable: int = 0) -> float:
+        """Return the mean number of entries that are connected to one agent.
+
+        :param unavailable: Number of agents that no entry uses, each of which is backed
+            up by another one, as long as there are others.
+        """
+        available = len(self.agents) - unavailable
+        used = min(self.size(entries), available)
+        return max(1.0, entries * used / available) if available > 0 else 1.0
 
     def choose(self, entries: int, missing: Iterable[str], now: float) -> set[str]:
         """Return the names of the agents to be connected to.
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -20,6 +20,7 @@
 from loguru import logger
 from msgspec import Struct, field
 
+from marigoldkeel.fleet.evacuations import EvacuatedDomains
 from marigoldkeel.fleet.messages import (
     Attach,
     Progress,
@@ -80,6 +81,7 @@
 PROGRESS_INTERVAL_S = 0.2
 # Reasons of an end that the worker has not stated itself.
 NOT_LISTED = "a poll does not list it"
+EVACUATED = "the failure domain is evacuated"
 UNKNOWN_RUN = "the agent does not know it"
 
 
@@ -236,6 +238,9 @@
     :param clock: Returns monotonic seconds; measures what happens on this machine.
     :param suspended_clock: Returns seconds of a clock that includes time in system
         suspend; measures the leases and orders of owners on other machines.
+    :param domain: The failure domain of the agent.
+    :ivar evacuations: The evacuated domains, as stated by the owners.
+    :ivar refused_orders: How many runs were refused, by reason.
     :ivar identity: Name and service of the worker by the first report of its boot.
 
     Usage::
@@ -253,9 +258,13 @@
         self,
         clock: Callable[[], float],
         suspended_clock: Callable[[], float] | None = None,
+        domain: str = "",
     ):
         self.clock = clock
         self.suspended_clock = suspended_clock or clock
+        self.domain = domain
+        self.evacuations = EvacuatedDomains()
+        self.refused_orders: Counter[str] = Counter()
         self.facts: WorkerFacts | None = None
         self.report_sequence = -1
         self.identity: tuple[str, str] | None = None
@@ -478,6 +487,7 @@
                 continue
             reason = self._refusal_reason(run_id.task, message)
             if reason:
+                self.refused_orders[reason] += 1
                 self._notify_refused(owner, run_id, reason)
                 continue
             run = Run(
@@ -603,11 +613,23 @@
         """Whether a poll has listed the runs on the worker."""
         return self.polled_at > float("-inf")
 
+    @property
+    def evacuated(self) -> bool:
+        """Whether no run may start because the failure domain is evacuated.
+
+        The domain is the one that either the worker or the agent states.
+        """
+        facts = self.facts
+        return self.evacuations.covers(
+            self.domain, facts.domain if facts is not None else None
+        )
+
     @property
     def usable(self) -> bool:
         """Whether runs may be started now."""
         return (
             self.facts is not None
+            and not self.evacuated
             and self.facts.boot == self.boot
             and not self.facts.leaving
             and not self.leaving
@@ -654,6 +676,8 @@
         return is_in_time and now - owner.attached_at <= ATTACH_GRACE_S
 
     def _refusal_reason(self, task: TaskId, message: StartRuns) -> str:
+        if self.evacuated:
+            return EVACUATED
         if not self.usable:
             return "worker is not usable"
         if not message.demand.fits(self.free_resources):
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -2,10 +2,19 @@
 
 from msgspec import Struct, field
 
+from marigoldkeel.fleet.evacuations import EvacuatedDomains
 from marigoldkeel.fleet.messages import HeldRun, WorkerFacts, WorkerState
 from marigoldkeel.fleet.work import NO_RESOURCES, Resources, RunId
 
 
+# Share of a worker's cores that is used when it returns cold. It grows to the whole
+# until the worker is warm, so that few runs are slow.
+COLD_SHARE = 0.25
+# Assumed speed of a cold worker relative to its speed when it is warm. The platform
+# states only how long it is slow, so the value is between no effect and a standstill.
+COLD_SPEED = 0.5
+
+
 class WorkerView(Struct):
     """One worker, as last described by its agent.
 
@@ -17,6 +26,8 @@
     :ivar acknowledged: The last sequence number that the agent's report includes.
     :ivar placed: This entry's runs on the worker, with the sequence number of the
         message that ordered each and its demand.
+    :ivar cold_s: How long the worker is slow after its start; 0 if it is warm.
+    :ivar warm_at: When the worker is warm, on the clock of the scheduler.
     """
 
     name: str
@@ -27,12 +38,38 @@
     connected: bool = False
     acknowledged: int = 0
     placed: dict[RunId, tuple[int, Resources]] = field(default_factory=dict)
+    cold_s: float = 0.0
+    warm_at: float = float("-inf")
 
     @property
     def ready(self) -> bool:
         """Whether runs may be sent to the worker."""
         return self.connected and self.usable and self.facts is not None
 
+    def describe(self, facts: WorkerFacts, now: float) -> None:
+        """Apply the worker's newer description of itself."""
+        if self.facts is None or self.facts.boot != facts.boot or not facts.cold_ms:
+            self.cold_s = 0.0
+        self.facts = facts
+        cold_left_s = facts.cold_ms / 1000
+        self.cold_s = max(self.cold_s, cold_left_s)
+        self.warm_at = now + cold_left_s
+
+    def coldness(self, now: float) -> float:
+        """Return the part of its cold time that a worker has left: 1 to 0."""
+        if now >= self.warm_at or not self.cold_s:
+            return 0.0
+        return min(1.0, (self.warm_at - now) / self.cold_s)
+
+    def held_back_milli(self, now: float) -> int:
+        """Return the CPU capacity that is not used yet because the worker is cold."""
+        held_back = (1 - COLD_SHARE) * self.coldness(now)
+        return round(held_back * self.facts.capacity.cpu_milli)
+
+    def speed_factor(self, now: float) -> float:
+        """Return the worker's assumed speed relative to its speed when it is warm."""
+        return 1 - (1 - COLD_SPEED) * self.coldness(now)
+
     def place(self, run: RunId, sequence: int, demand: Resources) -> None:
         """Reserve capacity for a run that has just been ordered."""
         self.placed[run] = (sequence, demand)
@@ -65,14 +102,25 @@
         self.placed.clear()
 
 
+def has_warm(views: list[WorkerView], now: float) -> bool:
+    """Return whether a worker is warm.
+
+    If none is, as after a loss of power, holding back capacity would only delay jobs.
+    """
+    return any(now >= view.warm_at for view in views)
+
+
 class FleetView:
     """All workers known to an entry, by the name of their agent.
 
     :ivar described: The description of each worker in its agent's directory record;
         most of them belong to agents that this entry is not connected to.
+    :ivar agent_domains: The failure domain of each known agent.
     """
 
-    def __init__(self):
+    def __init__(self, evacuations: EvacuatedDomains | None = None):
+        self.evacuations = evacuations or EvacuatedDomains()
+        self.agent_domains: dict[str, str] = {}
         self.workers: dict[str, WorkerView] = {}
         self.described: dict[str, WorkerFacts] = {}
 
@@ -86,17 +134,38 @@
         """Remove a worker that has left or was replaced."""
         self.workers.pop(name, None)
 
+    def is_evacuated(self, name: str) -> bool:
+        """Return whether a worker's failure domain is evacuated.
+
+        The domain is the one that either the worker or its agent states.
+        """
+        if not self.evacuations.since:
+            return False
+        view = self.workers.get(name)
+        facts = view.facts if view is not None else None
+        return self.evacuations.covers(
+            self.agent_domains.get(name), facts.domain if facts is not None else None
+        )
+
+    def evacuated(self) -> list[WorkerView]:
+        """Return the workers on which no run may start."""
+        return [view for view in self.workers.values() if self.is_evacuated(view.name)]
+
     def ready(self, service: str) -> list[WorkerView]:
         """Return the workers of a service to which runs may be sent."""
         return [
             view
             for view in self.workers.values()
-            if view.ready and view.facts.service == service
+            if view.ready
+            and view.facts.service == service
+            and not self.is_evacuated(view.name)
         ]
 
     def known(self, service: str) -> dict[str, WorkerFacts]:
         """Return the workers of a service, including unusable and unconnected ones.
 
+        Those of evacuated domains are left out.
+
         What an agent says on its own connection is newer than its directory record.
         """
         facts_by_name = self.described | {
@@ -107,5 +176,5 @@
         return {
             name: facts
             for name, facts in facts_by_name.items()
-            if facts.service == service
+            if facts.service == service and not self.is_evacuated(name)
         }
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -265,6 +265,7 @@
   planVersion @3 :UInt64;
   digest @4 :UInt64;
   known @5 :List(Member);
+  evacuationRevision @6 :UInt64;
 }
 
 struct WorkerFacts {
@@ -276,6 +277,7 @@
   capacity @5 :Resources;
   leaving @6 :Bool;
   leavesInMs @7 :UInt32;
+  coldMs @8 :UInt32;
 }
 
 struct HeldRun {
@@ -290,6 +292,8 @@
   facts @3 :WorkerFacts;
   sentMs @4 :UInt64;
   agent @5 :Text;
+  evacuationRevision @6 :UInt64;
+  evacuated @7 :List(Text);
 }
 
 struct RunNumber {
@@ -319,6 +323,8 @@
 struct Renew {
   sequence @0 :UInt64;
   sentMs @1 :UInt64;
+  evacuationRevision @2 :UInt64;
+  evacuated @3 :List(Text);
 }
 
 struct WorkerState {
--- a/marigoldkeel/platform/daemons.py
+++ b/marigoldkeel/platform/daemons.py
@@ -4,7 +4,7 @@
 from marigoldkeel.fleet.daemons import FleetAgent, FleetDaemon, FleetEntry
 from marigoldkeel.fleet.settings import FleetSettings
 from marigoldkeel.platform.callers import callers_application, readiness_application
-from marigoldkeel.platform.plans import PLAN_KEY, decode_plan
+from marigoldkeel.platform.plans import EVACUATION_PREFIX, PLAN_KEY, decode_plan
 from marigoldkeel.platform.stores import PlatformStore
 from marigoldkeel.platform.workers import RunnerClient, reports_application
 
@@ -17,7 +17,9 @@
     """
     store = PlatformStore(settings.store.url, settings.store.timeout_s)
     if settings.callers is not None:
-        entry = FleetEntry(settings, store, PLAN_KEY, decode_plan, settings_path)
+        entry = FleetEntry(
+            settings, store, PLAN_KEY, decode_plan, settings_path, EVACUATION_PREFIX
+        )
         entry.servers += [
             (settings.callers.address, callers_application(entry)),
             (settings.callers.readiness, readiness_application(entry)),
--- a/marigoldkeel/platform/plans.py
+++ b/marigoldkeel/platform/plans.py
@@ -7,6 +7,8 @@
 
 
 PLAN_KEY = "op/config"
+# An operator evacuates a failure domain by writing a key with this prefix and its name.
+EVACUATION_PREFIX = "op/evacuate/"
 MS_PER_S = 1000
 
 
--- a/marigoldkeel/platform/stores.py
+++ b/marigoldkeel/platform/stores.py
@@ -150,6 +150,11 @@
                 "watch", "GET", target, timeout_s=idle_timeout_s + WATCH_MARGIN_S
             )
             answer = self._decode(reply, _WatchResponse, "watch")
+            if answer.current_rev < after_revision:
+                # Restored from an older state; what it has now must be read again.
+                raise self._unavailable(
+                    "watch", f"revision {answer.current_rev} is below {after_revision}"
+                )
             for event in answer.events:
                 data = (
                     None if event.removed else self._decode_value(event.value, "watch")
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -95,6 +95,16 @@
     assert len(rounds.next_round(addresses, 2)) == 34
 
 
+def test_changed_evacuations_are_announced_to_all_entries_at_once():
+    # Guards against an entry that the store rejects and that starts tasks in an
+    # evacuated domain until its turn comes, after seconds.
+    rounds = AnnouncementRounds()
+    addresses = {f"10.0.0.{number}:1" for number in range(34)}
+    rounds.next_round(addresses, 1, 1)
+    assert len(rounds.next_round(addresses, 1, 1)) < 34
+    assert len(rounds.next_round(addresses, 1, 2)) == 34
+
+
 def test_entry_that_left_takes_no_turn():
     rounds = AnnouncementRounds()
     addresses = {f"10.0.0.{number}:1" for number in range(8)}
