Use workers that return cold by degrees

Cause: a worker's report states how much longer it is slow after its start (cold_left_ms), but the field was not read: after a domain is taken back, its workers got their full share of the tasks at once.

Change: a cold worker is used from a quarter of its cores on, rising to all of them, and is forecast to be slower. Nothing changes for a worker without a cold time, nor while all workers of a service are cold: holding back then only delays jobs.

--- a/marigoldkeel/fleet/placement.py
+++ b/marigoldkeel/fleet/placement.py
@@ -6,7 +6,8 @@
 from marigoldkeel.fleet.forecasts import Forecaster
 from marigoldkeel.fleet.owned import OwnedJob
 from marigoldkeel.fleet.packing import Candidate
-from marigoldkeel.fleet.views import WorkerView
+from marigoldkeel.fleet.views import WorkerView, has_warm
+from marigoldkeel.fleet.work import Resources
 
 
 def find_candidates(
@@ -18,15 +19,19 @@
 ) -> list[Candidate]:
     """Return the workers that tasks may be placed on now.
 
+    Part of a cold worker is held back, unless all workers are cold.
+
     :param domain: The failure domain of the entry.
     """
+    views = list(views)
+    holds_back = has_warm(views, now)
     return [
         Candidate(
             view.name,
-            view.free,
+            _usable_free(view, now) if holds_back else view.free,
             view.facts.capacity,
             view.facts.labels,
-            forecaster.speed(view.name),
+            forecaster.speed(view.name) * view.speed_factor(now),
             view.facts.domain == domain,
             is_probe=view.name in detector.ejected,
         )
@@ -35,6 +40,12 @@
     ]
 
 
+def _usable_free(view: WorkerView, now: float) -> Resources:
+    """Return a worker's free capacity without the part held back while it is cold."""
+    held_back_milli = view.held_back_milli(now)
+    return view.free - Resources(held_back_milli) if held_back_milli else view.free
+
+
 def eligible_workers(
     owned: OwnedJob, number: int, candidates: list[Candidate]
 ) -> list[Candidate]:
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -437,7 +437,7 @@
             for view in self.fleet.ready(service)
             if view.name not in self.detector.ejected
         ]
-        return share_of_cores(usable, self.entries_per_worker())
+        return share_of_cores(usable, self.entries_per_worker(), self.clock())
 
     def _waiting_in_order(self) -> list[OwnedJob]:
         """Return the waiting jobs in the order in which they are served."""
--- a/marigoldkeel/platform/workers.py
+++ b/marigoldkeel/platform/workers.py
@@ -51,6 +51,8 @@
     "alone": RunEnd.ALONE,
 }
 UNHEALTHY_STATUSES = (429, 503)
+# A runner that states a longer time is used fully after this one.
+MAX_COLD_MS = 600_000
 
 
 class _OrderResponse(msgspec.Struct):
@@ -238,6 +240,7 @@
     :ivar seq: Increases with each report until the runner restarts.
     :ivar remaining_ms: Minimum time until a draining runner exits.
     :ivar born: As in `_PollResponse`.
+    :ivar cold_left_ms: How much longer the runner is slow after its start.
     """
 
     service: str
@@ -248,6 +251,7 @@
     labels: list[str] = []
     remaining_ms: int = 0
     born: int = 0
+    cold_left_ms: float = 0
 
 
 LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -285,6 +289,7 @@
             capacity,
             leaving,
             content.remaining_ms,
+            round(min(MAX_COLD_MS, max(0, content.cold_left_ms))),
         )
         supervisor.update_facts(facts, content.seq)
         flush()
