Show evacuated domains in status and metrics

Cause: operators could not see which daemon knows of an evacuation, nor who still has runs in the domain.

Change: the status of an entry has the domains, the revision from which each was known and its runs there; that of an agent says that it is evacuated. Metrics: marigoldkeel_evacuated_domains, marigoldkeel_evacuation_revision, marigoldkeel_runs_in_evacuated_domains at entries, marigoldkeel_evacuated and marigoldkeel_refused_orders at agents.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -634,10 +634,7 @@
 
     def message_received(self, connection: Connection, content: Any) -> bool:
         if isinstance(content, Attach | Renew) and content.evacuation_revision:
-            # Whoever sends it, the state with the highest revision is the latest one.
-            self.supervisor.evacuations.offer(
-                content.evacuation_revision, content.evacuated, connection.peer
-            )
+            self._record_evacuations(connection, content)
         if isinstance(content, Attach):
             self._attach(connection, content)
             return True
@@ -668,6 +665,18 @@
             )
         return True
 
+    def _record_evacuations(
+        self, connection: Connection, message: Attach | Renew
+    ) -> None:
+        """Keep the stated evacuations if they are the latest, whoever states them."""
+        link = self.links_by_connection.get(id(connection))
+        owner = link.owner if link is not None else getattr(message, "owner", None)
+        self.supervisor.evacuations.offer(
+            message.evacuation_revision,
+            message.evacuated,
+            owner.name if owner is not None else connection.peer,
+        )
+
     def frame_processed(self, connection: Connection) -> None:
         self.flush()
 
--- a/marigoldkeel/fleet/metrics.py
+++ b/marigoldkeel/fleet/metrics.py
@@ -71,8 +71,8 @@
 
 def workers_by_state(entry) -> Samples:
     """Return the number of workers known to an entry, by state."""
-    views = entry.fleet.workers.values()
-    ready = sum(view.ready for view in views)
+    views, is_evacuated = entry.fleet.workers.values(), entry.fleet.is_evacuated
+    ready = sum(view.ready and not is_evacuated(view.name) for view in views)
     return labelled_samples("state", {"ready": ready, "unusable": len(views) - ready})
 
 
@@ -130,6 +130,27 @@
         lambda entry: labelled_samples("cause", entry.scheduler.requeued),
     ),
     Metric(Gauge, "marigoldkeel_workers", "Connected workers.", workers_by_state),
+    Metric(
+        Gauge,
+        "marigoldkeel_evacuated_domains",
+        "Failure domains in which no task may start.",
+        lambda entry: len(entry.evacuations.since),
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_evacuation_revision",
+        "Revision of the store as of which the evacuations are known; 0 if they are "
+        "not.",
+        lambda entry: entry.evacuations.revision,
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_runs_in_evacuated_domains",
+        "Runs of this entry that go on in evacuated domains.",
+        lambda entry: labelled_samples(
+            "domain", entry.fleet.runs_by_evacuated_domain()
+        ),
+    ),
     Metric(
         Gauge,
         "marigoldkeel_agents",
@@ -163,6 +184,18 @@
         "Reports about the worker, by outcome; only applied ones count at once.",
         lambda agent: labelled_samples("outcome", agent.supervisor.report_counts),
     ),
+    Metric(
+        Gauge,
+        "marigoldkeel_evacuated",
+        "Whether no run may start because the failure domain is evacuated.",
+        lambda agent: int(agent.supervisor.evacuated),
+    ),
+    Metric(
+        Counter,
+        "marigoldkeel_refused_orders",
+        "Runs whose start orders were refused, by cause.",
+        lambda agent: labelled_samples("cause", agent.supervisor.refused_orders),
+    ),
     Metric(
         Gauge,
         "marigoldkeel_owners",
--- a/marigoldkeel/fleet/status.py
+++ b/marigoldkeel/fleet/status.py
@@ -26,6 +26,7 @@
         "requests_in_progress": entry.in_progress,
         "jobs": len(scheduler.jobs),
         "waiting_jobs": len(scheduler.waiting),
+        "evacuations": _evacuations_report(entry),
         "entries": entry.count_entries(),
         "known_agents": len(links.subset.agents),
         "entries_per_agent": round(links.entries_per_agent(), 2),
@@ -36,6 +37,20 @@
     }
 
 
+def _evacuations_report(entry) -> dict[str, Any]:
+    """Return the evacuated domains, and this entry's runs that go on there."""
+    evacuations, runs = entry.evacuations, entry.fleet.runs_by_evacuated_domain()
+    return {
+        "followed": entry.settings.evacuation is not None,
+        "known": evacuations.known,
+        "revision": evacuations.revision,
+        "domains": [
+            {"domain": domain, "since_revision": since, "runs": runs[domain]}
+            for domain, since in sorted(evacuations.since.items())
+        ],
+    }
+
+
 def _services(entry) -> list[str]:
     """Return the services of which this entry knows a worker."""
     reported = [view.facts for view in entry.fleet.workers.values()]
@@ -71,7 +86,9 @@
         "address": link.member.address,
         "recorded_address": (link.successor or link.member).address,
         "connected": link.connection is not None,
-        "usable": view.ready,
+        "usable": view.ready and not entry.fleet.is_evacuated(name),
+        "evacuated": entry.fleet.is_evacuated(name),
+        "cold_s": round(max(0.0, view.warm_at - entry.scheduler.clock()), 1),
         "ejected": name in entry.scheduler.detector.ejected,
         "needed_by_job": name in entry.links.subset.pinned,
         "unwanted_s": round(now - link.wanted_at, 1),
@@ -97,6 +114,9 @@
         "unconfirmed_boots": sorted(supervisor.unconfirmed),
         "reports": dict(supervisor.report_counts),
         "usable": supervisor.usable,
+        "evacuated": supervisor.evacuated,
+        "evacuation_revision": supervisor.evacuations.revision,
+        "refused_orders": dict(supervisor.refused_orders),
         "polled_s": round(now - supervisor.polled_at, 3)
         if supervisor.reconciled
         else None,
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -151,6 +151,16 @@
         """Return the workers on which no run may start."""
         return [view for view in self.workers.values() if self.is_evacuated(view.name)]
 
+    def runs_by_evacuated_domain(self) -> dict[str, int]:
+        """Return how many runs of this entry go on in each evacuated domain."""
+        runs = dict.fromkeys(self.evacuations.domains, 0)
+        for view in self.evacuated():
+            domain = self.agent_domains.get(view.name)
+            if domain not in runs:
+                domain = view.facts.domain
+            runs[domain] += len(view.placed)
+        return runs
+
     def ready(self, service: str) -> list[WorkerView]:
         """Return the workers of a service to which runs may be sent."""
         return [
--- a/marigoldkeel/reports.py
+++ b/marigoldkeel/reports.py
@@ -78,6 +78,11 @@
         f"{len(report['agents'])} of {report['known_agents']} agents, each shared by "
         f"{report['entries_per_agent']} of {report['entries']} entries"
     )
+    for row in report["evacuations"]["domains"]:
+        print(
+            f"domain {row['domain']}: evacuated since revision "
+            f"{row['since_revision']}, {row['runs']} runs of this entry are still there"
+        )
     for row in report["forecasts"]:
         wait = "without end" if row["wait_s"] is None else f"{row['wait_s']:.3f} s"
         print(
@@ -100,6 +105,9 @@
     if not row["connected"]:
         return "not connected"
     states = ["usable" if row["usable"] else "no usable worker"]
+    if row["evacuated"]:
+        states = ["evacuated"]
+    states += [f"cold for {row['cold_s']} s"] * bool(row["cold_s"])
     states += ["ejected"] * row["ejected"] + ["needed by a job"] * row["needed_by_job"]
     return ", ".join(states)
 
@@ -109,6 +117,8 @@
     """Print the report of an agent of a fleet: its worker, owners and runs."""
     member = report["member"]
     state = "usable" if report["usable"] else "not usable"
+    if report["evacuated"]:
+        state = f"evacuated as of revision {report['evacuation_revision']}"
     polled = (
         "never polled"
         if report["polled_s"] is None
