Evacuate domains in the soak test

Cause: no soak fault gave the operators' order to evacuate a domain.

Change: the fault evacuate_domain orders it for 6 to 9 s, in half of the cases after an order that was withdrawn; a check finds starts later than 5 s after the order.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,7 +20,7 @@
     Probe,
     SentJob,
 )
-from soak.installations import GRACE_S, Installation
+from soak.installations import EVACUATE_S, GRACE_S, Installation
 
 
 # HTTP statuses that a caller may get for a job.
@@ -81,6 +81,10 @@
         """All attempts of callers, each with its job."""
         return ((job, item) for job in self.callers.jobs for item in job.attempts)
 
+    def all_spans(self) -> Iterator[tuple[TaskId, Span]]:
+        """Return all runs, each with its task."""
+        return ((task, span) for task, spans in self.spans.items() for span in spans)
+
     def runs_of(self, job: SentJob) -> list[list[Span]]:
         """Return the runs of each of a job's tasks."""
         return [
@@ -226,6 +230,29 @@
                     )
 
 
+@timed_check
+def evacuated_domains_get_nothing_new(record: RunRecord) -> Iterator[str]:
+    installation = record.installation
+    domains = {
+        runner.worker.name: runner.worker.domain for runner in installation.runners
+    }
+    for domain, ordered_at, until in installation.evacuations:
+        # No daemon can read an order from a store that answers none of them.
+        outages = [
+            ended_at
+            for began_at, ended_at in installation.store_outages
+            if began_at < ordered_at + EVACUATE_S and ended_at > ordered_at
+        ]
+        since = max([ordered_at, *outages]) + EVACUATE_S
+        for task, span in record.all_spans():
+            if domains[span.worker] == domain and since < span.began_at < until:
+                late_s = span.began_at - ordered_at
+                yield (
+                    f"{task.job_id} started on {span.worker} {late_s:.2f} s after "
+                    f"the evacuation of {domain}"
+                )
+
+
 @check
 def configurations_never_go_back(record: RunRecord) -> Iterator[str]:
     by_process: dict[tuple[str, int], list[Probe]] = {}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,8 @@
 from emulator.proxies import Proxy
 from emulator.runners import RunnerEmulator
 from marigoldkeel.fleet.directory import record_key
-from soak.installations import GRACE_S, Installation
+from marigoldkeel.platform.plans import EVACUATION_PREFIX
+from soak.installations import DOMAINS, EVACUATE_S, GRACE_S, Installation
 from soak.programs import Program
 
 
@@ -23,6 +24,8 @@
 DELAYS_S = (0.005, 0.05, 0.4)
 STORE_FAULT_RANGE_S = (0.5, 5.0)
 LEAVING_RANGE_S = (2.5, 5.0)
+EVACUATION_RANGE_S = (EVACUATE_S + 1.0, EVACUATE_S + 4.0)
+REORDER_RANGE_S = (0.0, 3.0)
 # Time limit for the acknowledgement of the report that a worker is leaving.
 REPORT_TIMEOUT_S = 1.5
 # Start-up time of the Python interpreter on a busy machine.
@@ -40,6 +43,8 @@
 faults: dict[str, Fault] = {}
 # The faults in which a process is told what only another one can know, or is not heard.
 foreign_faults: dict[str, Fault] = {}
+# What an operator does to the whole installation.
+operator_faults: dict[str, Fault] = {}
 
 
 def fault(function: Fault) -> Fault:
@@ -54,6 +59,12 @@
     return fault(function)
 
 
+def operator_fault(function: Fault) -> Fault:
+    """Register an order of an operator under the name of its function."""
+    operator_faults[function.__name__] = function
+    return fault(function)
+
+
 async def _with_idle_process(
     installation: Installation,
     rng: random.Random,
@@ -192,8 +203,11 @@
         store.compact()
     else:
         store.revoke("marigoldkeel/")
+    began_at = anyio.current_time()
     await anyio.sleep(rng.uniform(*STORE_FAULT_RANGE_S))
     store.restore()
+    if kind in ("down", "silent", "slow"):
+        installation.store_outages.append((began_at, anyio.current_time()))
 
 
 @fault
@@ -256,6 +270,35 @@
         await anyio.sleep(rng.uniform(0.0, 0.8))
 
 
+@operator_fault
+async def evacuate_domain(installation: Installation, rng: random.Random) -> None:
+    """Evacuate a domain, and take it back after longer than the bound.
+
+    In half of the cases the order is withdrawn and issued again before.
+    """
+    store = installation.store
+    served = sorted(set(DOMAINS) - installation.evacuated)
+    # One domain is left, so that jobs are still served.
+    if len(served) < 2:
+        return
+    domain = rng.choice(served)
+    installation.evacuated.add(domain)
+    while store.error_status or store.silent or store.delay_s:
+        await anyio.sleep(0.05)
+    key = EVACUATION_PREFIX + domain
+    if rng.random() < 0.5:
+        store.put(key, b"{}")
+        await anyio.sleep(rng.uniform(*REORDER_RANGE_S))
+        store.remove(key)
+        await anyio.sleep(rng.uniform(0.0, 0.5))
+    ordered_at = anyio.current_time()
+    store.put(key, b"{}")
+    await anyio.sleep(rng.uniform(*EVACUATION_RANGE_S))
+    installation.evacuations.append((domain, ordered_at, anyio.current_time()))
+    store.remove(key)
+    installation.evacuated.discard(domain)
+
+
 FOREIGN_REPORTS: dict[str, dict[str, Any]] = {
     "other service": {"service": "unknown"},
     "other state": {"state": "unknown"},
--- a/soak/installations.py
+++ b/soak/installations.py
@@ -27,6 +27,9 @@
 STORE_TIMEOUT_S = 0.5
 LEASE_CHECK_INTERVAL_S = 0.2
 CORES = (4, 6, 8)
+DOMAINS = "abc"
+# Time from the operator's order until no task may start in a domain.
+EVACUATE_S = 5.0
 # Leaves room for earlier boots.
 FIRST_BOOT = 1_000_000
 # How the proxy of an entry tells a caller that the entry accepts no connection.
@@ -49,6 +52,10 @@
 class Installation:
     """Entries and agents as processes, with stand-ins for the systems that they use.
 
+    :ivar evacuations: Domain, time of the order and time of its withdrawal.
+    :ivar evacuated: The domains that are evacuated now.
+    :ivar store_outages: The times in which the store served nobody or with a delay.
+
     Usage::
 
         async with Installation.open(directory, entries=3, workers=4) as installation:
@@ -65,6 +72,9 @@
     runners: list[RunnerEmulator] = field(default_factory=list)
     changes: list[PlanChange] = field(default_factory=list)
     leaving_periods: list[tuple[str, float, float]] = field(default_factory=list)
+    evacuations: list[tuple[str, float, float]] = field(default_factory=list)
+    evacuated: set[str] = field(default_factory=set)
+    store_outages: list[tuple[float, float]] = field(default_factory=list)
     records: OverwrittenRecords = field(init=False)
 
     def __post_init__(self):
@@ -173,11 +183,12 @@
         return program
 
     async def _add_entry(self, number: int) -> None:
-        entry = await self._create_program(f"entry-{number}", "abc"[number % 3])
+        entry = await self._create_program(f"entry-{number}", DOMAINS[number % 3])
         entry.settings["callers"] = {
             "address": free_address(self.host),
             "readiness": free_address(self.host),
         }
+        entry.settings["evacuation"] = {"within_ms": 1000 * EVACUATE_S}
         proxy = Proxy(
             free_address(self.host), entry.settings["callers"]["address"], NOT_ACCEPTED
         )
@@ -187,7 +198,7 @@
         entry.launch()
 
     async def _add_worker(self, number: int) -> None:
-        domain = "abc"[number % 3]
+        domain = DOMAINS[number % 3]
         agent = await self._create_program(f"agent-{number}", domain)
         capacity = Resources(1000 * CORES[number % 3], 65_536)
         runner = RunnerEmulator(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,8 +31,14 @@
     pair_ends,
     timed_checks,
 )
-from soak.faults import FOREIGN_REPORTS, faults, foreign_faults, foreign_report
-from soak.installations import PlanChange
+from soak.faults import (
+    FOREIGN_REPORTS,
+    faults,
+    foreign_faults,
+    foreign_report,
+    operator_faults,
+)
+from soak.installations import EVACUATE_S, PlanChange
 from soak.programs import Disturbance, Program
 from soak.records import OverwrittenRecords
 from soak.runs import run_seed
@@ -59,8 +65,15 @@
         self.job = SentJob(JOB, 1, False, 1.5, [self.attempt])
         self.spans = [Span("w-1", 10.1, 10.4, DONE)]
         self.worker = SimpleNamespace(
-            name="w-1", peak_cpu_milli=4000, capacity=SimpleNamespace(cpu_milli=4000)
+            name="w-1",
+            domain="a",
+            peak_cpu_milli=4000,
+            capacity=SimpleNamespace(cpu_milli=4000),
         )
+        self.other = SimpleNamespace(**{**vars(self.worker), "name": "w-2"})
+        self.other.domain = "b"
+        self.evacuations = [("b", 30.0, 40.0)]
+        self.store_outages = [(31.0, 33.0)]
         self.changes = [
             PlanChange(2, {"/stock/"}),
             PlanChange(4, {"/stock/", "/extra-1/"}),
@@ -77,7 +90,11 @@
     def record(self) -> RunRecord:
         installation = SimpleNamespace(
             programs=[self.entry],
-            runners=[SimpleNamespace(worker=self.worker)],
+            runners=[
+                SimpleNamespace(worker=worker) for worker in (self.worker, self.other)
+            ],
+            evacuations=self.evacuations,
+            store_outages=self.store_outages,
             changes=self.changes,
             leaving_periods=self.leaving_periods,
         )
@@ -134,6 +151,10 @@
     sample.spans.append(Span("w-1", 20.0 + MAX_DRAIN_S + 0.1, 23.0, DONE))
 
 
+def start_in_evacuated_domain(sample):
+    sample.spans.append(Span("w-2", 33.0 + EVACUATE_S + 0.1, 39.0, DONE))
+
+
 def roll_back_configuration(sample):
     sample.probes.append(sample.probe("/extra-1/", 7.0, known=False))
 
@@ -156,6 +177,7 @@
         (lose_connection_at_planned_stop, "entries_that_run_give_an_answer"),
         (exit_with_error, "planned_stops_end_in_time"),
         (start_at_leaving_worker, "leaving_workers_get_nothing_new"),
+        (start_in_evacuated_domain, "evacuated_domains_get_nothing_new"),
         (roll_back_configuration, "configurations_never_go_back"),
         (log_traceback, "no_unexpected_error_is_logged"),
     ],
@@ -214,7 +236,7 @@
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_short_run_has_no_violations(seed, tmp_path):
     """Checks with a time limit are left to manual runs of the soak test."""
-    kinds = faults.keys() - foreign_faults.keys()
+    kinds = faults.keys() - foreign_faults.keys() - operator_faults.keys()
     report = anyio.run(run_seed, seed, tmp_path, SHORT_S, 3, 4, kinds)
     assert report.violations == [], report.faults
     assert report.jobs
