Read a store that was set back again until it has caught up

Cause: after an order was added from a store whose revision is below the known one, its watch went on, and the withdrawal of the order was compared with a revision that the store had not reached.

Change: while that is so, the store is read again every 2 s, until its revision is above the known one.

--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -14,7 +14,12 @@
 from emulator.stores import StoreEmulator
 from emulator.workers import EmulatedWorker
 from marigoldkeel.fleet.daemons import FleetAgent, FleetDaemon, FleetEntry
-from marigoldkeel.fleet.settings import CallerSettings, FleetSettings, WorkerSettings
+from marigoldkeel.fleet.settings import (
+    CallerSettings,
+    EvacuationSettings,
+    FleetSettings,
+    WorkerSettings,
+)
 from marigoldkeel.fleet.work import Resources
 from marigoldkeel.platform.daemons import open_daemon
 from marigoldkeel.platform.plans import PLAN_KEY
@@ -75,18 +80,25 @@
     version: int = 0
     jobs: int = 0
     metrics: bool = False
+    evacuation: EvacuationSettings | None = None
 
     @classmethod
     @asynccontextmanager
     async def open(
-        cls, entries: int = 2, workers: int = 3, metrics: bool = False
+        cls,
+        entries: int = 2,
+        workers: int = 3,
+        metrics: bool = False,
+        evacuation: EvacuationSettings | None = None,
     ) -> AsyncIterator["Site"]:
         """Start all daemons and wait until the entries know all workers."""
         async with anyio.create_task_group() as group:
             store = StoreEmulator()
             address = await group.start(serve_http, store.application, HOST, 0)
             async with httpcore.AsyncConnectionPool() as pool:
-                site = cls(group, pool, store, address, metrics=metrics)
+                site = cls(
+                    group, pool, store, address, metrics=metrics, evacuation=evacuation
+                )
                 site.configure(route("stock", "/stock/"))
                 for number in range(entries):
                     site.add_entry(f"entry-{number}")
@@ -102,13 +114,13 @@
         self.store.put(PLAN_KEY, plan_document(self.version, routes))
         return self.version
 
-    def settings(self, name: str, **fields) -> FleetSettings:
+    def settings(self, name: str, domain: str = "a", **fields) -> FleetSettings:
         """Return settings for a daemon with free addresses."""
         seeds = [entry.settings.listen for entry in self.entries]
         store = StoreSettings(self.store_address, "platform", 0.3)
         return FleetSettings(
             name=name,
-            domain="a",
+            domain=domain,
             listen=free_address(),
             store=store,
             seeds=seeds,
@@ -119,18 +131,24 @@
     def add_entry(self, name: str) -> FleetEntry:
         """Start an entry."""
         callers = CallerSettings(free_address(), free_address())
-        entry = open_daemon(self.settings(name, callers=callers))
+        entry = open_daemon(
+            self.settings(name, callers=callers, evacuation=self.evacuation)
+        )
         self.entries.append(entry)
         self.group.start_soon(entry.run)
         return entry
 
-    async def add_worker(self, name: str, cores: int = 4) -> FleetAgent:
+    async def add_worker(
+        self, name: str, cores: int = 4, domain: str = "a"
+    ) -> FleetAgent:
         """Start a runner and its agent."""
         capacity = Resources(1000 * cores, 65_536)
-        runner = RunnerEmulator(EmulatedWorker(f"i-{name}", "service", "a", capacity))
+        runner = RunnerEmulator(
+            EmulatedWorker(f"i-{name}", "service", domain, capacity)
+        )
         address = await self.group.start(serve_http, runner.application, HOST, 0)
         worker = WorkerSettings(address, free_address(), "service")
-        agent = open_daemon(self.settings(name, worker=worker))
+        agent = open_daemon(self.settings(name, domain, worker=worker))
         self.runners.append(runner)
         self.agents.append(agent)
         self.group.start_soon(agent.run)
--- a/marigoldkeel/fleet/following.py
+++ b/marigoldkeel/fleet/following.py
@@ -31,6 +31,9 @@
 WATCH_IDLE_TIMEOUT_S = 0.8
 STORE_RETRY_DELAY_S = 0.3
 PULL_TIMEOUT_S = 0.5
+# Interval between complete reads while the store's revision is below the known one. Its
+# changes then tell nothing, as they are compared with that revision.
+SET_BACK_READ_INTERVAL_S = 2.0
 
 
 class PlanFollower:
@@ -42,6 +45,7 @@
     :param evacuation_prefix: Prefix of the keys that name an evacuated domain each.
     :ivar prefix: What is read and watched. A prefix that covers the plan and the
         evacuations saves the calls of a second watch; other keys below it are ignored.
+    :ivar set_back: Whether the store was last read with a revision below the known one.
     """
 
     def __init__(
@@ -116,7 +120,8 @@
         snapshot = await self.store.get_prefix(self.prefix)
         self._set_store_reachable(True)
         if self.evacuations is not None:
-            self.set_back = snapshot.revision < known_revision
+            was_set_back = self.set_back and snapshot.revision == known_revision
+            self.set_back = snapshot.revision < known_revision or was_set_back
             keys = [value.key for value in snapshot.values]
             self.evacuations.record_read(
                 snapshot.revision,
@@ -129,12 +134,18 @@
         changes = self.store.watch_changes(
             self.prefix, snapshot.revision, WATCH_IDLE_TIMEOUT_S
         )
-        async for change in changes:
-            if change.key == self.key:
-                if change.data is not None:
-                    self.apply_if_newer(change.data, "store")
-            elif self.evacuations is not None:
-                self._apply_evacuation(change)
+        with anyio.move_on_after(
+            SET_BACK_READ_INTERVAL_S if self.set_back else float("inf")
+        ):
+            async for change in changes:
+                self._apply_change(change)
+
+    def _apply_change(self, change: Change) -> None:
+        if change.key == self.key:
+            if change.data is not None:
+                self.apply_if_newer(change.data, "store")
+        elif self.evacuations is not None:
+            self._apply_evacuation(change)
 
     def _apply_evacuation(self, change: Change) -> None:
         """Apply a change of a key below the evacuation prefix; ignore other keys."""
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -137,6 +137,9 @@
             [(9, "a"), (3,)], [("b", True, 4), ("a", False, 5)], 10, ["a", "b"],
             id="ordered after the store was set back",
         ),
+        pytest.param(
+            [(9, "a"), (3, "b"), (10,), (11,)], [], 11, [], id="store has caught up"
+        ),
         pytest.param([(4, "", "a/b", "x" * 65, "a")], [], 4, ["a"], id="malformed"),
     ],
 )  # fmt: skip
