Drop the restating of evacuations on busy links

Cause: a link to an agent of an evacuated domain is idle, and its renewals state a later revision within a second.

Change: removed.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -74,10 +74,6 @@
 # Retry delay of a link whose connection another link uses: shorter than the longest
 # one, so that a link whose attaches are refused does not come first each time.
 TAKEN_RETRY_DELAY_S = 0.2
-# An agent is told within this time that known evacuations hold as of a later revision,
-# so that an entry that was cut off cannot replace them by older ones. A change of the
-# evacuations is sent at once.
-RESTATE_EVACUATIONS_S = 1.0
 # A change of the free CPU capacity by more than this fraction of the total is sent to
 # the owners immediately, a smaller one after STATE_INTERVAL_S. Owners account for their
 # own runs themselves.
@@ -126,7 +122,6 @@
     agent_clock_ms: int = 0
     agent_clock_read_at: float = 0.0
     stated_revision: int = 0
-    stated_at: float = float("-inf")
 
     def record_sent(self, now: float) -> None:
         """Record that the message with the current sequence number has been sent."""
@@ -240,7 +235,9 @@
         :param is_changed: Whether the set of evacuated domains has changed.
         """
         if not is_changed:
-            return  # The agents are told with `RESTATE_EVACUATIONS_S`.
+            # The next renewal tells the agents that the evacuations hold as of a later
+            # revision, so that an entry that was cut off cannot replace them.
+            return
         self._find_evacuated()
         self.choose_at = float("-inf")
         for link in list(self.links.values()):
@@ -428,17 +425,9 @@
             return
         has_runs = bool(self.fleet.view(link.member.name).placed)
         interval_s = RENEW_INTERVAL_S if has_runs else IDLE_RENEW_INTERVAL_S
-        is_due = now - link.last_sent_at >= interval_s
-        if is_due or self._must_restate(link, now):
+        if now - link.last_sent_at >= interval_s:
             self._renew(link)
 
-    def _must_restate(self, link: AgentLink, now: float) -> bool:
-        """Return whether an agent must be told that the evacuations still hold."""
-        return (
-            self.fleet.evacuations.revision > link.stated_revision
-            and now - link.stated_at >= RESTATE_EVACUATIONS_S
-        )
-
     def _renew(self, link: AgentLink) -> None:
         """Renew the lease; state the evacuations if the agent may not know them."""
         message = Renew()
@@ -446,7 +435,7 @@
         if evacuations.revision > link.stated_revision:
             message.evacuation_revision = evacuations.revision
             message.evacuated = evacuations.domains
-            link.stated_revision, link.stated_at = evacuations.revision, self.clock()
+            link.stated_revision = evacuations.revision
         self.send(link.member.name, message)
 
     async def connect(self, link: AgentLink) -> None:
@@ -496,7 +485,7 @@
             evacuations.revision,
             evacuations.domains,
         )
-        link.stated_revision, link.stated_at = evacuations.revision, now
+        link.stated_revision = evacuations.revision
         connection.send(attach)
         if stopping:
             # The order or the end of these runs may have been lost with the last link.
