--- a/tests/fleet/test_drivers.py
+++ b/tests/fleet/test_drivers.py
@@ -7,6 +7,7 @@
 from marigoldkeel.fleet.drivers import START_TIMEOUTS_S, WorkerClient, WorkerDriver
 from marigoldkeel.fleet.messages import HeldRun, WorkerFacts
 from marigoldkeel.fleet.supervisors import (
+    EVACUATED,
     WORKER_LEASE_S,
     Phase,
     Run,
@@ -126,6 +127,16 @@
     assert len(client.leases_end_at) == (outcome == STARTED)
 
 
+async def test_order_accepted_before_an_evacuation_is_not_executed_after_it():
+    agent = Agent()
+    client = ScriptedClient(agent, starts=[STARTED])
+    driver = WorkerDriver(agent.supervisor, client, lambda: None, None)
+    run = order_start(agent)
+    agent.supervisor.evacuations.offer(5, ["a"], "entry-1")
+    assert await driver._start_with_retries(run) == (REFUSED, EVACUATED)
+    assert client.leases_end_at == []
+
+
 async def test_order_is_not_repeated_after_a_pause():
     agent = Agent()
     client = ScriptedClient(agent, starts=[UNANSWERED, STARTED])
