--- a/marigoldkeel/fleet/placement.py
+++ b/marigoldkeel/fleet/placement.py
@@ -6,7 +6,8 @@
 from marigoldkeel.fleet.forecasts import Forecaster
 from marigoldkeel.fleet.owned import OwnedJob
 from marigoldkeel.fleet.packing import Candidate
-from marigoldkeel.fleet.views import WorkerView
+from marigoldkeel.fleet.views import WorkerView, has_warm
+from marigoldkeel.fleet.work import Resources
 
 
 def find_candidates(
@@ -18,10 +19,17 @@
 ) -> list[Candidate]:
     """Return the workers that tasks may be placed on now.
 
+    Part of a cold worker is held back, unless all workers are cold.
+
     :param domain: The failure domain of the entry.
     """
-    return [
-        Candidate(
+    views = list(views)
+    holds_back = has_warm(views, now)
+    candidates = []
+    for view in views:
+        if not detector.available(view.name, now):
+            continue
+        candidate = Candidate(
             view.name,
             view.free,
             view.facts.capacity,
@@ -30,9 +38,12 @@
             view.facts.domain == domain,
             is_probe=view.name in detector.ejected,
         )
-        for view in views
-        if detector.available(view.name, now)
-    ]
+        if view.is_cold(now):
+            candidate.speed *= view.speed_factor(now)
+            if holds_back:
+                candidate.free -= Resources(view.held_back_milli(now))
+        candidates.append(candidate)
+    return candidates
 
 
 def eligible_workers(
--- a/marigoldkeel/fleet/settings.py
+++ b/marigoldkeel/fleet/settings.py
@@ -45,6 +45,15 @@
     packing: str = "in_time"
 
 
+class EvacuationSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Evacuation of failure domains.
+
+    :ivar within_ms: Time from the operators' order until no task may start there.
+    """
+
+    within_ms: Annotated[float, Meta(gt=0)]
+
+
 class FleetSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Settings of an entry or agent of a fleet.
 
@@ -56,6 +65,7 @@
     :ivar callers: Present for an entry.
     :ivar worker: Present for an agent.
     :ivar placement: Used by an entry.
+    :ivar evacuation: Present for an entry that follows the operators' evacuations.
     """
 
     name: ProcessName
@@ -68,6 +78,7 @@
     grace_s: Annotated[float, Meta(gt=0, le=600)] = 6.0
     callers: CallerSettings | None = None
     worker: WorkerSettings | None = None
+    evacuation: EvacuationSettings | None = None
     log_lines_per_s: Annotated[float, Meta(gt=0)] = 200.0
     placement: PlacementSettings = msgspec.field(default_factory=PlacementSettings)
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -16,6 +16,8 @@
 from marigoldkeel.clocks import boot_time_s
 from marigoldkeel.fleet import daemons
 from marigoldkeel.fleet.messages import StartRuns
+from marigoldkeel.fleet.settings import EvacuationSettings
+from marigoldkeel.platform.plans import EVACUATION_PREFIX
 
 
 pytestmark = pytest.mark.anyio
@@ -233,6 +235,28 @@
         await site.wait_until_ready()
 
 
+@pytest.mark.parametrize("restarted", [False, True])
+async def test_evacuation_reaches_an_entry_without_access_to_the_store(restarted):
+    async with Site.open(2, 1, evacuation=EvacuationSettings(5000)) as site:
+        agent = await site.add_worker("agent-b", domain="b")
+        await site.wait_until_ready()
+        other = site.entries[1]
+        other.store.client.address = "127.0.0.1:9"
+        site.store.put(EVACUATION_PREFIX + "b", b"{}")
+        await wait_for(lambda: agent.supervisor.evacuated)
+        if restarted:
+            site.store.error_status = 503
+            other = site.add_entry("entry-late")
+        await wait_for(lambda: other.controller and other.ready)
+        await wait_for(lambda: other.report()["evacuations"]["domains"])
+        job = site.job(3)
+        assert (await site.request(other, "POST", site.job_path(), job))[0] == 200
+        assert site.runners[1].worker.starts == []
+        site.store.error_status = 0
+        site.store.remove(EVACUATION_PREFIX + "b")
+        await site.wait_until_ready()
+
+
 async def test_agents_with_deleted_records_are_discovered_by_a_new_entry():
     async with Site.open(entries=1, workers=1) as site:
         site.store.revoke("marigoldkeel/")
