Simulate callers that leave, uneven entries and long tails

The loads under which entries refuse jobs while workers are free have callers that leave, one entry with most of the work, and tasks that take seven times as long. The simulation offers them with four new fields of Load; a load without them is unchanged.

--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -56,6 +56,8 @@
 STOP_TIMEOUT_S = 0.1
 # A delayed order arrives after this time, and its answer is lost.
 DELAYED_ORDER_S = 3.0
+# Of the tasks in the long tail of the run times.
+TAIL_FACTOR = 7.0
 
 
 class SimulatedAgent(SimulatedProcess):
@@ -345,6 +347,7 @@
 
     :ivar task_work_s: Run time at speed 1 of each task of each step.
     :ivar always_fails: Whether every run of its tasks fails.
+    :ivar has_left: Whether the caller has left before the answer.
     """
 
     job: RepeatableJob
@@ -355,6 +358,7 @@
     answer: JobAnswer | None = None
     sent_at: float = 0.0
     answered_at: float | None = None
+    has_left: bool = False
 
     @property
     def objective_s(self) -> float:
@@ -381,6 +385,10 @@
     :ivar work_s: Mean run time of a task at speed 1.
     :ivar spread: Standard deviation of the logarithm of the run time.
     :ivar estimate_spread: Standard deviation of the logarithm of the estimate's error.
+    :ivar entry_weights: How much of the load each entry receives; evenly if empty.
+    :ivar patience_s: How much longer than the run callers wait; 0 for 30 s in all.
+    :ivar leave_ratio: Share of the callers that leave after a part of that time.
+    :ivar tail_ratio: Share of the tasks that take `TAIL_FACTOR` times as long.
     """
 
     queue: Queue
@@ -392,6 +400,10 @@
     estimate_spread: float = 0.4
     starts_at: float = 0.0
     ends_at: float = float("inf")
+    entry_weights: list[float] = field(default_factory=list)
+    patience_s: float = 0.0
+    leave_ratio: float = 0.0
+    tail_ratio: float = 0.0
 
 
 @dataclass
@@ -501,12 +513,46 @@
             width = max(1, round(load.width * rng.lognormvariate(-0.08, 0.4)))
             task_work_s = [work_s * rng.uniform(0.85, 1.15) for _ in range(width)]
             estimate_s = work_s * rng.lognormvariate(0, load.estimate_spread)
-            entry = rng.choice([entry for entry in self.entries if entry.alive])
-            self.submit(entry, load.queue, task_work_s, load.demand, estimate_s)
+            if load.tail_ratio:
+                task_work_s = [
+                    task_s * (TAIL_FACTOR if rng.random() < load.tail_ratio else 1.0)
+                    for task_s in task_work_s
+                ]
+            caller_timeout_s = 30.0
+            if load.patience_s:
+                caller_timeout_s = max(task_work_s) + load.patience_s
+            submitted = self.submit(
+                self._choose_entry(load, rng),
+                load.queue,
+                task_work_s,
+                load.demand,
+                estimate_s,
+                caller_timeout_s,
+            )
+            if load.leave_ratio and rng.random() < load.leave_ratio:
+                left_after_s = rng.random() * caller_timeout_s
+                self.loop.call_later(left_after_s, lambda: self._leave(submitted))
             self.loop.call_later(rng.expovariate(load.jobs_per_s), arrive)
 
         self.loop.call_at(load.starts_at + rng.expovariate(load.jobs_per_s), arrive)
 
+    def _choose_entry(self, load: Load, rng: random.Random) -> SimulatedEntry:
+        alive = [entry for entry in self.entries if entry.alive]
+        if not load.entry_weights:
+            return rng.choice(alive)
+        weights = [
+            weight if entry.alive else 0.0
+            for entry, weight in zip(self.entries, load.entry_weights, strict=True)
+        ]
+        return rng.choices(self.entries, weights)[0]
+
+    def _leave(self, submitted: SimulatedJob) -> None:
+        """Let a caller disconnect that has no answer yet."""
+        submitted.has_left = submitted.answer is None
+        is_owned = submitted.owned is not None and submitted.entry.alive
+        if submitted.has_left and is_owned:
+            submitted.entry.scheduler.abandon(submitted.owned, "left")
+
     def run(self, until: float) -> None:
         """Run the simulation up to a time."""
         self.loop.run_until(until)
