Let an entry count on the capacity that others leave free

An entry counts on an even share of the workers, whatever the others need, so an entry with most of the demand refuses jobs while workers are free. With the new setting overload.capacity = "left_over" it counts on the even share or, if that is more, on what is free and what its own runs hold, averaged over 0.3 s. The default stays the even share.

Rejected: the larger of the two shares for each worker, which counts the random distribution of the entry's own runs over the workers as additional capacity (not measured).

--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -26,7 +26,7 @@
     waiting_times,
 )
 from marigoldkeel.fleet.cancelled import CancelledIds
-from marigoldkeel.fleet.capacity import share_of_cores
+from marigoldkeel.fleet.capacity import make_capacity_share
 from marigoldkeel.fleet.forecasts import Forecaster, Sample
 from marigoldkeel.fleet.learning import (
     duration_hints,
@@ -115,6 +115,7 @@
     :param entries_per_worker: Returns how many entries share a worker on average.
     :param connect_workers: Called for each new job, to connect to the workers that it
         needs; returns whether some of them are not connected yet.
+    :param capacity: Name of the share of the workers' capacity that is counted on.
     :ivar workers_ready_at: When each service was last found to have ready workers.
     :ivar last_tick_at: When `tick` was last called.
     :ivar resuming: Whether the last interval between ticks was a pause.
@@ -134,6 +135,7 @@
         wall_ms: Callable[[], int],
         seed: int | None = None,
         packing: str = "in_time",
+        capacity: str = "even",
         entries_per_worker: Callable[[], float] = lambda: 1.0,
         connect_workers: Callable[[RepeatableJob], bool] = lambda job: False,
     ):
@@ -149,6 +151,7 @@
         self.random = random.Random(seed)
         self.pack: PackingPolicy = find_packing(packing)
         self.forecaster = Forecaster()
+        self.capacity_share = make_capacity_share(capacity)
         self.detector = OutlierDetector(
             MAX_EJECTED_SHARE,
             EJECT_AFTER_FAILURES,
@@ -431,13 +434,15 @@
                     self._refuse(owned, reason, wait_s)
 
     def available_cores(self, service: str) -> float:
-        """Return this entry's share of the cores of a service's usable workers."""
+        """Return the cores of a service's usable workers that this entry counts on."""
         usable = [
             view
             for view in self.fleet.ready(service)
             if view.name not in self.detector.ejected
         ]
-        return share_of_cores(usable, self.entries_per_worker())
+        return self.capacity_share.cores(
+            service, usable, self.entries_per_worker(), self.clock()
+        )
 
     def _waiting_in_order(self) -> list[OwnedJob]:
         """Return the waiting jobs in the order in which they are served."""
--- a/marigoldkeel/fleet/settings.py
+++ b/marigoldkeel/fleet/settings.py
@@ -32,6 +32,16 @@
     readiness: str
 
 
+class OverloadSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """How an entry decides while the workers' capacity is not sufficient.
+
+    :ivar capacity: Name of the share of the workers' capacity that the entry counts on,
+        see `marigoldkeel.fleet.capacity`.
+    """
+
+    capacity: str = "even"
+
+
 class FleetSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Settings of an entry or agent of a fleet.
 
@@ -42,6 +52,7 @@
     :ivar grace_s: Time from a planned stop to the end of the process, in seconds.
     :ivar callers: Present for an entry.
     :ivar worker: Present for an agent.
+    :ivar overload: Used by an entry.
     """
 
     name: ProcessName
@@ -54,6 +65,7 @@
     grace_s: Annotated[float, Meta(gt=0, le=600)] = 6.0
     callers: CallerSettings | None = None
     worker: WorkerSettings | None = None
+    overload: OverloadSettings = msgspec.field(default_factory=OverloadSettings)
     log_lines_per_s: Annotated[float, Meta(gt=0)] = 200.0
 
     def check(self) -> None:
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -33,6 +33,11 @@
         """Whether runs may be sent to the worker."""
         return self.connected and self.usable and self.facts is not None
 
+    @property
+    def placed_cpu_milli(self) -> int:
+        """The CPU demand of this entry's runs on the worker."""
+        return sum(demand.cpu_milli for _, demand in self.placed.values())
+
     def place(self, run: RunId, sequence: int, demand: Resources) -> None:
         """Reserve capacity for a run that has just been ordered."""
         self.placed[run] = (sequence, demand)
