Add an overload policy that orders waiting jobs by priority

Only priority 0 was distinguished, and a job was refused once it had waited a quarter of its objective and was forecast to be late, so under overload short jobs of middle priority were refused while long ones of the lowest priority ran. The default, by_deadline, is unchanged.

--- a/marigoldkeel/fleet/admission.py
+++ b/marigoldkeel/fleet/admission.py
@@ -41,15 +41,25 @@
         """Forecast time from its arrival to its end."""
         return self.waited_s + self.wait_s + self.run_s + OVERHEAD_S
 
+    @property
+    def max_useful_s(self) -> float:
+        """Time from its arrival after which its answer is of no use."""
+        return min(LATE_FACTOR * self.objective_s, self.caller_timeout_s)
+
+
+def useless_reason(forecast: WaitForecast) -> str:
+    """Return why a job is of no use even if it starts now, or ``""``."""
+    if forecast.waited_s + forecast.run_s > forecast.max_useful_s:
+        return "it cannot end while its answer is of use"
+    return ""
+
 
 def refusal_reason(forecast: WaitForecast) -> str:
     """Return why a job that has not started is to be refused now, or ``""``."""
-    max_useful_s = min(LATE_FACTOR * forecast.objective_s, forecast.caller_timeout_s)
-    if forecast.waited_s + forecast.run_s > max_useful_s:
-        return "it cannot end while its answer is of use"
-    if not forecast.workers_known:
-        return ""
-    if forecast.completion_s > max_useful_s:
+    reason = useless_reason(forecast)
+    if reason or not forecast.workers_known:
+        return reason
+    if forecast.completion_s > forecast.max_useful_s:
         return "the work ahead of it takes too long"
     waited_long = forecast.waited_s > WAIT_SHARE * forecast.objective_s
     if waited_long and forecast.completion_s > forecast.objective_s:
--- a/marigoldkeel/fleet/order.py
+++ b/marigoldkeel/fleet/order.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from marigoldkeel.fleet.admission import LATE_FACTOR
 from marigoldkeel.fleet.owned import OwnedJob
 
 
@@ -32,3 +33,33 @@
         return (not owned.has_started, will_be_late, not urgent, latest_start)
 
     return sorted(jobs, key=sort_key)
+
+
+def order_by_priority(
+    jobs: Iterable[OwnedJob], now: float, max_speed: float
+) -> list[OwnedJob]:
+    """Return waiting jobs in the order of their queues' priorities.
+
+    Jobs that have started come first, as they occupy capacity until they are done, and
+    those whose answer will be of no use come last. Within a priority those that can
+    still be in time precede the others, and then the job that has to start earliest
+    comes first.
+
+    :param now: The earliest time at which a run can start.
+    :param max_speed: The relative speed of the fastest worker.
+    """
+
+    def sort_key(owned: OwnedJob) -> tuple:
+        job = owned.job
+        response_s = now + owned.critical_path_s / max_speed - job.received_at
+        max_useful_s = min(LATE_FACTOR * owned.objective_s, job.caller_timeout_s)
+        latest_start = owned.objective_deadline - owned.critical_path_s
+        return (
+            not owned.has_started,
+            response_s > max_useful_s,
+            job.queue.priority,
+            response_s > owned.objective_s,
+            latest_start,
+        )
+
+    return sorted(jobs, key=sort_key)
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -22,7 +22,6 @@
 from marigoldkeel.fleet.admission import (
     OVERHEAD_S,
     WaitForecast,
-    refusal_reason,
     waiting_times,
 )
 from marigoldkeel.fleet.cancelled import CancelledIds
@@ -42,7 +41,8 @@
     StartRuns,
     StopRuns,
 )
-from marigoldkeel.fleet.order import URGENT_PRIORITY, order_by_precedence
+from marigoldkeel.fleet.order import URGENT_PRIORITY
+from marigoldkeel.fleet.overload import find_overload_policy
 from marigoldkeel.fleet.owned import (
     OwnedJob,
     TaskPhase,
@@ -115,6 +115,7 @@
     :param entries_per_worker: Returns how many entries share a worker on average.
     :param connect_workers: Called for each new job, to connect to the workers that it
         needs; returns whether some of them are not connected yet.
+    :param overload: Name of the overload policy.
     :param capacity: Name of the share of the workers' capacity that is counted on.
     :ivar workers_ready_at: When each service was last found to have ready workers.
     :ivar last_tick_at: When `tick` was last called.
@@ -135,6 +136,7 @@
         wall_ms: Callable[[], int],
         seed: int | None = None,
         packing: str = "in_time",
+        overload: str = "by_deadline",
         capacity: str = "even",
         entries_per_worker: Callable[[], float] = lambda: 1.0,
         connect_workers: Callable[[RepeatableJob], bool] = lambda job: False,
@@ -151,6 +153,7 @@
         self.random = random.Random(seed)
         self.pack: PackingPolicy = find_packing(packing)
         self.forecaster = Forecaster()
+        self.overload = find_overload_policy(overload)()
         self.capacity_share = make_capacity_share(capacity)
         self.detector = OutlierDetector(
             MAX_EJECTED_SHARE,
@@ -429,7 +432,7 @@
                     owned.job.caller_timeout_s,
                     workers_known,
                 )
-                reason = refusal_reason(forecast)
+                reason = self.overload.refusal_reason(forecast)
                 if reason:
                     self._refuse(owned, reason, wait_s)
 
@@ -446,7 +449,7 @@
 
     def _waiting_in_order(self) -> list[OwnedJob]:
         """Return the waiting jobs in the order in which they are served."""
-        return order_by_precedence(
+        return self.overload.order(
             self.waiting.values(), self.clock() + OVERHEAD_S, self.forecaster.max_speed
         )
 
--- a/marigoldkeel/fleet/settings.py
+++ b/marigoldkeel/fleet/settings.py
@@ -35,10 +35,12 @@
 class OverloadSettings(msgspec.Struct, forbid_unknown_fields=True):
     """How an entry decides while the workers' capacity is not sufficient.
 
+    :ivar policy: Name of an overload policy, see `marigoldkeel.fleet.overload`.
     :ivar capacity: Name of the share of the workers' capacity that the entry counts on,
         see `marigoldkeel.fleet.capacity`.
     """
 
+    policy: str = "by_deadline"
     capacity: str = "even"
 
 
