--- a/marigoldkeel/fleet/metrics.py
+++ b/marigoldkeel/fleet/metrics.py
@@ -76,6 +76,23 @@
     return labelled_samples("state", {"ready": ready, "unusable": len(views) - ready})
 
 
+def refusals_by_reason(entry) -> Samples:
+    """Return how many jobs were refused as not run, by queue and reason."""
+    return [
+        ({"queue": queue, "reason": reason}, count)
+        for (queue, reason), count in sorted(entry.scheduler.refused.items())
+    ]
+
+
+def counted_cores(entry) -> Samples:
+    """Return the cores that an entry counts on, by service."""
+    scheduler = entry.scheduler
+    return labelled_samples(
+        "service",
+        {name: scheduler.available_cores(name) for name in entry.fleet.services()},
+    )
+
+
 COMMON_METRICS = (
     Metric(
         Gauge,
@@ -129,6 +146,18 @@
         "Runs that ended before their task was done, or were refused, by cause.",
         lambda entry: labelled_samples("cause", entry.scheduler.requeued),
     ),
+    Metric(
+        Counter,
+        "marigoldkeel_refused_jobs",
+        "Jobs answered as not run, by queue and reason.",
+        refusals_by_reason,
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_counted_cores",
+        "Cores that the entry counts on in its forecasts, by service.",
+        counted_cores,
+    ),
     Metric(Gauge, "marigoldkeel_workers", "Connected workers.", workers_by_state),
     Metric(
         Gauge,
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -123,6 +123,7 @@
     :ivar shutdown_at: When this entry shuts down; jobs that would end later are
         refused.
     :ivar requeued: How many runs were requeued, by cause.
+    :ivar refused: How many jobs were answered ``NOT_RUN``, by queue and reason.
     :ivar on_answer: Called for each answer with the job, its state and the seconds
         since the job arrived.
     """
@@ -169,6 +170,7 @@
         self.cancelled_ids = CancelledIds()
         self.last_run_number = 0
         self.requeued: Counter[str] = Counter()
+        self.refused: Counter[tuple[str, str]] = Counter()
         self.last_tick_at = self.started_at
         self.resuming = False
         self.shutdown_at = float("inf")
@@ -196,6 +198,8 @@
         refusal = self._refusal_answer(owned)
         if refusal is not None:
             self.on_answer(job, refusal.state, 0.0)
+            if refusal.state == JobState.NOT_RUN:
+                self.refused[job.queue.name, refusal.reason] += 1
             self._log(owned, "refused", refusal.reason)
             answer(refusal)
             return None
@@ -420,7 +424,8 @@
         for service, jobs in by_service.items():
             workers_known = self._knows_workers(service)
             work = [owned.core_seconds() for owned in jobs]
-            waits_s = waiting_times(work, self.available_cores(service))
+            cores = self.available_cores(service)
+            waits_s = waiting_times(work, cores)
             for owned, wait_s in zip(jobs, waits_s, strict=True):
                 if owned.has_started:
                     continue
@@ -434,7 +439,7 @@
                 )
                 reason = self.overload.refusal_reason(forecast)
                 if reason:
-                    self._refuse(owned, reason, wait_s)
+                    self._refuse(owned, reason, wait_s, cores)
 
     def available_cores(self, service: str) -> float:
         """Return the cores of a service's usable workers that this entry counts on."""
@@ -581,14 +586,23 @@
         if owned.answered and not owned.counts[TaskPhase.PLACED]:
             self.jobs.pop(owned.job.job_id, None)
 
-    def _refuse(self, owned: OwnedJob, reason: str, wait_s: float) -> None:
+    def _refuse(
+        self, owned: OwnedJob, reason: str, wait_s: float, cores: float
+    ) -> None:
+        self.refused[owned.job.queue.name, reason] += 1
         wait_ms = round(wait_s * 1000) if wait_s < float("inf") else None
         retry_after_s = RETRY_AFTER_S
         if wait_ms is not None:
             # Callers retry in queue order, when capacity is expected to be free.
             retry_after_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
         answer = JobAnswer(JobState.NOT_RUN, reason, retry_after_s)
-        self._finish(owned, answer, forecast_wait_ms=wait_ms)
+        self._finish(
+            owned,
+            answer,
+            forecast_wait_ms=wait_ms,
+            priority=owned.job.queue.priority,
+            counted_cores=round(cores, 1),
+        )
 
     def _finish(self, owned: OwnedJob, answer: JobAnswer, **inputs) -> None:
         """Answer a job and stop its remaining runs."""
--- a/marigoldkeel/fleet/settings.py
+++ b/marigoldkeel/fleet/settings.py
@@ -5,6 +5,8 @@
 import msgspec
 from msgspec import Meta
 
+from marigoldkeel.fleet.capacity import make_capacity_share
+from marigoldkeel.fleet.overload import find_overload_policy
 from marigoldkeel.settings import (
     DomainName,
     ProcessName,
@@ -89,3 +91,5 @@
         for index, seed in enumerate(self.seeds):
             addresses[f"seeds[{index}]"] = seed
         check_addresses(addresses)
+        find_overload_policy(self.overload.policy)
+        make_capacity_share(self.overload.capacity)
--- a/marigoldkeel/fleet/status.py
+++ b/marigoldkeel/fleet/status.py
@@ -30,19 +30,12 @@
         "known_agents": len(links.subset.agents),
         "entries_per_agent": round(links.entries_per_agent(), 2),
         "forecasts": [
-            _forecast_row(scheduler, service) for service in _services(entry)
+            _forecast_row(scheduler, service) for service in entry.fleet.services()
         ],
         "agents": [_agent_row(entry, link) for _, link in sorted(links.links.items())],
     }
 
 
-def _services(entry) -> list[str]:
-    """Return the services of which this entry knows a worker."""
-    reported = [view.facts for view in entry.fleet.workers.values()]
-    known = [*entry.fleet.described.values(), *filter(None, reported)]
-    return sorted({facts.service for facts in known})
-
-
 def _forecast_row(scheduler, service: str) -> dict[str, Any]:
     """Return the forecast for a job that would arrive now behind all waiting ones."""
     waiting = [
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -99,6 +99,12 @@
             if view.ready and view.facts.service == service
         ]
 
+    def services(self) -> list[str]:
+        """Return the services of which a worker is known."""
+        reported = [view.facts for view in self.workers.values()]
+        known = [*self.described.values(), *filter(None, reported)]
+        return sorted({facts.service for facts in known})
+
     def known(self, service: str) -> dict[str, WorkerFacts]:
         """Return the workers of a service, including unusable and unconnected ones.
 
