--- a/bench/look_ahead.py
+++ b/bench/look_ahead.py
@@ -73,7 +73,7 @@
                 starts_at=starts_at,
                 ends_at=ends_at,
                 demand_spread=0.2,
-                extra_wait_s=1.5,
+                patience_s=1.5,
                 **options,
             )
         )
@@ -91,7 +91,7 @@
     peaks = [(0, 0.3, 4.0, 12.0), (1, 0.3, 4.1, 12.0), (2, 0.3, 4.2, 12.0)]
     peaks.append((0, 0.5, 7.0, 10.5))
     rates, work_s = (91, 264, 16), (0.102, 0.34, 1.52)
-    offer_queues(simulation, share, rates, work_s, 5.1, peaks, long_task_ratio=0.03)
+    offer_queues(simulation, share, rates, work_s, 5.1, peaks, tail_ratio=0.03)
 
 
 @load(16, 4)
--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -55,10 +55,10 @@
 ORDER_LATENCY_S = 0.0005
 POLL_TIMEOUT_S = 0.06
 STOP_TIMEOUT_S = 0.1
-# How much longer than its job's other tasks a long task takes.
-LONG_TASK_FACTOR = 7
 # A delayed order arrives after this time, and its answer is lost.
 DELAYED_ORDER_S = 3.0
+# Of the tasks in the long tail of the run times.
+TAIL_FACTOR = 7.0
 
 
 class SimulatedAgent(SimulatedProcess):
@@ -350,6 +350,7 @@
 
     :ivar task_work_s: Run time at speed 1 of each task of each step.
     :ivar always_fails: Whether every run of its tasks fails.
+    :ivar has_left: Whether the caller has left before the answer.
     """
 
     job: RepeatableJob
@@ -360,6 +361,7 @@
     answer: JobAnswer | None = None
     sent_at: float = 0.0
     answered_at: float | None = None
+    has_left: bool = False
 
     @property
     def objective_s(self) -> float:
@@ -387,9 +389,10 @@
     :ivar spread: Standard deviation of the logarithm of the run time.
     :ivar estimate_spread: Standard deviation of the logarithm of the estimate's error.
     :ivar demand_spread: Largest relative deviation of a job's CPU demand.
-    :ivar long_task_ratio: Probability that a task takes `LONG_TASK_FACTOR` times as
-        long.
-    :ivar extra_wait_s: How much longer than the run a caller waits; None for 30 s.
+    :ivar entry_weights: How much of the load each entry receives; evenly if empty.
+    :ivar patience_s: How much longer than the run callers wait; 0 for 30 s in all.
+    :ivar leave_ratio: Share of the callers that leave after a part of that time.
+    :ivar tail_ratio: Share of the tasks that take `TAIL_FACTOR` times as long.
     """
 
     queue: Queue
@@ -402,8 +405,10 @@
     starts_at: float = 0.0
     ends_at: float = float("inf")
     demand_spread: float = 0.0
-    long_task_ratio: float = 0.0
-    extra_wait_s: float | None = None
+    entry_weights: list[float] = field(default_factory=list)
+    patience_s: float = 0.0
+    leave_ratio: float = 0.0
+    tail_ratio: float = 0.0
 
 
 @dataclass
@@ -522,26 +527,50 @@
             width = max(1, round(load.width * rng.lognormvariate(-0.08, 0.4)))
             task_work_s = [work_s * rng.uniform(0.85, 1.15) for _ in range(width)]
             estimate_s = work_s * rng.lognormvariate(0, load.estimate_spread)
-            entry = rng.choice([entry for entry in self.entries if entry.alive])
-            demand, caller_timeout_s = load.demand, 30.0
-            if load.long_task_ratio:
+            if load.tail_ratio:
                 task_work_s = [
-                    task_s
-                    * (LONG_TASK_FACTOR if rng.random() < load.long_task_ratio else 1)
+                    task_s * (TAIL_FACTOR if rng.random() < load.tail_ratio else 1.0)
                     for task_s in task_work_s
                 ]
+            caller_timeout_s = 30.0
+            if load.patience_s:
+                caller_timeout_s = max(task_work_s) + load.patience_s
+            demand = load.demand
             if load.demand_spread:
                 factor = 1 + load.demand_spread * rng.uniform(-1, 1)
                 demand = replace(demand, cpu_milli=round(factor * demand.cpu_milli))
-            if load.extra_wait_s is not None:
-                caller_timeout_s = work_s + load.extra_wait_s
-            self.submit(
-                entry, load.queue, task_work_s, demand, estimate_s, caller_timeout_s
+            submitted = self.submit(
+                self._choose_entry(load, rng),
+                load.queue,
+                task_work_s,
+                demand,
+                estimate_s,
+                caller_timeout_s,
             )
+            if load.leave_ratio and rng.random() < load.leave_ratio:
+                left_after_s = rng.random() * caller_timeout_s
+                self.loop.call_later(left_after_s, lambda: self._leave(submitted))
             self.loop.call_later(rng.expovariate(load.jobs_per_s), arrive)
 
         self.loop.call_at(load.starts_at + rng.expovariate(load.jobs_per_s), arrive)
 
+    def _choose_entry(self, load: Load, rng: random.Random) -> SimulatedEntry:
+        alive = [entry for entry in self.entries if entry.alive]
+        if not load.entry_weights:
+            return rng.choice(alive)
+        weights = [
+            weight if entry.alive else 0.0
+            for entry, weight in zip(self.entries, load.entry_weights, strict=True)
+        ]
+        return rng.choices(self.entries, weights)[0]
+
+    def _leave(self, submitted: SimulatedJob) -> None:
+        """Let a caller disconnect that has no answer yet."""
+        submitted.has_left = submitted.answer is None
+        is_owned = submitted.owned is not None and submitted.entry.alive
+        if submitted.has_left and is_owned:
+            submitted.entry.scheduler.abandon(submitted.owned, "left")
+
     def run(self, until: float) -> None:
         """Run the simulation up to a time."""
         self.loop.run_until(until)
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -241,6 +241,8 @@
             entries_per_worker=self.links.entries_per_agent,
             connect_workers=self.links.connect_workers,
             look_ahead=settings.placement.look_ahead,
+            overload=settings.overload.policy,
+            capacity=settings.overload.capacity,
         )
         self.links.scheduler = self.scheduler
         self.evacuations.on_update = self.links.update_evacuations
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -22,11 +22,10 @@
 from marigoldkeel.fleet.admission import (
     OVERHEAD_S,
     WaitForecast,
-    refusal_reason,
     waiting_times,
 )
 from marigoldkeel.fleet.cancelled import CancelledIds
-from marigoldkeel.fleet.capacity import share_of_cores
+from marigoldkeel.fleet.capacity import make_capacity_share
 from marigoldkeel.fleet.forecasts import Forecaster, Sample
 from marigoldkeel.fleet.learning import (
     duration_hints,
@@ -42,7 +41,8 @@
     StartRuns,
     StopRuns,
 )
-from marigoldkeel.fleet.order import URGENT_PRIORITY, order_by_precedence
+from marigoldkeel.fleet.order import URGENT_PRIORITY
+from marigoldkeel.fleet.overload import find_overload_policy
 from marigoldkeel.fleet.owned import (
     OwnedJob,
     TaskPhase,
@@ -124,12 +124,15 @@
     :param connect_workers: Called for each new job, to connect to the workers that it
         needs; returns whether some of them are not connected yet.
     :param look_ahead: Whether capacity is reserved for waiting jobs that do not fit.
+    :param overload: Name of the overload policy.
+    :param capacity: Name of the share of the workers' capacity that is counted on.
     :ivar workers_ready_at: When each service was last found to have ready workers.
     :ivar last_tick_at: When `tick` was last called.
     :ivar resuming: Whether the last interval between ticks was a pause.
     :ivar shutdown_at: When this entry shuts down; jobs that would end later are
         refused.
     :ivar requeued: How many runs were requeued, by cause.
+    :ivar refused: How many jobs were answered ``NOT_RUN``, by queue and reason.
     :ivar on_answer: Called for each answer with the job, its state and the seconds
         since the job arrived.
     """
@@ -143,6 +146,8 @@
         wall_ms: Callable[[], int],
         seed: int | None = None,
         packing: str = "in_time",
+        overload: str = "by_deadline",
+        capacity: str = "even",
         entries_per_worker: Callable[[], float] = lambda: 1.0,
         connect_workers: Callable[[RepeatableJob], bool] = lambda job: False,
         look_ahead: bool = False,
@@ -159,6 +164,8 @@
         self.random = random.Random(seed)
         self.pack: PackingPolicy = find_packing(packing)
         self.forecaster = Forecaster()
+        self.overload = find_overload_policy(overload)()
+        self.capacity_share = make_capacity_share(capacity)
         self.detector = OutlierDetector(
             MAX_EJECTED_SHARE,
             EJECT_AFTER_FAILURES,
@@ -178,6 +185,7 @@
         self.cancelled_ids = CancelledIds()
         self.last_run_number = 0
         self.requeued: Counter[str] = Counter()
+        self.refused: Counter[tuple[str, str]] = Counter()
         self.last_tick_at = self.started_at
         self.resuming = False
         self.shutdown_at = float("inf")
@@ -205,6 +213,8 @@
         refusal = self._refusal_answer(owned)
         if refusal is not None:
             self.on_answer(job, refusal.state, 0.0)
+            if refusal.state == JobState.NOT_RUN:
+                self.refused[job.queue.name, refusal.reason] += 1
             self._log(owned, "refused", refusal.reason)
             answer(refusal)
             return None
@@ -441,7 +451,8 @@
         for service, jobs in by_service.items():
             workers_known = self._knows_workers(service)
             work = [owned.core_seconds() for owned in jobs]
-            waits_s = waiting_times(work, self.available_cores(service))
+            cores = self.available_cores(service)
+            waits_s = waiting_times(work, cores)
             for owned, wait_s in zip(jobs, waits_s, strict=True):
                 if owned.has_started:
                     continue
@@ -453,22 +464,24 @@
                     owned.job.caller_timeout_s,
                     workers_known,
                 )
-                reason = refusal_reason(forecast)
+                reason = self.overload.refusal_reason(forecast)
                 if reason:
-                    self._refuse(owned, reason, wait_s)
+                    self._refuse(owned, reason, wait_s, cores)
 
     def available_cores(self, service: str) -> float:
-        """Return this entry's share of the cores of a service's usable workers."""
+        """Return the cores of a service's usable workers that this entry counts on."""
         usable = [
             view
             for view in self.fleet.ready(service)
             if view.name not in self.detector.ejected
         ]
-        return share_of_cores(usable, self.entries_per_worker(), self.clock())
+        return self.capacity_share.cores(
+            service, usable, self.entries_per_worker(), self.clock()
+        )
 
     def _waiting_in_order(self) -> list[OwnedJob]:
         """Return the waiting jobs in the order in which they are served."""
-        return order_by_precedence(
+        return self.overload.order(
             self.waiting.values(), self.clock() + OVERHEAD_S, self.forecaster.max_speed
         )
 
@@ -623,14 +636,23 @@
         if owned.answered and not owned.counts[TaskPhase.PLACED]:
             self.jobs.pop(owned.job.job_id, None)
 
-    def _refuse(self, owned: OwnedJob, reason: str, wait_s: float) -> None:
+    def _refuse(
+        self, owned: OwnedJob, reason: str, wait_s: float, cores: float
+    ) -> None:
+        self.refused[owned.job.queue.name, reason] += 1
         wait_ms = round(wait_s * 1000) if wait_s < float("inf") else None
         retry_after_s = RETRY_AFTER_S
         if wait_ms is not None:
             # Callers retry in queue order, when capacity is expected to be free.
             retry_after_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
         answer = JobAnswer(JobState.NOT_RUN, reason, retry_after_s)
-        self._finish(owned, answer, forecast_wait_ms=wait_ms)
+        self._finish(
+            owned,
+            answer,
+            forecast_wait_ms=wait_ms,
+            priority=owned.job.queue.priority,
+            counted_cores=round(cores, 1),
+        )
 
     def _finish(self, owned: OwnedJob, answer: JobAnswer, **inputs) -> None:
         """Answer a job and stop its remaining runs."""
--- a/marigoldkeel/fleet/settings.py
+++ b/marigoldkeel/fleet/settings.py
@@ -6,6 +6,8 @@
 from msgspec import Meta
 
 from marigoldkeel.exceptions import InvalidInput
+from marigoldkeel.fleet.capacity import make_capacity_share
+from marigoldkeel.fleet.overload import find_overload_policy
 from marigoldkeel.fleet.packing import find_packing
 from marigoldkeel.settings import (
     DomainName,
@@ -54,6 +56,18 @@
     within_ms: Annotated[float, Meta(gt=0)]
 
 
+class OverloadSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """How an entry decides while the workers' capacity is not sufficient.
+
+    :ivar policy: Name of an overload policy, see `marigoldkeel.fleet.overload`.
+    :ivar capacity: Name of the share of the workers' capacity that the entry counts on,
+        see `marigoldkeel.fleet.capacity`.
+    """
+
+    policy: str = "by_deadline"
+    capacity: str = "even"
+
+
 class FleetSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Settings of an entry or agent of a fleet.
 
@@ -66,6 +80,7 @@
     :ivar worker: Present for an agent.
     :ivar placement: Used by an entry.
     :ivar evacuation: Present for an entry that follows the operators' evacuations.
+    :ivar overload: Used by an entry.
     """
 
     name: ProcessName
@@ -79,6 +94,7 @@
     callers: CallerSettings | None = None
     worker: WorkerSettings | None = None
     evacuation: EvacuationSettings | None = None
+    overload: OverloadSettings = msgspec.field(default_factory=OverloadSettings)
     log_lines_per_s: Annotated[float, Meta(gt=0)] = 200.0
     placement: PlacementSettings = msgspec.field(default_factory=PlacementSettings)
 
@@ -105,3 +121,5 @@
             find_packing(self.placement.packing)
         except InvalidInput as error:
             raise InvalidInput(f"placement.packing: {error.message}") from None
+        find_overload_policy(self.overload.policy)
+        make_capacity_share(self.overload.capacity)
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -46,6 +46,11 @@
         """Whether runs may be sent to the worker."""
         return self.connected and self.usable and self.facts is not None
 
+    @property
+    def placed_cpu_milli(self) -> int:
+        """The CPU demand of this entry's runs on the worker."""
+        return sum(demand.cpu_milli for _, demand in self.placed.values())
+
     def describe(self, facts: WorkerFacts, now: float) -> None:
         """Apply the worker's newer description of itself."""
         if self.facts is None or self.facts.boot != facts.boot or not facts.cold_ms:
@@ -176,6 +181,12 @@
             and not (has_evacuated and self.is_evacuated(view.name))
         ]
 
+    def services(self) -> list[str]:
+        """Return the services of which a worker is known."""
+        reported = [view.facts for view in self.workers.values()]
+        known = [*self.described.values(), *filter(None, reported)]
+        return sorted({facts.service for facts in known})
+
     def known(self, service: str) -> dict[str, WorkerFacts]:
         """Return the workers of a service, including unusable and unconnected ones.
 
