Learn no speed from cold workers

Cause: the run times of a worker that is still cold lowered its learned speed, which then took tens of runs to recover.

Change: neither ends nor progress of runs on a cold worker are learned from. A worker that is warm costs one comparison in the choice of candidates. An entry whose bound for evacuations is shorter than the time that they may take logs a warning.

--- a/marigoldkeel/fleet/capacity.py
+++ b/marigoldkeel/fleet/capacity.py
@@ -16,5 +16,7 @@
     views = list(views)
     cpu_milli = sum(view.facts.capacity.cpu_milli for view in views)
     if has_warm(views, now):
-        cpu_milli -= sum(view.held_back_milli(now) for view in views)
+        cpu_milli -= sum(
+            view.held_back_milli(now) for view in views if view.is_cold(now)
+        )
     return cpu_milli / 1000 / entries_per_worker
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -20,7 +20,7 @@
 from marigoldkeel.fleet.directory import Directory, DirectoryController
 from marigoldkeel.fleet.drivers import WorkerClient, WorkerDriver
 from marigoldkeel.fleet.evacuations import EvacuatedDomains
-from marigoldkeel.fleet.following import PlanFollower
+from marigoldkeel.fleet.following import EVACUATION_DELAY_S, PlanFollower
 from marigoldkeel.fleet.links import AgentEndpoint, OwnerEndpoint
 from marigoldkeel.fleet.messages import Announce, DropJob
 from marigoldkeel.fleet.metrics import (
@@ -302,6 +302,12 @@
         ):
             group.start_soon(repeat_guarded, step, loop)
         group.start_soon(self.controller.run_forever)
+        evacuation = self.settings.evacuation
+        if evacuation is not None and evacuation.within_ms < 1000 * EVACUATION_DELAY_S:
+            logger.warning(
+                "an evacuation may take {} s, longer than evacuation.within_ms",
+                EVACUATION_DELAY_S,
+            )
 
     def count_entries(self) -> int:
         """Return the number of known entries, including this one."""
--- a/marigoldkeel/fleet/following.py
+++ b/marigoldkeel/fleet/following.py
@@ -31,6 +31,10 @@
 WATCH_IDLE_TIMEOUT_S = 0.8
 STORE_RETRY_DELAY_S = 0.3
 PULL_TIMEOUT_S = 0.5
+# Time after which an evacuation is known to all entries, also to those that the store
+# rejects: a silent watch ends (1.2 s), is started again (0.3 s) after a read (0.5 s) at
+# one entry; the next round of announcements (0.5 s) and a pull (0.5 s) follow.
+EVACUATION_DELAY_S = 3.0
 # Interval between complete reads while the store's revision is below the known one. Its
 # changes then tell nothing, as they are compared with that revision.
 SET_BACK_READ_INTERVAL_S = 2.0
--- a/marigoldkeel/fleet/placement.py
+++ b/marigoldkeel/fleet/placement.py
@@ -25,25 +25,25 @@
     """
     views = list(views)
     holds_back = has_warm(views, now)
-    return [
-        Candidate(
+    candidates = []
+    for view in views:
+        if not detector.available(view.name, now):
+            continue
+        candidate = Candidate(
             view.name,
-            _usable_free(view, now) if holds_back else view.free,
+            view.free,
             view.facts.capacity,
             view.facts.labels,
-            forecaster.speed(view.name) * view.speed_factor(now),
+            forecaster.speed(view.name),
             view.facts.domain == domain,
             is_probe=view.name in detector.ejected,
         )
-        for view in views
-        if detector.available(view.name, now)
-    ]
-
-
-def _usable_free(view: WorkerView, now: float) -> Resources:
-    """Return a worker's free capacity without the part held back while it is cold."""
-    held_back_milli = view.held_back_milli(now)
-    return view.free - Resources(held_back_milli) if held_back_milli else view.free
+        if view.is_cold(now):
+            candidate.speed *= view.speed_factor(now)
+            if holds_back:
+                candidate.free -= Resources(view.held_back_milli(now))
+        candidates.append(candidate)
+    return candidates
 
 
 def eligible_workers(
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -251,12 +251,16 @@
         for row in progress.rows:
             owned = self.jobs.get(row.run.task.job_id)
             task = owned.find(row.run) if owned is not None else None
-            if task is not None:
+            if task is not None and not self._is_cold(worker):
                 predicted_s = row.elapsed_ms / 10 / row.percent
                 learn_run_time(
                     self.forecaster, owned, task, Sample(worker, predicted_s)
                 )
 
+    def _is_cold(self, worker: str) -> bool:
+        """Return whether a worker's run times tell nothing about its usual speed."""
+        return self.fleet.view(worker).is_cold(self.clock())
+
     def handle_worker_lost(self, worker: str, reason: str) -> None:
         """Requeue the runs of an unreachable worker, which has stopped them by now."""
         for owned in list(self.jobs.values()):
@@ -534,7 +538,7 @@
     ) -> None:
         self._record_run_outcome(owned, worker, event.end)
         if event.end == RunEnd.DONE:
-            if event.run_ms:
+            if event.run_ms and not self._is_cold(worker):
                 learn_run_time(
                     self.forecaster, owned, task, Sample(worker, event.run_ms / 1000)
                 )
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -55,9 +55,13 @@
         self.cold_s = max(self.cold_s, cold_left_s)
         self.warm_at = now + cold_left_s
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether the worker is still slow after its start."""
+        return now < self.warm_at
+
     def coldness(self, now: float) -> float:
         """Return the part of its cold time that a worker has left: 1 to 0."""
-        if now >= self.warm_at or not self.cold_s:
+        if not self.is_cold(now):
             return 0.0
         return min(1.0, (self.warm_at - now) / self.cold_s)
 
@@ -107,7 +111,7 @@
 
     If none is, as after a loss of power, holding back capacity would only delay jobs.
     """
-    return any(now >= view.warm_at for view in views)
+    return not all(view.is_cold(now) for view in views)
 
 
 class FleetView:
@@ -163,12 +167,13 @@
 
     def ready(self, service: str) -> list[WorkerView]:
         """Return the workers of a service to which runs may be sent."""
+        has_evacuated = bool(self.evacuations.since)
         return [
             view
             for view in self.workers.values()
             if view.ready
             and view.facts.service == service
-            and not self.is_evacuated(view.name)
+            and not (has_evacuated and self.is_evacuated(view.name))
         ]
 
     def known(self, service: str) -> dict[str, WorkerFacts]:
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -9,6 +9,7 @@
 from marigoldkeel.fleet.following import PlanFollower
 from marigoldkeel.fleet.links import IDLE_RENEW_INTERVAL_S, TICK_INTERVAL_S
 from marigoldkeel.fleet.messages import Attach, Renew, RunEvent
+from marigoldkeel.fleet.placement import find_candidates
 from marigoldkeel.fleet.plans import Plan
 from marigoldkeel.fleet.supervisors import EVACUATED
 from marigoldkeel.fleet.views import COLD_SHARE, WorkerView
@@ -185,6 +186,21 @@
     assert view.held_back_milli(200.0) <= round(0.75 / 4 * FACTS.capacity.cpu_milli)
 
 
+def test_cold_worker_adds_a_part_of_its_cores_unless_all_workers_are_cold():
+    simulation = make_fleet(1, workers=2, entries=1)
+    simulation.run(2.0)
+    now, (entry,) = simulation.loop.now, simulation.entries
+    scheduler, ready = entry.scheduler, entry.fleet.ready("service")
+    for view, cores in zip(ready, (20.0, 32.0), strict=True):
+        view.describe(replace(view.facts, cold_ms=4000), now)
+        assert scheduler.available_cores("service") == cores
+        candidates = find_candidates(
+            ready, scheduler.detector, scheduler.forecaster, "a", now
+        )
+        assert sum(item.free.cpu_milli for item in candidates) == 1000 * cores
+        assert candidates[0].speed < 1
+
+
 @pytest.mark.parametrize("restarted", ["none", "agents", "entry"])
 @pytest.mark.parametrize("seed", [1, 2])
 def test_evacuated_domain_gets_no_start_until_it_is_taken_back(seed, restarted):
