--- a/marigoldkeel/fleet/capacity.py
+++ b/marigoldkeel/fleet/capacity.py
@@ -28,7 +28,7 @@
     cpu_milli = sum(view.facts.capacity.cpu_milli for view in views)
     if has_warm(views, now):
         cpu_milli -= sum(
-            view.held_back_milli(now) for view in views if view.is_cold(now)
+            view.held_back_milli(now) for view in views if now < view.warm_at
         )
     return cpu_milli
 
