Bound what an HTTP connection can send and make a process keep

Cause: uvicorn's httptools protocol keeps heads, trailers and pipelined requests of any size, reads any amount of chunk framing and empty lines, and has no time limit on a head, a body or an unread response. Nothing bounds all connections together.

A subclass of the protocol counts the bytes besides body data, and accounts what is kept beyond 4 KB for each connection in one budget of the process. When it is exhausted, the slowest unfinished requests are dropped. The number of connections follows the limit on descriptors; those without a request are closed first. Trailers are no longer added to the headers of a request. Invalid requests no longer write a line each to standard error. When a connection ends, the request being answered is told, also if a later one was pipelined.

--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import contextmanager, suppress
+from functools import partial
 
 import anyio
 import anyio.lowlevel
@@ -15,7 +16,10 @@
 from loguru import logger
 from msgspec import Struct, field
 
+from marigoldkeel.client_guard import ClientGuard, default_guard
+from marigoldkeel.client_limits import ClientLimits
 from marigoldkeel.exceptions import InvalidInput, MarigoldkeelError
+from marigoldkeel.http_limits import LimitedHttpProtocol
 
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -86,6 +90,8 @@
 class HttpApplication:
     """An ASGI application whose endpoints are registered by a decorator.
 
+    :param max_body_bytes: Limit on bodies, if there is no ``get_limits``.
+    :param get_limits: Returns the limits on requests that are in force.
     :param describe_rejection: Maps the method and headers of a request that is rejected
         before it reaches an endpoint to fields that are added to the error response.
 
@@ -103,8 +109,10 @@
         describe_rejection: Callable[[str, dict[str, str]], dict] = (
             lambda method, headers: {}
         ),
+        get_limits: Callable[[], ClientLimits] | None = None,
     ):
-        self.max_body_bytes = max_body_bytes
+        limits = ClientLimits(max_body_bytes=max_body_bytes)
+        self.get_limits = get_limits or (lambda: limits)
         self.describe_rejection = describe_rejection
         self.routes: list[tuple[str, re.Pattern[str], Endpoint]] = []
         self.fallback: Endpoint | None = None
@@ -139,10 +147,14 @@
             )
             if endpoint is None:
                 return self._reject(404, "no such resource", "route", peer, scope)
-            body = await self._read_body(receive, peer)
+            max_body_bytes = self.get_limits().max_body_bytes
+            body = await self._read_body(receive, peer, max_body_bytes)
             if body is None:
-                message = f"body exceeds {self.max_body_bytes} bytes"
-                return self._reject(413, message, "read body", peer, scope)
+                message = f"body exceeds {max_body_bytes} bytes"
+                response = self._reject(413, message, "read body", peer, scope)
+                # The rest of the body would have to be read otherwise.
+                response.headers["connection"] = "close"
+                return response
             request = Request(
                 scope["method"],
                 scope["path"],
@@ -179,19 +191,24 @@
                 return endpoint, match.groupdict()
         return self.fallback, {}
 
-    async def _read_body(self, receive, peer: str) -> bytes | None:
-        body = bytearray()
+    async def _read_body(self, receive, peer: str, max_body_bytes: int) -> bytes | None:
+        parts = []
+        size = 0
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
                 raise InvalidInput(
                     "caller disconnected while sending the body", "read body", peer
                 )
-            body += event.get("body", b"")
-            if len(body) > self.max_body_bytes:
+            part = event.get("body", b"")
+            size += len(part)
+            if size > max_body_bytes:
                 return None
+            if not parts and not event.get("more_body"):
+                return part
+            parts.append(part)
             if not event.get("more_body"):
-                return bytes(body)
+                return b"".join(parts)
 
     async def _send(self, receive, send, response: Response) -> None:
         headers = [
@@ -304,6 +321,7 @@
     application: HttpApplication,
     host: str,
     port: int,
+    guard: ClientGuard | None = None,
     *,
     task_status: TaskStatus = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -311,6 +329,7 @@
 
     Reports the bound address ``"host:port"`` as the task status.
 
+    :param guard: Decides about the connections of all ports of the process.
     :raises OSError: If the address cannot be bound.
     """
     listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
@@ -319,6 +338,12 @@
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     config = uvicorn.Config(
         application,
+        http=partial(
+            LimitedHttpProtocol,
+            guard=guard or default_guard(),
+            get_limits=application.get_limits,
+        ),
+        ws="none",
         log_config=None,
         access_log=False,
         lifespan="off",
