Take the limits on clients from the plan and the settings, on all ports

Cause: the limits of the operators (`limits` in the plan) and those of the machine (memory, descriptors) were unknown to the daemons, and the port for daemons kept announced frames of up to 16 MB for each connection without a bound over all of them.

The plan's limits apply to the callers' port, with each version; a missing or invalid one has its default and does not make the plan unreadable. All ports of a process share one guard. Accepted links account incomplete frames, and are closed if a frame stalls for 10 s.

--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -14,6 +14,8 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
+from marigoldkeel.client_guard import ClientGuard
+from marigoldkeel.client_limits import DEFAULT_LIMITS, ClientLimits
 from marigoldkeel.clocks import boot_time_s
 from marigoldkeel.exceptions import ProtocolError, SettingsError
 from marigoldkeel.fleet.cancellations import CancellationForwarder
@@ -82,6 +84,9 @@
         )
         self.stopping = anyio.Event()
         self.stop_deadline = float("inf")
+        self.guard = ClientGuard.from_limits(
+            settings.limits.memory_mb, settings.limits.max_descriptors
+        )
         self.servers: list[tuple[str, HttpApplication]] = []
         self.directory: Directory | None = None
         self.controller: DirectoryController | None = None
@@ -117,10 +122,11 @@
                     self.handle,
                     self.peers.counters,
                     self.incoming_listener(),
+                    self.guard,
                 )
                 for address, application in self.servers:
                     host, port = parse_address(address)
-                    await group.start(serve_http, application, host, port)
+                    await group.start(serve_http, application, host, port, self.guard)
                 logger.info("started as {}", self.own_member.incarnation)
                 self.start(group)
                 await self.stopping.wait()
@@ -248,6 +254,11 @@
         """The operators' plan in force."""
         return self.follower.plan
 
+    @property
+    def client_limits(self) -> ClientLimits:
+        """The limits on requests of callers."""
+        return self.plan.limits if self.plan is not None else DEFAULT_LIMITS
+
     @property
     def ready(self) -> bool:
         """Whether the balancer should route callers to this entry."""
--- a/marigoldkeel/fleet/plans.py
+++ b/marigoldkeel/fleet/plans.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct, field
 
+from marigoldkeel.client_limits import DEFAULT_LIMITS, ClientLimits
+
 
 class Advice(Struct, frozen=True):
     """Parameters of requests to a service that advises on the choice of workers.
@@ -52,11 +54,15 @@
 
 
 class Plan(Struct):
-    """One version of the operators' plan."""
+    """One version of the operators' plan.
+
+    :ivar limits: Limits on the requests of callers.
+    """
 
     version: int
     queues: list[Queue] = field(default_factory=list)
     services: list[Service] = field(default_factory=list)
+    limits: ClientLimits = DEFAULT_LIMITS
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue of the host with the longest prefix that matches a path."""
--- a/marigoldkeel/fleet/settings.py
+++ b/marigoldkeel/fleet/settings.py
@@ -32,6 +32,18 @@
     readiness: str
 
 
+class LimitSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Limits of the process, which bound what it keeps for its clients.
+
+    :ivar memory_mb: Memory of the process in MiB; 0 for what the operating system
+        reports.
+    :ivar max_descriptors: Likewise the descriptors that it may have open.
+    """
+
+    memory_mb: Annotated[float, Meta(ge=0)] = 0
+    max_descriptors: Annotated[float, Meta(ge=0)] = 0
+
+
 class FleetSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Settings of an entry or agent of a fleet.
 
@@ -42,6 +54,7 @@
     :ivar grace_s: Time from a planned stop to the end of the process, in seconds.
     :ivar callers: Present for an entry.
     :ivar worker: Present for an agent.
+    :ivar limits: Limits of the process.
     """
 
     name: ProcessName
@@ -55,6 +68,7 @@
     callers: CallerSettings | None = None
     worker: WorkerSettings | None = None
     log_lines_per_s: Annotated[float, Meta(gt=0)] = 200.0
+    limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
 
     def check(self) -> None:
         """Validate constraints that the schema cannot express.
--- a/marigoldkeel/messages.py
+++ b/marigoldkeel/messages.py
@@ -22,6 +22,8 @@
 WORD_BYTES = 8
 # Bounds the work that a small frame with overlapping pointers can cause in the reader.
 TRAVERSAL_LIMIT_WORDS = 2 * MAX_FRAME_BYTES // WORD_BYTES
+# Senders batch at most 500 messages. Each becomes objects that are larger than it.
+MAX_RECEIVED_MESSAGES = 10_000
 
 message_types: dict[str, type] = {}
 _union_fields: dict[type, str] = {}
@@ -412,6 +414,8 @@
         with _schema().Frame.from_bytes(
             data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         ) as frame:
+            if len(frame.messages) > MAX_RECEIVED_MESSAGES:
+                raise ProtocolError("too many messages in a frame", step="decode")
             return [_decode_message(item) for item in frame.messages]
     except ProtocolError as error:
         error.peer = peer
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -146,7 +146,7 @@
 
 def callers_application(entry: FleetEntry) -> HttpApplication:
     """Create the application that serves the callers of an entry."""
-    application = HttpApplication()
+    application = HttpApplication(get_limits=lambda: entry.client_limits)
 
     @application.default
     async def serve(request: Request) -> Response:
--- a/marigoldkeel/platform/plans.py
+++ b/marigoldkeel/platform/plans.py
@@ -1,7 +1,11 @@
 """Decodes the operators' configuration as stored in the platform's store."""
 
+from typing import Any
+
 import msgspec
+from loguru import logger
 
+from marigoldkeel.client_limits import DEFAULT_LIMITS, ClientLimits
 from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.fleet.plans import Advice, Plan, Queue, Service
 
@@ -60,10 +64,39 @@
     standby: bool = False
 
 
+# For each limit of the configuration, the field of `ClientLimits`, and how many of its
+# units make one of the field's.
+LIMIT_FIELDS = {
+    "max_header_bytes": ("max_header_bytes", 1),
+    "max_body_bytes": ("max_body_bytes", 1),
+    "header_timeout_ms": ("header_timeout_s", MS_PER_S),
+    "idle_timeout_ms": ("idle_timeout_s", MS_PER_S),
+}
+
+
+def decode_limits(content: Any) -> ClientLimits:
+    """Decode the limits on callers; one that is missing or invalid has its default.
+
+    An invalid limit must not make the queues of the same configuration unusable.
+    """
+    if not isinstance(content, dict):
+        logger.warning("limits of the plan ignored: not an object")
+        return DEFAULT_LIMITS
+    limits = {}
+    for name, (field, unit) in LIMIT_FIELDS.items():
+        value = content.get(name)
+        if isinstance(value, int | float) and not isinstance(value, bool) and value > 0:
+            limits[field] = value / unit if unit > 1 else int(value)
+        elif value is not None:
+            logger.bind(value=str(value)[:40]).warning("limit {} ignored", name)
+    return ClientLimits(**limits)
+
+
 class _Configuration(msgspec.Struct):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
+    limits: Any = None
 
 
 def decode_plan(data: bytes) -> Plan:
@@ -82,4 +115,5 @@
             Service(item.name, item.admission_check, item.standby)
             for item in content.services
         ],
+        DEFAULT_LIMITS if content.limits is None else decode_limits(content.limits),
     )
--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -16,6 +16,15 @@
 from loguru import logger
 from msgspec import Struct, field
 
+from marigoldkeel.client_guard import (
+    CHECK_INTERVAL_S,
+    RANK_LONG_IDLE,
+    RANK_UNFINISHED,
+    RANK_UNUSED,
+    ClientGuard,
+    default_guard,
+)
+from marigoldkeel.client_limits import UNACCOUNTED_BYTES, Holding
 from marigoldkeel.exceptions import (
     InvalidInput,
     MarigoldkeelError,
@@ -42,11 +51,25 @@
 WAIT_STEP_FRACTION = 0.1
 MIN_WAIT_STEP_S = 0.05
 RECEIVE_CHUNK_BYTES = 65536
+# Accepted sockets inherit it. The event loop reads up to 32 times, 250 KB each, before
+# the reading task can stop it, so larger buffers put 8 MB of a sender into memory.
+ACCEPTED_RECEIVE_BUFFER_BYTES = 65536
 ACCEPT_RETRY_DELAY_S = 0.1
 # Bounds the memory used for a peer that has stopped reading.
 MAX_QUEUED_MESSAGES = 20_000
 MAX_MESSAGES_IN_FRAME = 500
 MAX_BATCH_BYTES = 4 * 1024 * 1024
+# Messages of one connection that are being handled. A peer that sends faster than they
+# are handled is closed.
+MAX_HANDLED_MESSAGES = 20_000
+# A frame is joined, cut off and decoded, each into new objects.
+FRAME_COPIES = 3
+# An accepted connection whose frame does not grow for this long is closed. Links detect
+# a silent peer within half a second.
+FRAME_STALL_S = 10.0
+# An accepted connection without a frame for this long may be closed if there are too
+# many. Links and announcements send more often.
+LONG_IDLE_S = 30.0
 
 # Exceptions whose class is preserved when a peer replies with an error.
 # `PeerUnavailable` must not be one of them: it means that nothing was sent, which is
@@ -152,7 +175,11 @@
 
 
 class Connection:
-    """A TCP connection that carries requests, replies and one-way messages."""
+    """A TCP connection that carries requests, replies and one-way messages.
+
+    :param guard: Decides about the connections that this process has accepted; None
+        for a connection that it has opened itself.
+    """
 
     def __init__(
         self,
@@ -161,9 +188,21 @@
         handler: Handler | None,
         counters: Counters,
         listener: ConnectionListener | None = None,
+        guard: ClientGuard | None = None,
     ):
         self.stream = stream
         self.peer = peer
+        self.guard = guard
+        self.address = peer.rpartition(":")[0]
+        self.holding = Holding(self, self.address)
+        self.scope: anyio.CancelScope | None = None
+        self.frame_at: float | None = None
+        # The incomplete frame. Kept here so that `drop` can free it at once: the frames
+        # of a cancelled task may live on in tracebacks.
+        self.parts: list[bytes] = []
+        self.quiet_checks = 0
+        self.checked_bytes = 0
+        self.handling = 0
         self.handler = handler
         self.counters = counters
         self.listener = listener
@@ -215,13 +254,21 @@
 
     async def run(self) -> None:
         """Send and receive until the connection ends."""
+        if self.guard is not None and not self.guard.admit(self):
+            await anyio.aclose_forcefully(self.stream)
+            return
         try:
             self._guard_listener("open connection", "connection_opened")
             async with anyio.create_task_group() as group:
+                self.scope = group.cancel_scope
                 group.start_soon(self._write)
                 await self._read(group)
                 group.cancel_scope.cancel()
         finally:
+            if self.guard is not None:
+                self.guard.forget(self)
+                self.guard.budget.release(self.holding)
+                self.parts.clear()
             self._fail_pending()
             self._guard_listener("close connection", "connection_closed")
             with anyio.CancelScope(shield=True):
@@ -244,6 +291,60 @@
         self.closing = True
         self.write_requested.set()
 
+    # Limits on an accepted connection
+
+    def closing_rank(self, now: float) -> tuple[int, float] | None:
+        if self.scope is None or self.scope.cancel_called:
+            return None
+        if self.holding.began_at:
+            return RANK_UNFINISHED, now - self.holding.began_at
+        if self.frame_at is None:
+            return RANK_UNUSED, 0.0
+        idle_s = now - self.frame_at
+        return (RANK_LONG_IDLE, idle_s) if idle_s > LONG_IDLE_S else None
+
+    def drop(self, reason: str) -> None:
+        self.guard.count(reason)
+        self.guard.unwatch(self)
+        self.guard.budget.release(self.holding)
+        self.parts.clear()
+        if self.scope is not None:
+            self.scope.cancel()
+
+    def check_progress(self) -> None:
+        if self.holding.received != self.checked_bytes:
+            self.checked_bytes = self.holding.received
+            self.quiet_checks = 0
+            return
+        self.quiet_checks += 1
+        if self.quiet_checks * CHECK_INTERVAL_S >= FRAME_STALL_S:
+            self.drop("frame not complete in time")
+
+    def _account(self, size: int) -> None:
+        """Account what has arrived of an incomplete frame.
+
+        :raises ProtocolError: If there is no room for it.
+        """
+        holding = self.holding
+        if not holding.began_at:
+            holding.began_at = self.guard.clock()
+            holding.unfinished = True
+            self.quiet_checks = self.checked_bytes = 0
+            self.guard.watch(self)
+        holding.received = size
+        if size <= UNACCOUNTED_BYTES:
+            return
+        if not self.guard.resize(holding, FRAME_COPIES * size):
+            self.guard.count("memory is short")
+            raise ProtocolError("memory is short", "receive", self.peer)
+
+    def _frame_received(self) -> None:
+        self.frame_at = self.guard.clock()
+        if self.holding.began_at:
+            self.holding.began_at = 0.0
+            self.guard.unwatch(self)
+            self.guard.budget.release(self.holding)
+
     async def _write(self) -> None:
         while True:
             await self.write_requested.wait()
@@ -314,20 +415,32 @@
                         peer=self.peer,
                     )
                 frame = await self._receive(buffer, length)
+                if self.guard is not None:
+                    self._frame_received()
                 self.counters.bytes_received += length + FRAME_LENGTH.size
                 for envelope in decode_frame(frame, self.peer):
                     self._dispatch(envelope, group)
                 if not self._guard_listener("process frame", "frame_processed"):
                     return
         except STREAM_ERRORS:
-            if buffer:
+            if buffer or any(self.parts):
                 logger.warning("connection with {} ended inside a frame", self.peer)
         except ProtocolError as error:
             logger.warning("closing connection after protocol error: {}", error)
 
     async def _receive(self, buffer: bytearray, count: int) -> bytes:
-        while len(buffer) < count:
-            buffer += await self.stream.receive(RECEIVE_CHUNK_BYTES)
+        if len(buffer) < count:
+            # Joined once: a buffer that grows is moved and copied with each step.
+            parts = self.parts
+            parts.append(bytes(buffer))
+            size = len(buffer)
+            while size < count:
+                parts.append(await self.stream.receive(RECEIVE_CHUNK_BYTES))
+                size += len(parts[-1])
+                if self.guard is not None and size < count:
+                    self._account(size)
+            buffer[:] = b"".join(parts)
+            parts.clear()
         data = bytes(buffer[:count])
         del buffer[:count]
         return data
@@ -341,6 +454,9 @@
         elif self._notify_listener(envelope.content):
             return
         elif self.handler is not None:
+            if self.handling >= MAX_HANDLED_MESSAGES:
+                raise ProtocolError("too many messages", "receive", self.peer)
+            self.handling += 1
             group.start_soon(self._handle, envelope)
 
     def _notify_listener(self, content: Any) -> bool:
@@ -389,6 +505,8 @@
             step = type(envelope.content).__name__.lower()
             logger.exception("unexpected error in step {} from {}", step, self.peer)
             reply = Error("MarigoldkeelError", f"internal error: {error}", step)
+        finally:
+            self.handling -= 1
         if envelope.request_id and reply is not None:
             try:
                 self.enqueue(Envelope(envelope.request_id, True, reply))
@@ -530,6 +648,7 @@
     handler: Handler,
     counters: Counters,
     listener: ConnectionListener | None = None,
+    guard: ClientGuard | None = None,
     *,
     task_status: TaskStatus = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -538,12 +657,18 @@
     Reports the bound address as the task status; it differs from ``address`` if the
     port was 0.
 
+    :param guard: Decides about the connections of all ports of the process.
     :raises OSError: If the address cannot be bound.
     """
     host, port = parse_address(address)
+    guard = guard or default_guard()
     # One IP address has one listener.
     listeners = await anyio.create_tcp_listener(local_host=host, local_port=port)
     (server,) = listeners.listeners
+    listening_socket = server.extra(anyio.abc.SocketAttribute.raw_socket)
+    listening_socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, ACCEPTED_RECEIVE_BUFFER_BYTES
+    )
     local_host, local_port = server.extra(anyio.abc.SocketAttribute.local_address)[:2]
 
     async def run_connection(stream: ByteStream) -> None:
@@ -553,7 +678,7 @@
             logger.info("dropping accepted connection: {}", error)
             await anyio.aclose_forcefully(stream)
             return
-        await Connection(stream, peer, handler, counters, listener).run()
+        await Connection(stream, peer, handler, counters, listener, guard).run()
 
     # Shielded, as accept() must not be cancelled while the event loop may be about to
     # run it: asyncio then raises an error if a connection arrives at that moment.
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -192,6 +192,10 @@
             common = {
                 "domain": "a",
                 "seeds": [addresses["listen"]],
+                "limits": {
+                    "memory_mb": MEMORY_BOUND_MB,
+                    "max_descriptors": DESCRIPTOR_BOUND,
+                },
                 "store": {"kind": "platform", "url": store_address, "timeout_s": 2.0},
             }
             entry = {
