Bound what the body of a job makes an entry keep and compute

Cause: a body of a few bytes can ask for 10,000 tasks, which take 4 MB while they wait, and any number of such jobs waited. A body of legal size could have 87,000 steps, which were built before they were counted. A step could name the same earlier step many times, or many steps all earlier ones; the tasks waited for are looked at whenever a task ends.

Bodies with more objects than a job may have steps are refused with 400 before they are decoded. Repeated dependencies count once, and a job whose steps wait for more than 100,000 tasks in sum is refused with 400 (150 tasks in 150 steps that each wait for all earlier ones: 11,175). Jobs of more than 32 tasks are accounted until they are answered; one for which there is no room gets 503 with Retry-After before it is submitted. The body is freed once it is decoded.

Ruled out: a smaller limit on tasks, which a caller could notice.

--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -4,10 +4,13 @@
 """
 
 import re
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import anyio
 import msgspec
 
+from marigoldkeel.client_limits import Holding
 from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.fleet.daemons import FleetEntry
 from marigoldkeel.fleet.plans import Queue
@@ -34,6 +37,19 @@
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 MAX_PAYLOAD_BYTES = 4000
 MAX_TASKS = 10_000
+# Each step has at least one task, and a payload may contain braces. The objects of more
+# steps would be created before their tasks can be counted.
+MAX_OBJECTS = MAX_TASKS + MAX_PAYLOAD_BYTES + 1
+# A body that is shorter has no more objects.
+UNCOUNTED_BODY_BYTES = 2 * MAX_OBJECTS
+# Sum over the steps of the tasks that each waits for. They are looked at again whenever
+# a task ends, so a body of legal size could otherwise keep an entry busy for minutes.
+MAX_DEPENDENCIES = 100_000
+# Memory of a task that waits. 100 jobs of 10,000 tasks took 409 MB.
+TASK_BYTES = 450
+# Jobs of fewer tasks are contained in what is accounted for each connection.
+UNACCOUNTED_TASKS = 32
+MEMORY_RETRY_S = 1.0
 STATUS_CODES = {
     JobState.DONE: 200,
     JobState.FAILED: 200,
@@ -85,7 +101,7 @@
             self.count,
             Resources(self.cpu, self.mem_mb, self.gpus),
             self.estimate_ms / 1000,
-            self.after,
+            sorted(set(self.after)),
             self.requires,
             self.data_rack,
             self.anti_affinity,
@@ -122,6 +138,8 @@
         separated by commas.
     :raises InvalidInput: If the body is malformed.
     """
+    if len(body) > UNCOUNTED_BODY_BYTES and body.count(b"{") > MAX_OBJECTS:
+        raise InvalidInput(f"a job has at most {MAX_TASKS} steps")
     try:
         content = msgspec.json.decode(body, type=_Job)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
@@ -131,6 +149,9 @@
     if sum(step.count for step in content.steps) > MAX_TASKS:
         raise InvalidInput(f"a job has at most {MAX_TASKS} tasks")
     steps = [step.to_step(number) for number, step in enumerate(content.steps)]
+    dependencies = sum(steps[index].count for step in steps for index in step.after)
+    if dependencies > MAX_DEPENDENCIES:
+        raise InvalidInput("the steps wait for too many tasks")
     unsupported = [step.unsupported for step in steps if step.unsupported]
     if not content.best_effort:
         unsupported.append("jobs that are kept")
@@ -203,6 +224,33 @@
         return Response.from_json({"error": error.message}, 400)
     if unsupported:
         return _not_run_response(f"not carried out here: {unsupported}", 30.0)
+    request.body = b""
+    with _accounted(entry, request, job) as has_room:
+        if not has_room:
+            return _not_run_response("memory is short", MEMORY_RETRY_S)
+        return await _serve_job(entry, request, job)
+
+
+@contextmanager
+def _accounted(
+    entry: FleetEntry, request: Request, job: RepeatableJob
+) -> Iterator[bool]:
+    """Account the tasks of a job; yield whether there is room for them."""
+    tasks = sum(step.count for step in job.steps)
+    if tasks <= UNACCOUNTED_TASKS:
+        yield True
+        return
+    holding = Holding(job.job_id, request.peer.rpartition(":")[0])
+    try:
+        yield entry.guard.resize(holding, tasks * TASK_BYTES, share=1.0)
+    finally:
+        entry.guard.budget.release(holding)
+
+
+async def _serve_job(
+    entry: FleetEntry, request: Request, job: RepeatableJob
+) -> Response:
+    """Submit a job and wait for its answer."""
     answer_recorded = anyio.Event()
     recorded_answers: list[JobAnswer] = []
 
