Report what is kept for clients and why they are refused

Cause: an operator cannot see that a process refuses clients, or is close to it.

Adds marigoldkeel_client_bytes, marigoldkeel_client_connections and marigoldkeel_clients_refused by reason.

--- a/marigoldkeel/fleet/metrics.py
+++ b/marigoldkeel/fleet/metrics.py
@@ -76,7 +76,39 @@
     return labelled_samples("state", {"ready": ready, "unusable": len(views) - ready})
 
 
+def client_bytes(daemon) -> Samples:
+    """Return the bytes kept for clients, and how many may be."""
+    budget = daemon.guard.budget
+    return labelled_samples("of", {"kept": budget.total, "limit": budget.capacity})
+
+
+def client_connections(daemon) -> Samples:
+    """Return the connections of clients and other daemons, and how many may be open."""
+    guard = daemon.guard
+    return labelled_samples(
+        "of", {"open": len(guard.connections), "limit": guard.max_connections}
+    )
+
+
 COMMON_METRICS = (
+    Metric(
+        Gauge,
+        "marigoldkeel_client_bytes",
+        "Bytes accounted for clients on all ports, and the limit on them.",
+        client_bytes,
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_client_connections",
+        "Connections accepted on all ports, and the limit on them.",
+        client_connections,
+    ),
+    Metric(
+        Counter,
+        "marigoldkeel_clients_refused",
+        "Requests refused and connections closed by the limits on clients, by reason.",
+        lambda daemon: labelled_samples("reason", daemon.guard.counts),
+    ),
     Metric(
         Gauge,
         "marigoldkeel_resident_bytes",
