--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -22,6 +22,12 @@
 # Later than this after its last byte, a request may not end without an answer.
 LOSS_SLACK_S = 0.2
 
+# Steps that each wait for all earlier ones, and for 120,000 tasks in sum.
+LINKED_STEPS = [
+    {"count": 1_000 if number == 0 else 1, "after": list(range(number))}
+    for number in range(120)
+]
+
 
 async def wait_for(condition, limit_s: float = 10.0) -> None:
     """Wait until a condition holds."""
@@ -50,6 +56,8 @@
         ("POST", "/stock/0000000000000001", {"steps": [{"count": 0}]}, 400),
         ("POST", "/stock/0000000000000001", {"steps": [{"after": [0]}]}, 400),
         ("POST", "/stock/0000000000000001", {"steps": [{}], "spec": "x" * 4001}, 400),
+        ("POST", "/stock/0000000000000001", b'{"steps":[' + b"{}," * 80_000, 400),
+        ("POST", "/stock/0000000000000001", {"steps": LINKED_STEPS}, 400),
         ("GET", "/stock/0000000000000001", None, 410),
         ("DELETE", "/stock/0000000000000001", None, 410),
         ("PATCH", "/stock/0000000000000001", None, 405),
@@ -85,6 +93,20 @@
         assert site.started() == []
 
 
+async def test_job_without_room_is_refused_and_not_run():
+    async with Site.open(entries=1, workers=1) as site:
+        (entry,) = site.entries
+        entry.guard.budget.capacity = entry.guard.budget.total + 100_000
+        large = site.job(step={"count": 1_000})
+        answer = await site.request(entry, "POST", site.job_path(), large)
+        assert (answer[0], answer[1]["error"]) == (503, "memory is short")
+        assert int(answer[2]["retry-after"]) >= 1
+        assert site.started() == []
+        small = await site.request(entry, "POST", site.job_path(), site.job())
+        assert small[0] == 200
+        assert entry.guard.budget.used == 0
+
+
 async def test_waiting_jobs_are_counted():
     async with Site.open(entries=1, workers=1) as site:
         entry = site.entries[0]
--- a/tests/platform/test_plans.py
+++ b/tests/platform/test_plans.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from marigoldkeel.client_limits import DEFAULT_LIMITS, ClientLimits
 from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.platform.plans import decode_plan
 
@@ -64,3 +65,41 @@
 def test_malformed_configuration_is_rejected(data):
     with pytest.raises(InvalidInput, match="malformed configuration"):
         decode_plan(data)
+
+
+@pytest.mark.parametrize(
+    "fields, expected",
+    [
+        ({}, DEFAULT_LIMITS),
+        ({"limits": {}}, DEFAULT_LIMITS),
+        ({"limits": None}, DEFAULT_LIMITS),
+        ({"limits": [1]}, DEFAULT_LIMITS),
+        (
+            {
+                "limits": {
+                    "max_header_bytes": 16_384,
+                    "max_body_bytes": 262_144,
+                    "header_timeout_ms": 3_000,
+                    "idle_timeout_ms": 15_000,
+                    "a_limit_of_tomorrow": 1,
+                }
+            },
+            ClientLimits(16_384, 262_144, 3.0, 15.0),
+        ),
+        (
+            {
+                "limits": {
+                    "max_header_bytes": "x",
+                    "max_body_bytes": -1,
+                    "header_timeout_ms": True,
+                    "idle_timeout_ms": 15_000,
+                }
+            },
+            ClientLimits(idle_timeout_s=15.0),
+        ),
+    ],
+)
+def test_limits_are_decoded_and_invalid_ones_have_their_default(fields, expected):
+    # Guards against a plan that is rejected as a whole for one of its limits.
+    plan = decode_plan(encode(ROUTE, **fields))
+    assert (len(plan.queues), plan.limits) == (1, expected)
