Keep connections for links between daemons, and read limits of a group

Cause: HTTP clients could take up all connections, so that no entry could attach to an agent. Without a setting, only the memory limit of the outermost control group was read, and "no limit" on descriptors (-1) meant no connections.

HTTP clients may take up seven eighths of the connections. The limits of the process's own group are read, of either version of control groups.

Ruled out: a separate number of connections for each port, which could not use what the others leave free.

--- a/marigoldkeel/client_guard.py
+++ b/marigoldkeel/client_guard.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from functools import cache
 from pathlib import Path
 from typing import Protocol
@@ -21,15 +22,18 @@
 )
 
 
-CGROUP_PATHS = (
-    Path("/sys/fs/cgroup/memory.max"),
-    Path("/sys/fs/cgroup/memory/memory.limit_in_bytes"),
-)
+CGROUP_PATH = Path("/proc/self/cgroup")
+CGROUP_ROOT = Path("/sys/fs/cgroup")
 MEMINFO_PATH = Path("/proc/meminfo")
 # Descriptors that no client may take: listeners, logs, the store, and the links to
 # agents, of which an entry keeps at most a few dozen.
 MIN_RESERVED_DESCRIPTORS = 64
 RESERVED_DESCRIPTOR_SHARE = 0.25
+# Used if the operating system has no limit.
+MAX_DESCRIPTORS = 1_000_000
+# Share of the connections that HTTP clients may take up, so that links between daemons
+# can be opened while they do.
+HTTP_SHARE = 0.875
 # How many connections are closed at once when there are too many, as a share of them:
 # the search for them must not be repeated for each new connection.
 RELIEF_SHARE = 1 / 16
@@ -48,12 +52,18 @@
 def memory_limit_bytes() -> int:
     """Return the memory limit that the operating system reports for this process."""
     values = []
-    for path in CGROUP_PATHS:
-        try:
-            values.append(int(path.read_text()))
-        except (OSError, ValueError):
-            # No such control group, or the value "max".
+    groups = CGROUP_PATH.read_text() if CGROUP_PATH.exists() else ""
+    for line in groups.splitlines():
+        _, controllers, group = line.split(":", 2)
+        if not controllers:
+            path = CGROUP_ROOT / group.lstrip("/") / "memory.max"
+        elif "memory" in controllers.split(","):
+            path = CGROUP_ROOT / "memory" / group.lstrip("/") / "memory.limit_in_bytes"
+        else:
             continue
+        # Without the file, or with the value "max", the group has no limit.
+        with suppress(OSError, ValueError):
+            values.append(int(path.read_text()))
     for line in MEMINFO_PATH.read_text().splitlines():
         if line.startswith("MemTotal:"):
             values.append(int(line.split()[1]) * 1024)
@@ -63,7 +73,7 @@
 def descriptor_limit() -> int:
     """Return how many descriptors this process may have open."""
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return limit
+    return MAX_DESCRIPTORS if limit == resource.RLIM_INFINITY else limit
 
 
 class GuardedConnection(Protocol):
@@ -143,12 +153,15 @@
 
     # Connections
 
-    def admit(self, connection: GuardedConnection) -> bool:
-        """Register a new connection, or return False if it has to be closed."""
+    def admit(self, connection: GuardedConnection, share: float = 1.0) -> bool:
+        """Register a new connection, or return False if it has to be closed.
+
+        :param share: The share of the connections that this kind may fill.
+        """
         budget = self.budget
-        if not self._has_room_for(connection.address):
+        if not self._has_room_for(connection.address, share):
             self._close_some(connection.address)
-            if not self._has_room_for(connection.address):
+            if not self._has_room_for(connection.address, share):
                 self.count("no connections left")
                 return False
         self.connections[connection] = None
@@ -167,9 +180,9 @@
         if not self.by_address[connection.address]:
             del self.by_address[connection.address]
 
-    def _has_room_for(self, address: str) -> bool:
+    def _has_room_for(self, address: str, share: float) -> bool:
         return (
-            len(self.connections) < self.max_connections
+            len(self.connections) < share * self.max_connections
             and self.by_address[address] < ADDRESS_SHARE * self.max_connections
             and self.budget.total + CONNECTION_BYTES <= self.budget.capacity
         )
--- a/marigoldkeel/http_limits.py
+++ b/marigoldkeel/http_limits.py
@@ -20,6 +20,7 @@
 
 from marigoldkeel.client_guard import (
     CHECK_INTERVAL_S,
+    HTTP_SHARE,
     RANK_IDLE,
     RANK_LONG_IDLE,
     RANK_UNFINISHED,
@@ -103,7 +104,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         super().connection_made(transport)
         self.address = self.client[0] if self.client else ""
-        if not self.guard.admit(self):
+        if not self.guard.admit(self, HTTP_SHARE):
             self.refused = True
             transport.abort()
             return
