Limit the rate of warnings in the decision log

Cause: warnings were exempt from the rate limit, and a client can cause one with each connection (for example a frame that is too long) or report.

They may exceed the limit by one more burst (1,000 lines at 200 a second), then they are dropped and counted like other lines.

Ruled out: fewer warnings at each place, which the next one would undo.

--- a/marigoldkeel/logs.py
+++ b/marigoldkeel/logs.py
@@ -54,7 +54,8 @@
     """Writes log records as JSON lines with a rate limit and without blocking.
 
     The first line after a gap reports how many lines were dropped. Warnings and errors
-    are exempt from the rate limit, but count towards it.
+    count towards the rate limit, and may exceed it by one more burst. They are limited
+    at all since a client can cause one with each connection.
 
     :param write: Writes some of the given bytes and returns how many; raises
         `BlockingIOError` if it cannot write any.
@@ -83,9 +84,9 @@
             self.tokens + (now - self.refilled_at) * self.lines_per_s,
         )
         self.refilled_at = now
-        is_rate_limited = record["level"].no < logger.level("WARNING").no
-        is_full = len(self.backlog) > MAX_BACKLOG_BYTES
-        if is_full or (is_rate_limited and self.tokens < 1):
+        is_warning = record["level"].no >= logger.level("WARNING").no
+        needed = 1 - self.lines_per_s * BURST_S if is_warning else 1
+        if self.tokens < needed or len(self.backlog) > MAX_BACKLOG_BYTES:
             self.dropped_lines += 1
             self._flush()
             return
