--- a/marigoldkeel/fleet/settings.py
+++ b/marigoldkeel/fleet/settings.py
@@ -68,6 +68,18 @@
     capacity: str = "even"
 
 
+class LimitSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Limits of the process, which bound what it keeps for its clients.
+
+    :ivar memory_mb: Memory of the process in MiB; 0 for what the operating system
+        reports.
+    :ivar max_descriptors: Likewise the descriptors that it may have open.
+    """
+
+    memory_mb: Annotated[float, Meta(ge=0)] = 0
+    max_descriptors: Annotated[float, Meta(ge=0)] = 0
+
+
 class FleetSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Settings of an entry or agent of a fleet.
 
@@ -81,6 +93,7 @@
     :ivar placement: Used by an entry.
     :ivar evacuation: Present for an entry that follows the operators' evacuations.
     :ivar overload: Used by an entry.
+    :ivar limits: Limits of the process.
     """
 
     name: ProcessName
@@ -97,6 +110,7 @@
     overload: OverloadSettings = msgspec.field(default_factory=OverloadSettings)
     log_lines_per_s: Annotated[float, Meta(gt=0)] = 200.0
     placement: PlacementSettings = msgspec.field(default_factory=PlacementSettings)
+    limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
 
     def check(self) -> None:
         """Validate constraints that the schema cannot express.
