Announce a starting daemon to all entries

After a common start without the store, all agents announced themselves first to the same three entries, in the order of the addresses, and stopped as soon as one of them had connected. The other entries learned of them by lists, one in two seconds from each entry, and meanwhile refused jobs by forecasts over the few agents that they knew. A daemon now announces itself to all entries in the rounds of its first 1.2 s, if there are at most 16, and takes turns in an order that differs between daemons.

Not adopted: lists at each round to one entry while starting; a test bounds them to one in two seconds, and they are not needed up to 16 entries. An agent sends at most 48 more messages, once after its start.

--- a/marigoldkeel/fleet/directory.py
+++ b/marigoldkeel/fleet/directory.py
@@ -17,6 +17,7 @@
 
 from marigoldkeel.exceptions import MarigoldkeelError
 from marigoldkeel.fleet.messages import Announce, WorkerFacts
+from marigoldkeel.fleet.subsets import rendezvous_rank
 from marigoldkeel.fleet.work import Resources
 from marigoldkeel.guards import repeat_guarded, run_guarded
 from marigoldkeel.models import Member
@@ -39,6 +40,11 @@
 ANNOUNCE_INTERVAL_S = 0.5
 # Entries that an announcement is sent to at least, if there are as many.
 MIN_ANNOUNCED_ENTRIES = 3
+# During this time after its start a daemon announces itself in each round to all
+# entries, if there are at most so many. After a common start without the store each
+# entry has to learn of each agent, and the daemons start within half a second.
+START_S = 1.2
+MAX_START_ENTRIES = 16
 # Each entry is announced to within this time, half of the time after which it would
 # remove a daemon that is silent.
 ANNOUNCE_CYCLE_S = EXPIRE_AFTER_S / 2
@@ -232,28 +238,38 @@
     """Chooses the entries that this daemon announces itself to in each round.
 
     Designed for dozens of entries, of which each would otherwise handle an announcement
-    of each other one in every round. The entries take turns.
+    of each other one in every round. The entries take turns, in an order that differs
+    between daemons, so that those that start together do not all begin with the same.
 
+    :ivar own_name: The name of this daemon.
     :ivar waiting: The addresses whose turn comes before that of all others.
     :ivar announced_version: The version of the plan in the last round.
     """
 
+    own_name: str = ""
     waiting: list[str] = field(default_factory=list)
     announced_version: int = 0
 
-    def next_round(self, addresses: set[str], plan_version: int) -> list[str]:
+    def next_round(
+        self, addresses: set[str], plan_version: int, is_starting: bool = False
+    ) -> list[str]:
         """Return the addresses of the next round.
 
         A newer plan is announced to all entries at once.
+
+        :param is_starting: Whether this daemon has just started.
         """
         has_news = plan_version > self.announced_version
         self.announced_version = plan_version
-        if has_news:
+        if has_news or (is_starting and len(addresses) <= MAX_START_ENTRIES):
             return sorted(addresses)
         rounds = ANNOUNCE_CYCLE_S / ANNOUNCE_INTERVAL_S
         count = max(MIN_ANNOUNCED_ENTRIES, math.ceil(len(addresses) / rounds))
         waiting = [address for address in self.waiting if address in addresses]
-        waiting += sorted(addresses - set(waiting))
+        waiting += sorted(
+            addresses - set(waiting),
+            key=lambda address: rendezvous_rank(self.own_name, address),
+        )
         self.waiting = waiting[count:]
         return waiting[:count]
 
@@ -299,7 +315,8 @@
         self.is_discovered = is_discovered
         self.describe_worker = describe_worker
         self.written_worker: WorkerRecord | None = None
-        self.rounds = AnnouncementRounds()
+        self.started_at = clock()
+        self.rounds = AnnouncementRounds(directory.own_member.name)
         self.listed_at: dict[str, float] = {}
         self.listed_agents = 0
         self.leaving = False
@@ -416,20 +433,27 @@
         while True:
             if not self.leaving:
                 addresses = self.rounds.next_round(
-                    self._announce_addresses(), self.plan_version()
+                    self._announce_addresses(),
+                    self.plan_version(),
+                    self._is_starting(),
                 )
                 for address in addresses:
                     self._start_announcement(address, include_agents=False)
             self.directory.expire(self.clock(), self.is_alive)
             await anyio.sleep(ANNOUNCE_INTERVAL_S)
 
+    def _is_starting(self) -> bool:
+        return self.clock() - self.started_at < START_S
+
     def _announce_addresses(self) -> set[str]:
         """Return the addresses to which this daemon announces itself in turn.
 
-        An agent with connected entries does not announce itself.
+        An agent with connected entries does not announce itself, unless it has just
+        started: the other entries may know of it only by the lists of those.
         """
         if self.is_agent:
-            addresses = set() if self.is_discovered() else set(self.seeds)
+            is_known = self.is_discovered() and not self._is_starting()
+            addresses = set() if is_known else set(self.seeds)
         else:
             addresses = {item.member.address for item in self.directory.entries()}
             addresses |= set(self.seeds)
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -1,5 +1,6 @@
 """Tests of the directory of daemons and of its announcements. No I/O."""
 
+import random
 from collections import Counter
 
 import pytest
@@ -95,6 +96,79 @@
     assert len(rounds.next_round(addresses, 2)) == 34
 
 
+class StartedFleet:
+    """Directories that start within half a second and exchange announcements."""
+
+    def __init__(self, entries: int, agents: int):
+        self.now = 0.0
+        self.rng = random.Random(1)
+        self.controllers: dict[str, DirectoryController] = {}
+        self.group = Group()
+        seeds = [f"entry-{number}" for number in range(entries)]
+        self.starts_at = {}
+        for name in seeds + [f"agent-{number}" for number in range(agents)]:
+            self.starts_at[name] = round(self.rng.uniform(0, 0.45), 2)
+        self.seeds = seeds
+
+    def start(self, name: str) -> None:
+        member = Member(name, f"{name}@1", name, "a")
+        directory = Directory(member)
+        self.controllers[name] = DirectoryController(
+            directory,
+            None,
+            None,
+            self,
+            self.seeds,
+            name.startswith("agent"),
+            lambda: self.now,
+            is_alive=directory.daemons.__contains__,
+            is_discovered=lambda: any(self.knows(entry, name) for entry in self.seeds),
+        )
+
+    def knows(self, entry: str, agent: str) -> bool:
+        controller = self.controllers.get(entry)
+        return controller is not None and agent in controller.directory.daemons
+
+    def start_soon(self, run, step, announce, address, include_agents) -> None:
+        """Deliver an announcement at once, unless the receiver has not started."""
+        sender = announce.__self__
+        message = Announce(
+            sender.directory.own_member,
+            sender.is_agent,
+            False,
+            0,
+            sender.directory.digest(),
+            sender._next_agents() if include_agents else [],
+        )
+        if address in self.controllers:
+            self.controllers[address].receive(message)
+
+    def run(self, until: float) -> None:
+        for tick in range(round(until * 100)):
+            self.now = tick / 100
+            for name, starts_at in self.starts_at.items():
+                since_start = tick - round(starts_at * 100)
+                if since_start == 0:
+                    self.start(name)
+                if since_start >= 0 and since_start % 50 == 0:
+                    controller = self.controllers[name]
+                    for address in controller.rounds.next_round(
+                        controller._announce_addresses(), 0, controller._is_starting()
+                    ):
+                        controller._start_announcement(address, include_agents=False)
+
+
+@pytest.mark.parametrize("entries", [4, 14, 30])
+def test_entries_find_all_agents_soon_after_a_common_start_without_the_store(entries):
+    # Agents announced themselves to the same three entries and stopped when one of them
+    # had connected; the others learned of them by lists, one in two seconds.
+    fleet = StartedFleet(entries, 77)
+    fleet.run(2.0)
+    agents = [name for name in fleet.starts_at if name.startswith("agent")]
+    for entry in fleet.seeds:
+        assert sum(fleet.knows(entry, agent) for agent in agents) == len(agents)
+
+
 def test_entry_that_left_takes_no_turn():
     rounds = AnnouncementRounds()
     addresses = {f"10.0.0.{number}:1" for number in range(8)}
