--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -247,6 +247,7 @@
             entries_per_worker=self.links.entries_per_agent,
             connect_workers=self.links.connect_workers,
             look_ahead=settings.placement.look_ahead,
+            finds_workers=self.links.finds_workers,
             overload=settings.overload.policy,
             capacity=settings.overload.capacity,
         )
