Use cold workers by degrees only where evacuations are followed

Cause: a worker that restarts in a deployment without evacuations may state a cold time too; existing deployments must be served as before.

Change: an entry takes the cold time into account only if it knows the evacuations, which it does only with the setting.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -520,7 +520,10 @@
             if link.facts is not None and link.facts.boot != content.boot:
                 self.scheduler.clear_failures(name)
             link.facts = content
-            self.fleet.view(name).describe(content, self.scheduler.clock())
+            # Deployments that follow no evacuations use cold workers as warm ones.
+            self.fleet.view(name).describe(
+                content, self.scheduler.clock(), self.fleet.evacuations.known
+            )
         elif isinstance(content, RunEvent):
             self.scheduler.handle_event(name, content)
         elif isinstance(content, Progress):
--- a/marigoldkeel/fleet/views.py
+++ b/marigoldkeel/fleet/views.py
@@ -46,12 +46,17 @@
         """Whether runs may be sent to the worker."""
         return self.connected and self.usable and self.facts is not None
 
-    def describe(self, facts: WorkerFacts, now: float) -> None:
-        """Apply the worker's newer description of itself."""
-        if self.facts is None or self.facts.boot != facts.boot or not facts.cold_ms:
+    def describe(
+        self, facts: WorkerFacts, now: float, counts_cold: bool = True
+    ) -> None:
+        """Apply the worker's newer description of itself.
+
+        :param counts_cold: Whether a cold worker is used by degrees.
+        """
+        cold_left_s = facts.cold_ms / 1000 if counts_cold else 0.0
+        if self.facts is None or self.facts.boot != facts.boot or not cold_left_s:
             self.cold_s = 0.0
         self.facts = facts
-        cold_left_s = facts.cold_ms / 1000
         self.cold_s = max(self.cold_s, cold_left_s)
         self.warm_at = now + cold_left_s
 
