--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -184,6 +184,9 @@
     # A later report of the same start shortens the time that is left.
     view.describe(replace(FACTS, cold_ms=cold_ms // 4), 200.0)
     assert view.held_back_milli(200.0) <= round(0.75 / 4 * FACTS.capacity.cpu_milli)
+    # Without the setting, it is used as a warm one.
+    view.describe(replace(FACTS, cold_ms=cold_ms), 300.0, counts_cold=False)
+    assert not view.is_cold(300.0)
 
 
 def test_cold_worker_adds_a_part_of_its_cores_unless_all_workers_are_cold():
