Reservations: begin at once, and small jobs ahead prefer other workers

Cause: a reservation bound only the jobs behind the reserving one. New small jobs mostly precede a large one, which has more time until its latest start, so reservations began shortly before that, when the large job could hardly be in time any more.

Small jobs ahead of them may still use the gaps, but prefer other workers unless these take three times as long. A reservation that is not renewed for 0.2 s is withdrawn.

--- a/marigoldkeel/fleet/packing.py
+++ b/marigoldkeel/fleet/packing.py
@@ -36,6 +36,7 @@
     :ivar same_domain: Whether it is in the failure domain of the entry.
     :ivar step_tasks: How many tasks of the same step it already has.
     :ivar is_probe: Whether it is ejected and gets a single task to test its recovery.
+    :ivar cost_factor: Factor by which a reservation increases its cost.
     """
 
     name: str
@@ -46,6 +47,7 @@
     same_domain: bool
     step_tasks: int = 0
     is_probe: bool = False
+    cost_factor: float = 1.0
 
 
 class PlacementRequest(Struct):
@@ -142,7 +144,8 @@
         penalty = (
             1 + UTILIZATION_WEIGHT * utilization + JITTER_WEIGHT * jitter[item.name]
         )
-        return expected_s(request.step, request.task_s, item) * penalty
+        run_s = expected_s(request.step, request.task_s, item)
+        return run_s * penalty * item.cost_factor
 
     return cost
 
--- a/marigoldkeel/fleet/reservations.py
+++ b/marigoldkeel/fleet/reservations.py
@@ -5,6 +5,7 @@
 never finds enough free capacity on one worker. The first waiting jobs that do not fit
 therefore get the gaps in which they are forecast to start. Jobs behind them may use
 these gaps only until then, or use the capacity that is left beside them (backfilling).
+Jobs ahead of them may use all capacity, but prefer other workers.
 
 An entry knows the ends of its own runs only, and other entries do not see its
 reservations. A reservation is thus a preference of one entry and gives way: its start
@@ -43,6 +44,12 @@
 # Run times are forecast with errors of about a factor of e^0.4.
 LAPSE_FACTOR = 1.5
 LAPSE_MARGIN_S = 0.05
+# A reservation that has not been renewed for this time is withdrawn, as its job is no
+# longer among the first that wait.
+MAX_RENEWAL_DELAY_S = 0.2
+# A job ahead of the reserving one uses a worker with a gap only if it would take this
+# many times as long elsewhere. With 1.5 instead more reservations lapsed.
+STEERING_FACTOR = 3.0
 # Time after a lapse until the same job can get another reservation.
 LAPSE_PAUSE_S = 0.5
 # A run that has exceeded its forecast is expected to take this share of its elapsed
@@ -101,12 +108,14 @@
 class Reservation(Struct):
     """The gaps kept for a waiting job.
 
+    :ivar demand: The demand of each task.
     :ivar replan_at: The earliest time of the next forecast.
     :ivar lapses_at: When the reservation ends if the job is still waiting.
     """
 
     job_id: str
     is_urgent: bool
+    demand: Resources
     gaps: dict[str, Gap] = field(default_factory=dict)
     replan_at: float = 0.0
     lapses_at: float = float("inf")
@@ -135,28 +144,42 @@
 class RecentDemands(Struct):
     """The demands of the tasks of one service that arrived recently.
 
-    :ivar current: The largest one since the last window ended.
-    :ivar previous: The largest one of the window before.
+    :ivar current: The smallest and the largest one since the last window ended.
+    :ivar previous: Those of the window before.
     """
 
-    current: Resources = NO_RESOURCES
-    previous: Resources = NO_RESOURCES
+    current: tuple[Resources, Resources] | None = None
+    previous: tuple[Resources, Resources] | None = None
     window_ends_at: float = 0.0
 
     def record(self, demand: Resources, now: float) -> None:
         """Record the demand of a task that has arrived."""
         if now >= self.window_ends_at:
             is_recent = now < self.window_ends_at + DEMAND_WINDOW_S
-            self.previous = self.current if is_recent else NO_RESOURCES
-            self.current = NO_RESOURCES
+            self.previous = self.current if is_recent else None
+            self.current = None
             self.window_ends_at = now + DEMAND_WINDOW_S
-        if demand.cpu_milli > self.current.cpu_milli:
-            self.current = demand
+        smallest, largest = self.current or (demand, demand)
+        self.current = (
+            min(smallest, demand, key=_cpu_milli),
+            max(largest, demand, key=_cpu_milli),
+        )
+
+    @property
+    def smallest(self) -> Resources:
+        """The demand with the least CPU."""
+        windows = filter(None, (self.current, self.previous))
+        return min((window[0] for window in windows), key=_cpu_milli)
 
     @property
     def largest(self) -> Resources:
         """The demand with the most CPU."""
-        return max(self.current, self.previous, key=lambda demand: demand.cpu_milli)
+        windows = filter(None, (self.current, self.previous))
+        return max((window[1] for window in windows), key=_cpu_milli)
+
+
+def _cpu_milli(demand: Resources) -> int:
+    return demand.cpu_milli
 
 
 def forecast_end(task: TaskRecord, now: float) -> float:
@@ -246,15 +269,6 @@
     )
 
 
-def _waiting_step(owned: OwnedJob) -> int:
-    """Return the first step of a job that has tasks left to place."""
-    return next(
-        number
-        for number, tasks in enumerate(owned.tasks)
-        if any(task.phase == TaskPhase.WAITING for task in tasks)
-    )
-
-
 class LookAhead:
     """The reservations of an entry.
 
@@ -262,18 +276,20 @@
     that may be placed `withhold`, and `restore` after its placement. `add_waiting` is
     called for each job that has tasks left to place.
 
-    Forecasts are made only when a job could take capacity that a job before it needs.
-    If all tasks are alike there is no such job, and no forecast is made.
+    If all recent tasks are of similar size, no forecast is made.
 
     :param ends_on: Returns the forecast ends of this entry's runs on a worker.
+    :ivar ahead: The first waiting jobs of each service in the current pass.
     :ivar counts: How many reservations were held and how each ended.
     :ivar backfilled: How many tasks were started beside or before a reservation.
+    :ivar on_event: Called with the job and its reservation when it begins, and before
+        it ends while the job waits.
     """
 
     def __init__(self, ends_on: Callable[[str, float], list[tuple[float, Resources]]]):
         self.ends_on = ends_on
         self.reservations: dict[str, Reservation] = {}
-        self.ahead: dict[str, list[OwnedJob]] = {}
+        self.ahead: dict[str, list[str]] = {}
         self.counts: Counter[ReservationEvent] = Counter()
         self.backfilled = 0
         self.on_event: Callable[[OwnedJob, ReservationEvent, Reservation], None] = (
@@ -286,26 +302,56 @@
         return [item for item in self.reservations.values() if item.gaps]
 
     def begin_pass(
-        self, waiting: dict[str, OwnedJob], jobs: dict[str, OwnedJob]
+        self, waiting: dict[str, OwnedJob], jobs: dict[str, OwnedJob], now: float
     ) -> None:
-        """Start a pass over the waiting jobs and end the reservations of all others.
+        """Start a pass over the waiting jobs, and end the reservations that are over.
 
         :param jobs: All jobs of the entry.
         """
         self.ahead.clear()
-        for job_id in [item for item in self.reservations if item not in waiting]:
+        for job_id, reservation in list(self.reservations.items()):
             owned = jobs.get(job_id)
-            is_started = owned is not None and not owned.answered
-            self._end(
-                self.reservations.pop(job_id),
-                ReservationEvent.STARTED if is_started else ReservationEvent.WITHDRAWN,
-            )
-
-    def add_waiting(self, owned: OwnedJob) -> None:
-        """Add a job that does not fit now; later jobs of the pass come after it."""
-        ahead = self.ahead.setdefault(owned.job.queue.service, [])
-        if len(ahead) < MAX_RESERVATIONS:
-            ahead.append(owned)
+            if job_id not in waiting:
+                # The job has started all of its tasks, or has been answered.
+                is_started = owned is not None and not owned.answered
+                event = (
+                    ReservationEvent.STARTED
+                    if is_started
+                    else ReservationEvent.WITHDRAWN
+                )
+                self._end(reservation, event)
+                del self.reservations[job_id]
+            elif now >= reservation.lapses_at:
+                self._end(reservation, ReservationEvent.LAPSED, owned)
+                reservation.replan_at = now + LAPSE_PAUSE_S
+            elif now > reservation.replan_at + MAX_RENEWAL_DELAY_S:
+                self._end(reservation, ReservationEvent.WITHDRAWN, owned)
+
+    def add_waiting(
+        self,
+        owned: OwnedJob,
+        candidates: list[Candidate],
+        recent: RecentDemands,
+        now: float,
+    ) -> None:
+        """Reserve gaps for a job that does not fit, if it is among the first.
+
+        :param recent: The demands of the service's recent tasks.
+        """
+        job_id, queue = owned.job.job_id, owned.job.queue
+        ahead = self.ahead.setdefault(queue.service, [])
+        if len(ahead) == MAX_RESERVATIONS:
+            return
+        ahead.append(job_id)
+        demand = owned.job.steps[_waiting_step(owned)].demand
+        if not _is_small(recent.smallest, demand):
+            return
+        if job_id not in self.reservations:
+            is_urgent = queue.priority == URGENT_PRIORITY
+            self.reservations[job_id] = Reservation(job_id, is_urgent, demand)
+        reservation = self.reservations[job_id]
+        if now >= reservation.replan_at:
+            self._replan(reservation, owned, candidates, now)
 
     def withhold(
         self, owned: OwnedJob, number: int, candidates: list[Candidate], now: float
@@ -314,22 +360,25 @@
 
         :param number: The step of the job that is about to be placed.
         """
-        ahead = self.ahead.get(owned.job.queue.service)
-        if not ahead:
-            return []
         step, task_s = owned.job.steps[number], owned.task_s[number]
-        gaps = self._gaps_ahead(owned, step, ahead, candidates, now)
-        if not gaps:
-            return []
+        ahead = self.ahead.get(owned.job.queue.service, [])
+        gaps: dict[str, tuple[Gap, bool]] = {}
+        for reservation in self.held:
+            if _concerns(reservation, owned, step):
+                is_ahead = reservation.job_id in ahead
+                for name, gap in reservation.gaps.items():
+                    gaps[name] = (gap, is_ahead)
         withheld = []
-        for candidate in candidates:
-            gap = gaps.get(candidate.name)
-            if gap is None:
+        for candidate in candidates if gaps else ():
+            if candidate.name not in gaps:
                 continue
+            gap, is_ahead = gaps[candidate.name]
             free = candidate.free
             ends_later = now + expected_s(step, task_s, candidate) > gap.starts_at
-            if ends_later:
+            if ends_later and is_ahead:
                 candidate.free = _lower(free, gap.spare)
+            elif ends_later:
+                candidate.cost_factor = STEERING_FACTOR
             kept = free - candidate.free
             withheld.append(Withheld(candidate, gap, candidate.free, kept, ends_later))
         return withheld
@@ -347,71 +396,47 @@
                 if item.ends_later:
                     item.gap.spare = item.gap.spare - used
             item.candidate.free = item.candidate.free + item.kept
+            item.candidate.cost_factor = 1.0
         self.backfilled += backfilled
         return backfilled
 
-    def _gaps_ahead(
-        self,
-        owned: OwnedJob,
-        step: Step,
-        ahead: list[OwnedJob],
-        candidates: list[Candidate],
-        now: float,
-    ) -> dict[str, Gap]:
-        """Return the gaps that a step must leave to the jobs ahead of it, by worker."""
-        gaps: dict[str, Gap] = {}
-        for first in ahead:
-            is_urgent = first.job.queue.priority == URGENT_PRIORITY
-            if owned.job.queue.priority == URGENT_PRIORITY and not is_urgent:
-                continue
-            large = first.job.steps[_waiting_step(first)].demand
-            if step.demand.cpu_milli > SMALL_TASK_SHARE * large.cpu_milli:
-                continue
-            reservation = self.reservations.get(first.job.job_id)
-            if reservation is None:
-                reservation = Reservation(first.job.job_id, is_urgent)
-                self.reservations[first.job.job_id] = reservation
-            if now >= reservation.replan_at:
-                self._replan(reservation, first, candidates, gaps, now)
-            gaps |= reservation.gaps
-        return gaps
-
     def _replan(
         self,
         reservation: Reservation,
         owned: OwnedJob,
         candidates: list[Candidate],
-        taken: dict[str, Gap],
         now: float,
     ) -> None:
-        if reservation.gaps and now >= reservation.lapses_at:
-            self._end(reservation, ReservationEvent.LAPSED, owned)
-            reservation.replan_at = now + LAPSE_PAUSE_S
-            return
         number = _waiting_step(owned)
-        waiting = owned.waiting_tasks(number)
+        step, waiting = owned.job.steps[number], owned.waiting_tasks(number)
         avoided = set().union(*(task.avoided for task in waiting))
+        taken = {
+            name
+            for other in self.held
+            if other is not reservation
+            for name in other.gaps
+        }
         placed = Counter(task.worker for task in owned.tasks[number])
         outlooks = [
             Outlook(item, self.ends_on(item.name, now), placed[item.name])
             for item in candidates
             if item.name not in taken and item.name not in avoided
         ]
-        max_workers = int(MAX_RESERVED_SHARE * len(candidates)) - len(taken)
+        max_workers = max(
+            MIN_RESERVED_WORKERS, int(MAX_RESERVED_SHARE * len(candidates)) - len(taken)
+        )
         # A job that has started occupies capacity until it is done, even if it is late.
         latest_end = float("inf") if owned.has_started else owned.objective_deadline
-        request = GapRequest(
-            owned.job.steps[number], len(waiting), owned.task_s[number], latest_end
-        )
-        had_gaps = bool(reservation.gaps)
-        gaps = find_gaps(request, outlooks, now, max(MIN_RESERVED_WORKERS, max_workers))
+        request = GapRequest(step, len(waiting), owned.task_s[number], latest_end)
+        gaps = find_gaps(request, outlooks, now, max_workers)
         reservation.replan_at = now + REPLAN_INTERVAL_S
+        reservation.demand = step.demand
         if not gaps:
-            if had_gaps:
-                self._end(reservation, ReservationEvent.WITHDRAWN, owned)
+            self._end(reservation, ReservationEvent.WITHDRAWN, owned)
             return
+        is_new = not reservation.gaps
         reservation.gaps = gaps
-        if not had_gaps:
+        if is_new:
             wait_s = reservation.starts_at - now
             reservation.lapses_at = now + LAPSE_FACTOR * wait_s + LAPSE_MARGIN_S
             self.counts[ReservationEvent.HELD] += 1
@@ -430,3 +455,27 @@
             self.on_event(owned, event, reservation)
         reservation.gaps = {}
         reservation.lapses_at = float("inf")
+
+
+def _waiting_step(owned: OwnedJob) -> int:
+    """Return the first step of a job that has tasks left to place."""
+    return next(
+        number
+        for number, tasks in enumerate(owned.tasks)
+        if any(task.phase == TaskPhase.WAITING for task in tasks)
+    )
+
+
+def _is_small(demand: Resources, large: Resources) -> bool:
+    """Return whether tasks are so small that they delay large ones."""
+    return demand.cpu_milli <= SMALL_TASK_SHARE * large.cpu_milli
+
+
+def _concerns(reservation: Reservation, owned: OwnedJob, step: Step) -> bool:
+    """Return whether the tasks of a step are to leave the gaps of a reservation."""
+    is_urgent = owned.job.queue.priority == URGENT_PRIORITY
+    return (
+        reservation.job_id != owned.job.job_id
+        and (reservation.is_urgent or not is_urgent)
+        and _is_small(step.demand, reservation.demand)
+    )
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -348,7 +348,7 @@
         if self.resuming or now - self.last_tick_at > MAX_TICK_INTERVAL_S:
             return
         if self.look_ahead is not None:
-            self.look_ahead.begin_pass(self.waiting, self.jobs)
+            self.look_ahead.begin_pass(self.waiting, self.jobs, now)
         if not self.waiting:
             return
         candidates_by_service: dict[str, list[Candidate]] = {}
@@ -372,7 +372,12 @@
             if not owned.is_waiting:
                 self.waiting.pop(owned.job.job_id, None)
             elif self.look_ahead is not None and not owned.answered:
-                self.look_ahead.add_waiting(owned)
+                self.look_ahead.add_waiting(
+                    owned,
+                    candidates_by_service[service],
+                    self.recent_demands[service],
+                    now,
+                )
 
     def _set_forecast(self, owned: OwnedJob) -> None:
         """Set a job's expected run times and its objective."""
--- a/tests/fleet/test_reservations.py
+++ b/tests/fleet/test_reservations.py
@@ -102,6 +102,18 @@
     assert bool(entry.starts()) == starts
 
 
+@pytest.mark.parametrize("look_ahead, worker", [(False, "w"), (True, "x")])
+def test_small_job_ahead_of_a_large_one_prefers_other_workers(look_ahead, worker):
+    # Guards against gaps that are filled by small jobs with an earlier latest start.
+    entry = Entry({"w": 4, "x": 6}, {"w": ["w"], "x": ["x"]}, look_ahead=look_ahead)
+    entry.submit("filler", steps=[Step(1, CORE, 0.175, label="w")])
+    entry.submit("other", steps=[Step(1, cores(5), 0.175, label="x")])
+    entry.submit("large", steps=[Step(1, cores(4), 0.2)])
+    entry.starts()
+    entry.submit("small", steps=[Step(1, CORE, 0.19)])
+    assert [name for name, _ in entry.starts()] == [worker]
+
+
 def test_reservation_lapses_when_its_forecast_fails():
     # Guards against capacity that stays idle for a run that takes much longer.
     entry = Entry({"w": 4, "x": 4}, {"x": ["x"]}, look_ahead=True)
