Account the headers of requests, and free those of closed connections

Cause: a head of legal size can have thousands of headers, each of which takes up to 400 bytes in the lists of the protocol and the application; only their text was accounted once the head was complete. The protocol and its requests refer to each other, so the headers of dropped connections stayed until the next full garbage collection.

More than 32 headers are accounted with 400 bytes each, from the first of them until the answer; steps of a job with 400 bytes each. The headers are cleared when a connection is refused or lost.

--- a/marigoldkeel/http_limits.py
+++ b/marigoldkeel/http_limits.py
@@ -39,8 +39,10 @@
 MIN_HEADER_LIMIT_BYTES = 1024
 # Requests that wait for the answers to earlier ones on their connection.
 MAX_PIPELINED = 16
-# Memory of one header besides its text.
-HEADER_BYTES = 160
+# Memory of one header besides its text, at the protocol and at the application.
+HEADER_BYTES = 400
+# Requests with fewer headers need no accounting of them.
+FEW_HEADERS = 32
 # Memory of one pipelined request besides its text.
 PIPELINED_BYTES = 4 * 1024
 # A response that is written beyond this waits until the client has read some of it.
@@ -68,6 +70,8 @@
     :param get_limits: Returns the limits in force.
     :ivar framing: Bytes of the current message that are not body data.
     :ivar body_received: Body bytes of the current message.
+    :ivar headers_bytes: Memory of the headers of the current message besides their
+        text, once its head is complete and if there are many.
     :ivar in_body: Whether the head of the current message is complete and its end has
         not been reached.
     :ivar kept: Bytes of the request that is being answered.
@@ -89,6 +93,7 @@
         self.address = ""
         self.framing = 0
         self.body_received = 0
+        self.headers_bytes = 0
         self.in_body = False
         self.completed = False
         self.kept = 0
@@ -127,6 +132,7 @@
         # uvicorn notifies the request that was received last, which may be a later one.
         self._disconnect(self.active)
         super().connection_lost(exc)
+        self._clear_headers()
 
     def closing_rank(self, now: float) -> tuple[int, float] | None:
         if self.refused or self.transport.is_closing():
@@ -226,8 +232,12 @@
             self._refuse(HTTPStatus.BAD_REQUEST, reason)
         if self.refused:
             return
-        framing, body = self.framing, self.body_received
-        if framing + body + self.kept > UNACCOUNTED_BYTES or self.holding is not None:
+        framing = self.framing
+        size = framing + self.body_received + self.headers_bytes + self.kept
+        is_large = size > UNACCOUNTED_BYTES
+        if framing and not self.in_body and len(self.headers or ()) > FEW_HEADERS:
+            is_large = True
+        if is_large or self.holding is not None:
             self._check_size()
         if framing or self.in_body:
             if self not in self.guard.unfinished:
@@ -259,7 +269,7 @@
         self._account()
 
     def _account(self) -> None:
-        size = self.kept + self.framing + self.body_received
+        size = self.kept + self.framing + self.body_received + self.headers_bytes
         if not self.in_body and self.framing:
             size += HEADER_BYTES * len(self.headers or ())
         for cycle, _ in self.pipeline:
@@ -305,6 +315,8 @@
         self.in_body = True
         if not self.pipeline:
             self.active = self.cycle
+        if len(self.headers) > FEW_HEADERS:
+            self.headers_bytes = HEADER_BYTES * len(self.headers)
         if self.framing > MIN_HEADER_LIMIT_BYTES:
             limits = self.get_limits()
             if self.framing > limits.max_header_bytes:
@@ -332,8 +344,8 @@
 
     def on_message_complete(self) -> None:
         cycle = self.cycle
-        cycle.kept = size = self.framing + self.body_received
-        self.framing = self.body_received = 0
+        cycle.kept = size = self.framing + self.body_received + self.headers_bytes
+        self.framing = self.body_received = self.headers_bytes = 0
         self.in_body = False
         self.completed = True
         if cycle.response_complete:
@@ -394,6 +406,16 @@
         is_last = cycle is self.cycle and not cycle.response_started
         return is_last and (self.in_body or (self.completed and not self.framing))
 
+    def _clear_headers(self) -> None:
+        """Free the headers of the last request.
+
+        The protocol and its requests refer to each other, so what a closed connection
+        has sent would be kept until the next full garbage collection.
+        """
+        if self.headers is not None:
+            self.headers.clear()
+        self.url = b""
+
     def _disconnect(self, cycle: RequestResponseCycle | None) -> None:
         if cycle is not None and not cycle.response_complete:
             cycle.disconnected = True
@@ -419,6 +441,7 @@
         self.refused = True
         self.guard.unwatch(self)
         self._release()
+        self._clear_headers()
         self._unset_keepalive_if_required()
         if self.flow.write_paused:
             self.transport.abort()
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -47,6 +47,8 @@
 MAX_DEPENDENCIES = 100_000
 # Memory of a task that waits. 100 jobs of 10,000 tasks took 409 MB.
 TASK_BYTES = 450
+# Memory of a step besides its text in the body.
+STEP_BYTES = 400
 # Jobs of fewer tasks are contained in what is accounted for each connection.
 UNACCOUNTED_TASKS = 32
 MEMORY_RETRY_S = 1.0
@@ -242,7 +244,8 @@
         return
     holding = Holding(job.job_id, request.peer.rpartition(":")[0])
     try:
-        yield entry.guard.resize(holding, tasks * TASK_BYTES, share=1.0)
+        size = tasks * TASK_BYTES + len(job.steps) * STEP_BYTES
+        yield entry.guard.resize(holding, size, share=1.0)
     finally:
         entry.guard.budget.release(holding)
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -21,7 +21,7 @@
     ClientLimits,
     Holding,
 )
-from marigoldkeel.http_limits import MAX_PIPELINED, LimitedHttpProtocol
+from marigoldkeel.http_limits import HEADER_BYTES, MAX_PIPELINED, LimitedHttpProtocol
 from marigoldkeel.servers import HttpApplication, Response
 
 
@@ -278,6 +278,25 @@
     assert server.transport.statuses == statuses
 
 
+@pytest.mark.parametrize(
+    "end, rest",
+    [
+        (b"", b"\r\n"),
+        (b"\r\n", b""),
+        (b"content-length: 9\r\n\r\n", b"123456789"),
+    ],
+)
+async def test_many_headers_are_accounted_until_the_answer(end, rest):
+    # Guards against heads of legal size that take 70 times their size.
+    server = Server()
+    server.answers.clear()
+    await server.receive(HEAD + b"a:\r\n" * 300 + end)
+    assert server.guard.budget.used > 300 * HEADER_BYTES
+    server.answers.set()
+    assert await server.receive(rest) == [200]
+    assert server.guard.budget.used == 0
+
+
 async def test_small_request_is_served_while_bodies_take_up_the_budget():
     server = Server()
     for address, size in ("10.0.1.1", 6 * MB), ("10.0.1.2", 6 * MB - CONNECTION_BYTES):
