--- a/marigoldkeel/fleet/capacity.py
+++ b/marigoldkeel/fleet/capacity.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Callable
 
-from msgspec import Struct, field
+from msgspec import Struct
 
 from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.fleet.views import WorkerView, has_warm
@@ -46,11 +46,8 @@
         self.updated_at = now
 
 
-class EvenShare(Struct):
-    """Counts on the same share of the workers at each entry.
-
-    Designed for entries of equal demand.
-    """
+class CapacityShare:
+    """How much of the workers' capacity an entry counts on."""
 
     def cores(
         self,
@@ -64,10 +61,41 @@
         :param views: The usable workers of the service.
         :param entries_per_worker: How many entries share a worker on average.
         """
+        raise NotImplementedError
+
+
+capacity_shares: dict[str, type[CapacityShare]] = {}
+
+
+def capacity_share(name: str) -> Callable[[type[CapacityShare]], type[CapacityShare]]:
+    """Register a capacity share under a name used in the settings."""
+
+    def register(cls: type[CapacityShare]) -> type[CapacityShare]:
+        capacity_shares[name] = cls
+        return cls
+
+    return register
+
+
+@capacity_share("even")
+class EvenShare(CapacityShare):
+    """Counts on the same share of the workers at each entry.
+
+    Designed for entries of equal demand.
+    """
+
+    def cores(
+        self,
+        service: str,
+        views: list[WorkerView],
+        entries_per_worker: float,
+        now: float,
+    ) -> float:
         return used_cpu_milli(views, now) / 1000 / entries_per_worker
 
 
-class LeftOverShare(Struct):
+@capacity_share("left_over")
+class LeftOverShare(CapacityShare):
     """Counts on the even share, or on what the other entries leave if that is more.
 
     They leave the capacity that is free now, and that of this entry's own runs. The
@@ -77,7 +105,8 @@
     :ivar surplus: What this entry has beyond its even share, by service.
     """
 
-    surplus: dict[str, SurplusEstimate] = field(default_factory=dict)
+    def __init__(self):
+        self.surplus: dict[str, SurplusEstimate] = {}
 
     def cores(
         self,
@@ -86,11 +115,6 @@
         entries_per_worker: float,
         now: float,
     ) -> float:
-        """Return the cores that an entry counts on.
-
-        :param views: The usable workers of the service.
-        :param entries_per_worker: How many entries share a worker on average.
-        """
         total = used_cpu_milli(views, now)
         left_over = sum(
             max(0, view.free.cpu_milli) + view.placed_cpu_milli for view in views
@@ -104,13 +128,6 @@
         return total / 1000 * min(1.0, even_share + estimate.share)
 
 
-CapacityShare = EvenShare | LeftOverShare
-capacity_shares: dict[str, Callable[[], CapacityShare]] = {
-    "even": EvenShare,
-    "left_over": LeftOverShare,
-}
-
-
 def make_capacity_share(name: str) -> CapacityShare:
     """Create the capacity share of a name used in the settings.
 
