--- a/marigoldkeel/fleet/capacity.py
+++ b/marigoldkeel/fleet/capacity.py
@@ -20,8 +20,8 @@
 SMOOTHING_S = 0.3
 
 
-def used_cpu_milli(views: list[WorkerView], now: float) -> int:
-    """Return the CPU capacity of some workers that is used now.
+def usable_cpu_milli(views: list[WorkerView], now: float) -> int:
+    """Return the CPU capacity of some workers that may be used now.
 
     Part of a cold worker is held back, unless all workers are cold.
     """
@@ -91,7 +91,7 @@
         entries_per_worker: float,
         now: float,
     ) -> float:
-        return used_cpu_milli(views, now) / 1000 / entries_per_worker
+        return usable_cpu_milli(views, now) / 1000 / entries_per_worker
 
 
 @capacity_share("left_over")
@@ -115,7 +115,7 @@
         entries_per_worker: float,
         now: float,
     ) -> float:
-        total = used_cpu_milli(views, now)
+        total = usable_cpu_milli(views, now)
         left_over = sum(
             max(0, view.free.cpu_milli) + view.placed_cpu_milli for view in views
         )
