Move leases and reports of the worker out of the supervisor

The owners' leases with their constants move to marigoldkeel/fleet/leases.py, the reports about a worker to marigoldkeel/fleet/reports.py. No behaviour changes; the names stay importable from the supervisor's module.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -20,6 +20,18 @@
 from loguru import logger
 from msgspec import Struct, field
 
+# The names with an alias are also imported from here.
+from marigoldkeel.fleet.leases import (
+    LEASE_MARGIN_S,
+    LOST_AGENT_TIMEOUT_S,
+    MAX_CLOCK_DRIFT,
+    MAX_HANDOVER_LEASE_S,
+    MAX_ORDER_AGE_S as MAX_ORDER_AGE_S,
+    MAX_START_DELAY_S,
+    OWNER_LEASE_S,
+    WORKER_LEASE_S as WORKER_LEASE_S,
+    Owner,
+)
 from marigoldkeel.fleet.messages import (
     Attach,
     Progress,
@@ -29,41 +41,17 @@
     StartRuns,
     WorkerFacts,
 )
+from marigoldkeel.fleet.reports import (
+    MAX_UNCONFIRMED_REPORTS as MAX_UNCONFIRMED_REPORTS,
+    ReportOutcome,
+    WorkerReports,
+)
 from marigoldkeel.fleet.work import NO_RESOURCES, Resources, RunEnd, RunId, TaskId
 
 
-# A caller that loses its connection to an owner resubmits the job after 1.3 s at the
-# earliest; no task of the job may still be running then. Stopping a run takes up to
-# 0.1 s. The rest covers an agent that stops in the meantime: the worker then ends all
-# runs when its own lease expires.
-OWNER_LEASE_S = 0.5
 # How long a restarted agent keeps runs that no owner has claimed. Owners reconnect to a
 # restarted agent within a few tenths of a second.
 CLAIM_TIMEOUT_S = 0.6
-# How long an owner whose lease has expired is kept after its attach, so that it can
-# renew its lease. The worker's lease is not extended meanwhile.
-ATTACH_GRACE_S = 0.1
-# The worker's lease on all of its runs. Each poll renews it, at least every 0.2 s. Runs
-# on an unreachable worker cannot be repeated elsewhere until it has expired.
-WORKER_LEASE_S = 0.5
-# Maximum relative error of a worker's clock. A slow clock extends the worker's lease.
-MAX_CLOCK_DRIFT = 0.02
-LEASE_MARGIN_S = 0.05
-# Older start orders are not executed: a network partition or a pause of a process may
-# have delayed them until the owner has repeated the runs elsewhere.
-MAX_ORDER_AGE_S = 3 * LEASE_MARGIN_S
-# Time from an owner's last message to an unreachable agent until the owner may repeat
-# its runs elsewhere: the agent stops them when the owner's lease expires, and if the
-# agent has failed too, the worker ends them when its own lease expires.
-LOST_AGENT_TIMEOUT_S = (
-    MAX_ORDER_AGE_S + OWNER_LEASE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
-)
-# Time from an owner's last message until no start order of an earlier agent can have an
-# effect: the order carries the end of the worker's lease.
-MAX_START_DELAY_S = MAX_ORDER_AGE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
-# Longest lease granted at a planned stop of the agent: the agent's successor has this
-# long to start and take over the worker's runs.
-MAX_HANDOVER_LEASE_S = 1.0
 # A poll result older than this no longer describes the worker's current state.
 MAX_POLL_AGE_S = 0.5
 # A run is stopped if its progress has not changed for this fraction of its expected run
@@ -73,8 +61,6 @@
 # Run events that are kept for owners whose connection was lost before delivery. They
 # cover some tens of seconds.
 MAX_RECENT_EVENTS = 500
-# Reports of unconfirmed boots that are kept; all but one are those of other writers.
-MAX_UNCONFIRMED_REPORTS = 4
 # Progress is not reported for runs that are shorter than this.
 MIN_PROGRESS_RUN_S = 0.15
 PROGRESS_INTERVAL_S = 0.2
@@ -140,33 +126,6 @@
     stop_reason: RunEnd = RunEnd.STOPPED
 
 
-class Owner(Struct):
-    """An entry that may own runs on this worker.
-
-    :ivar lease_renewed_at: When the owner sent the last message that renewed its lease,
-        on the clock that includes suspension.
-    :ivar attached_at: When its last attach arrived, on the same clock.
-    """
-
-    incarnation: str
-    name: str
-    lease_renewed_at: float
-    attached_at: float
-
-
-class ReportOutcome(StrEnum):
-    """What became of a report about the worker.
-
-    ``KEPT`` reports name a boot that no poll has shown yet. The last three are ignored.
-    """
-
-    APPLIED = "applied"
-    KEPT = "kept"
-    EARLIER_BOOT = "earlier boot"
-    OTHER_WORKER = "other worker"
-    OUTDATED = "outdated"
-
-
 class PendingClaim(Struct):
     """An owner's claim of a run before the first poll.
 
@@ -229,14 +188,9 @@
 class Supervisor:
     """Tracks the runs and the free capacity of one worker.
 
-    Polls are answered by the worker itself, so only they show which boot it runs. A
-    report may have been sent by another writer; it counts once a poll has shown its
-    boot.
-
     :param clock: Returns monotonic seconds; measures what happens on this machine.
     :param suspended_clock: Returns seconds of a clock that includes time in system
         suspend; measures the leases and orders of owners on other machines.
-    :ivar identity: Name and service of the worker by the first report of its boot.
 
     Usage::
 
@@ -256,12 +210,7 @@
     ):
         self.clock = clock
         self.suspended_clock = suspended_clock or clock
-        self.facts: WorkerFacts | None = None
-        self.report_sequence = -1
-        self.identity: tuple[str, str] | None = None
-        self.unconfirmed: dict[int, tuple[int, WorkerFacts]] = {}
-        self.report_counts: Counter[ReportOutcome] = Counter()
-        self.boot = 0
+        self.reports = WorkerReports()
         self.ignored_poll_boot = 0
         self.last_end = 0
         self.runs: dict[RunId, Run] = {}
@@ -274,14 +223,12 @@
         self.first_polled_at = float("-inf")
         self.progress_reported_at = float("-inf")
         self.leaving = False
-        self.exit_announced = False
         self.reachable = False
         self.last_demand = NO_RESOURCES
         self.orders: list[StartOrder | StopOrder | CheckBootOrder] = []
         self.notifications: list[OwnerNotification] = []
         self.last_tick_at = self.suspended_clock()
         self.on_run_end: Callable[[RunEnd, float], None] = lambda end, run_s: None
-        self.on_facts: Callable[[WorkerFacts], None] = lambda facts: None
 
     # Events from the worker
 
@@ -293,8 +240,13 @@
         :param sequence: Increases with each report within a boot.
         :return: Whether the report was applied or kept.
         """
-        outcome = self._handle_report(facts, sequence)
-        self.report_counts[outcome] += 1
+        is_unknown_boot = facts.boot not in self.reports.unconfirmed
+        outcome = self.reports.receive(facts, sequence)
+        if outcome == ReportOutcome.KEPT and is_unknown_boot and self.reconciled:
+            logger.bind(boot=facts.boot, polled_boot=self.boot).info(
+                "report of {} kept: no poll has shown its boot", facts.worker
+            )
+            self.orders.append(CheckBootOrder())
         if outcome in (ReportOutcome.APPLIED, ReportOutcome.KEPT):
             return True
         logger.bind(
@@ -307,8 +259,7 @@
 
         Facts of another boot are ignored.
         """
-        if self.facts is None and facts.worker and facts.boot == self.boot:
-            self.facts = facts
+        self.reports.adopt(facts)
 
     def record_worker_exit(self, worker: str) -> None:
         """Record that the worker has announced its immediate exit.
@@ -316,13 +267,10 @@
         It gets no further runs until its next report. Its runs end once a poll finds
         it gone: the announcement may be that of an earlier boot, delivered late.
         """
-        is_known = self.facts is not None and self.facts.worker == worker
+        is_known = self.reports.announce_exit(worker)
         logger.bind(polled_boot=self.boot, runs=len(self.runs)).info(
             "exit of {} announced{}", worker, "" if is_known else ", ignored"
         )
-        if is_known:
-            self.exit_announced = True
-            self.facts = None
 
     def extend_worker_lease(self, lease_s: float) -> None:
         """Record that the worker is being granted a lease on all of its runs."""
@@ -371,7 +319,7 @@
         :param not_connected: Whether the worker accepted no connection.
         """
         self.reachable = False
-        if not_connected and self.exit_announced:
+        if not_connected and self.reports.exit_announced:
             self._end_all(RunEnd.LAPSED, "the worker has exited")
         elif self.clock() > self.worker_lease_ends_at:
             self._end_all(RunEnd.LAPSED, "the worker's lease has expired")
@@ -429,7 +377,7 @@
         now = self.suspended_clock()
         for other in list(self.owners.values()):
             is_other = other.name == message.owner.name and other.incarnation != owner
-            is_alive = other.incarnation in connected and self._has_lease(other, now)
+            is_alive = other.incarnation in connected and other.has_lease(now)
             if is_other and not is_alive:
                 self._remove_owner(other)
         renewed_at = now - age_s
@@ -522,9 +470,7 @@
             now = last_tick_at
         owners_with_runs = {run.owner for run in self.runs.values()}
         for owner in list(self.owners.values()):
-            is_expired = not (
-                self._has_lease(owner, now) or self._may_renew(owner, now)
-            )
+            is_expired = not (owner.has_lease(now) or owner.may_renew(now))
             if is_expired and owner.incarnation in owners_with_runs:
                 logger.bind(
                     owner=owner.incarnation,
@@ -566,6 +512,26 @@
 
     # Current state
 
+    @property
+    def facts(self) -> WorkerFacts | None:
+        """The worker as its last report describes it."""
+        return self.reports.facts
+
+    @property
+    def boot(self) -> int:
+        """The boot that the last poll has shown; 0 before the first one."""
+        return self.reports.boot
+
+    @property
+    def unconfirmed(self) -> dict[int, tuple[int, WorkerFacts]]:
+        """The reports of boots that no poll has shown."""
+        return self.reports.unconfirmed
+
+    @property
+    def report_counts(self) -> Counter[ReportOutcome]:
+        """The number of reports by outcome."""
+        return self.reports.counts
+
     @property
     def has_unclaimed_runs(self) -> bool:
         """Whether any run is without an owner that holds a lease.
@@ -575,8 +541,7 @@
         """
         now = self.suspended_clock()
         return any(
-            run.owner not in self.owners
-            or not self._has_lease(self.owners[run.owner], now)
+            run.owner not in self.owners or not self.owners[run.owner].has_lease(now)
             for run in self.runs.values()
             if run.phase != Phase.STOPPING
         )
@@ -641,18 +606,6 @@
 
     # State transitions
 
-    def _has_lease(self, owner: Owner, now: float) -> bool:
-        return now - owner.lease_renewed_at <= OWNER_LEASE_S
-
-    def _may_renew(self, owner: Owner, now: float) -> bool:
-        """Return whether an owner that has just attached may still renew its lease.
-
-        Its runs end before it may repeat them elsewhere, even if the renewal is lost.
-        """
-        silent_s = now - owner.lease_renewed_at
-        is_in_time = silent_s < LOST_AGENT_TIMEOUT_S - MAX_ORDER_AGE_S
-        return is_in_time and now - owner.attached_at <= ATTACH_GRACE_S
-
     def _refusal_reason(self, task: TaskId, message: StartRuns) -> str:
         if not self.usable:
             return "worker is not usable"
@@ -697,54 +650,8 @@
                     self._finish(run, RunEnd.LAPSED, "the worker has restarted")
                 elif not (is_answered and is_shown and run.phase == Phase.RUNNING):
                     self._stop_again(run)
-        self.boot = boot
-        self.identity = None
-        self.report_sequence = -1
         self.last_end = 0
-        self.exit_announced = False
-        self.facts = None
-        report = self.unconfirmed.get(boot)
-        self.unconfirmed = {
-            other: kept for other, kept in self.unconfirmed.items() if other > boot
-        }
-        if report is not None:
-            sequence, facts = report
-            self._apply_report(facts, sequence)
-
-    def _handle_report(self, facts: WorkerFacts, sequence: int) -> ReportOutcome:
-        if facts.boot < self.boot:
-            return ReportOutcome.EARLIER_BOOT
-        if facts.boot > self.boot:
-            is_kept = self._keep_report(facts, sequence)
-            return ReportOutcome.KEPT if is_kept else ReportOutcome.OUTDATED
-        if self.identity not in (None, (facts.worker, facts.service)):
-            return ReportOutcome.OTHER_WORKER
-        if sequence <= self.report_sequence:
-            return ReportOutcome.OUTDATED
-        self._apply_report(facts, sequence)
-        return ReportOutcome.APPLIED
-
-    def _apply_report(self, facts: WorkerFacts, sequence: int) -> None:
-        self.identity = facts.worker, facts.service
-        self.report_sequence = sequence
-        self.exit_announced = False
-        self.facts = facts
-        self.on_facts(facts)
-
-    def _keep_report(self, facts: WorkerFacts, sequence: int) -> bool:
-        """Keep a report of a later boot until a poll shows that boot."""
-        if facts.boot not in self.unconfirmed:
-            if self.reconciled:
-                logger.bind(boot=facts.boot, polled_boot=self.boot).info(
-                    "report of {} kept: no poll has shown its boot", facts.worker
-                )
-                self.orders.append(CheckBootOrder())
-            if len(self.unconfirmed) == MAX_UNCONFIRMED_REPORTS:
-                del self.unconfirmed[next(iter(self.unconfirmed))]
-        elif sequence <= self.unconfirmed[facts.boot][0]:
-            return False
-        self.unconfirmed[facts.boot] = (sequence, facts)
-        return True
+        self.reports.reset_for_boot(boot)
 
     def _log_ignored_poll(self, poll: WorkerPoll) -> None:
         """Log an ignored poll, once for each boot that the worker shows."""
--- a/marigoldkeel/platform/workers.py
+++ b/marigoldkeel/platform/workers.py
@@ -262,7 +262,7 @@
     def name_instance(facts: WorkerFacts) -> None:
         client.instance = facts.worker
 
-    supervisor.on_facts = name_instance
+    supervisor.reports.on_facts = name_instance
 
     @application.route("PUT", "/api/instances/{worker}")
     async def receive_report(request: Request) -> Response:
