Limit the worker's lease while a run that is to end goes on

Ruled out: late start orders, which are refused after the end of their lease.

Change: no lease is granted that ends later than the bound of a run that has not ended: LOST_AGENT_TIMEOUT_S after its owner's last message, or ORDERED_STOP_TIMEOUT_S after the owner's order to stop it. The lease is shortened to that time and not withheld before it, so the other runs lose nothing if the stop is confirmed by then. Meanwhile the agent shows no free capacity. Stop orders without an answer are repeated after 25 ms on connections of their own, up to four at a time.

--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -31,7 +31,6 @@
 from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.supervisors import (
-    WORKER_LEASE_S,
     CheckBootOrder,
     Phase,
     Run,
@@ -141,8 +140,9 @@
         requested_at = self.loop.now
         lease_ends_at = 0.0
         if self.last_poll_answered and not self.supervisor.has_unclaimed_runs:
-            self.supervisor.extend_worker_lease(WORKER_LEASE_S)
-            lease_ends_at = requested_at + WORKER_LEASE_S
+            lease_s = self.supervisor.grantable_lease_s()
+            self.supervisor.extend_worker_lease(lease_s)
+            lease_ends_at = requested_at + lease_s
         if self.worker.unresponsive:
             timeout_s = POLL_WAIT_S + POLL_TIMEOUT_S
             self.loop.call_later(timeout_s, lambda: self._poll_failed(number))
@@ -193,8 +193,9 @@
         self.loop.call_later(RETRY_DELAY_S, self.poll)
 
     def _send_start(self, run: Run) -> None:
-        self.supervisor.extend_worker_lease(WORKER_LEASE_S)
-        lease_ends_at = self.loop.now + WORKER_LEASE_S
+        lease_s = self.supervisor.grantable_lease_s()
+        self.supervisor.extend_worker_lease(lease_s)
+        lease_ends_at = self.loop.now + lease_s
         self._try_start(self.supervisor, run, lease_ends_at, 0)
 
     def _try_start(
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -85,6 +85,7 @@
         self.group = group
         self.delivery_pending = False
         self.last_poll_answered = False
+        self.lease_limited = False
 
     def flush(self) -> None:
         """Start pending orders and schedule the delivery of changes to the owners."""
@@ -117,7 +118,8 @@
             # is a fixed time by which its runs will have ended. Nor are runs without a
             # known owner kept alive, as their owners may be about to repeat them.
             may_extend = self.last_poll_answered and not supervisor.has_unclaimed_runs
-            lease_s = WORKER_LEASE_S if may_extend else 0.0
+            lease_s = supervisor.grantable_lease_s() if may_extend else 0.0
+            self._log_lease_limit(may_extend and lease_s < WORKER_LEASE_S)
             requested_at = supervisor.clock()
             if lease_s:
                 supervisor.extend_worker_lease(lease_s)
@@ -145,6 +147,17 @@
                 supervisor.report_progress()
             self.flush()
 
+    def _log_lease_limit(self, limited: bool) -> None:
+        """Log when a run that is to end begins or ceases to limit the lease."""
+        if limited != self.lease_limited:
+            self.lease_limited = limited
+            logger.bind(runs=len(self.supervisor.runs)).warning(
+                "lease of the worker {}",
+                "withheld: a run that is to end goes on"
+                if limited
+                else "granted again",
+            )
+
     async def _check_boot(self) -> None:
         """Poll the worker at once, and apply the result if it shows another boot.
 
@@ -206,8 +219,11 @@
             by the last attempt.
         """
         clock = self.supervisor.clock
-        self.supervisor.extend_worker_lease(WORKER_LEASE_S)
-        lease_ends_at = clock() + WORKER_LEASE_S
+        granted_s = self.supervisor.grantable_lease_s()
+        if not granted_s:
+            return StartOutcome.REFUSED, "no lease may be granted"
+        self.supervisor.extend_worker_lease(granted_s)
+        lease_ends_at = clock() + granted_s
         reason = "no answer"  # Kept only if the run is stopped before any attempt.
         for attempt, timeout_s in enumerate(START_TIMEOUTS_S):
             if run.phase != Phase.STARTING:
--- a/marigoldkeel/fleet/leases.py
+++ b/marigoldkeel/fleet/leases.py
@@ -30,6 +30,10 @@
 LOST_AGENT_TIMEOUT_S = (
     MAX_ORDER_AGE_S + OWNER_LEASE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
 )
+# Time from an owner's order to stop a run until the worker must have ended it. A caller
+# that has left submits its job again after 1.3 s at the earliest, and the owner may
+# order the stop up to 0.3 s after a caller has timed out (CALLER_TIMEOUT_GRACE_S).
+ORDERED_STOP_TIMEOUT_S = 1.0
 # Time from an owner's last message until no start order of an earlier agent can have an
 # effect: the order carries the end of the worker's lease.
 MAX_START_DELAY_S = MAX_ORDER_AGE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
@@ -63,3 +67,13 @@
         silent_s = now - self.lease_renewed_at
         is_in_time = silent_s < LOST_AGENT_TIMEOUT_S - MAX_ORDER_AGE_S
         return is_in_time and now - self.attached_at <= ATTACH_GRACE_S
+
+    @property
+    def runs_end_by(self) -> float:
+        """When the worker must have ended the owner's runs if it stays silent."""
+        return self.lease_renewed_at + LOST_AGENT_TIMEOUT_S - LEASE_MARGIN_S
+
+
+def longest_lease_s(until: float, now: float) -> float:
+    """Return the longest lease that ends by a time, whatever the worker's clock."""
+    return max(0.0, (until - now) / (1 + MAX_CLOCK_DRIFT))
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -588,7 +588,7 @@
         elif isinstance(content, StartRuns):
             self.supervisor.start(link.owner.incarnation, content, age_s)
         elif isinstance(content, StopRuns):
-            self.supervisor.stop(link.owner.incarnation, content.runs)
+            self.supervisor.stop(link.owner.incarnation, content.runs, age_s)
         else:
             self._send_state(
                 link, self.supervisor.free_resources, self.supervisor.usable
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -9,7 +9,10 @@
   A run is counted from before its start order is sent until its end is known. A start
   order without a response is followed by a stop order, and the run is counted until the
   start order can no longer take effect.
-- A run is stopped once its owner's lease, ``OWNER_LEASE_S``, has expired.
+- A run is stopped once its owner's lease, ``OWNER_LEASE_S``, has expired. While the
+  run has not ended, no lease is granted to the worker that lasts beyond
+  ``LOST_AGENT_TIMEOUT_S`` after the owner's last message. The same holds for
+  ``ORDERED_STOP_TIMEOUT_S`` after an owner has ordered a run to stop.
 - The owner of each run is notified how the run ended or that it never started.
 """
 
@@ -23,14 +26,16 @@
 # The names with an alias are also imported from here.
 from marigoldkeel.fleet.leases import (
     LEASE_MARGIN_S,
-    LOST_AGENT_TIMEOUT_S,
+    LOST_AGENT_TIMEOUT_S as LOST_AGENT_TIMEOUT_S,
     MAX_CLOCK_DRIFT,
     MAX_HANDOVER_LEASE_S,
     MAX_ORDER_AGE_S as MAX_ORDER_AGE_S,
     MAX_START_DELAY_S,
+    ORDERED_STOP_TIMEOUT_S,
     OWNER_LEASE_S,
-    WORKER_LEASE_S as WORKER_LEASE_S,
+    WORKER_LEASE_S,
     Owner,
+    longest_lease_s,
 )
 from marigoldkeel.fleet.messages import (
     Attach,
@@ -108,6 +113,8 @@
     :ivar confirmed: Whether a poll has listed the run.
     :ivar progressed_at: When the run started or its progress last changed.
     :ivar reported_at: The ``progressed_at`` that was last reported to the owner.
+    :ivar end_by: When the worker must have ended the run, on the clock that includes
+        suspension.
     """
 
     run_id: RunId
@@ -124,6 +131,7 @@
     progressed_at: float = 0.0
     reported_at: float = 0.0
     stop_reason: RunEnd = RunEnd.STOPPED
+    end_by: float = float("inf")
 
 
 class PendingClaim(Struct):
@@ -441,8 +449,12 @@
             self.last_demand = message.demand
             self.orders.append(StartOrder(run))
 
-    def stop(self, owner: str, run_ids: list[RunId]) -> None:
-        """Stop runs of an owner; report runs that do not exist as lapsed."""
+    def stop(self, owner: str, run_ids: list[RunId], age_s: float = 0.0) -> None:
+        """Stop runs of an owner; report runs that do not exist as lapsed.
+
+        :param age_s: Time since the owner sent the message.
+        """
+        end_by = self.suspended_clock() - age_s + ORDERED_STOP_TIMEOUT_S
         for run_id in run_ids:
             run = self.runs.get(run_id)
             claim = self.pending_claims.get(run_id)
@@ -451,6 +463,7 @@
             elif run is None:
                 self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, UNKNOWN_RUN)
             elif run.owner == owner:
+                run.end_by = min(run.end_by, end_by - LEASE_MARGIN_S)
                 self._stop(run, RunEnd.STOPPED)
 
     def order_age_s(self, run: Run) -> float:
@@ -551,17 +564,40 @@
 
         It ends before any owner may repeat its runs elsewhere.
         """
-        owners = {run.owner for run in self.runs.values()}
-        heard_at = [
-            owner.lease_renewed_at
-            for owner in self.owners.values()
-            if owner.incarnation in owners
-        ]
-        if not heard_at:
+        if not self.runs:
             return 0.0
-        remaining_s = min(heard_at) + LOST_AGENT_TIMEOUT_S - self.suspended_clock()
-        lease_s = (remaining_s - LEASE_MARGIN_S) / (1 + MAX_CLOCK_DRIFT)
-        return min(MAX_HANDOVER_LEASE_S, max(0.0, lease_s))
+        return min(MAX_HANDOVER_LEASE_S, self._longest_lease_s())
+
+    def grantable_lease_s(self) -> float:
+        """Return the lease on all runs that the worker may be granted now.
+
+        It is shorter than ``WORKER_LEASE_S`` only while a run has not ended that was
+        to end by now or soon, since a lease covers all runs and never shortens.
+        """
+        return min(WORKER_LEASE_S, self._longest_lease_s())
+
+    @property
+    def lease_limited(self) -> bool:
+        """Whether a run that is to end prevents a full lease."""
+        return self.grantable_lease_s() < WORKER_LEASE_S
+
+    def _longest_lease_s(self) -> float:
+        """Return the longest lease with which each run ends in time.
+
+        An owner that is not known may have been silent for any time.
+        """
+        until = float("inf")
+        owners = set()
+        for run in self.runs.values():
+            if run.end_by == float("inf"):
+                owners.add(run.owner)
+            elif run.end_by < until:
+                until = run.end_by
+        for incarnation in owners:
+            owner = self.owners.get(incarnation)
+            end_by = owner.runs_end_by if owner is not None else float("-inf")
+            until = min(until, end_by)
+        return longest_lease_s(until, self.suspended_clock())
 
     @property
     def reconciled(self) -> bool:
@@ -582,8 +618,12 @@
 
     @property
     def free_resources(self) -> Resources:
-        """Capacity that is available for new runs; none if any demand is unknown."""
-        if self.facts is None:
+        """Capacity that is available for new runs.
+
+        It is none if any demand is unknown, or if the lease that a new run needs would
+        keep a run alive that is to end.
+        """
+        if self.facts is None or self.lease_limited:
             return NO_RESOURCES
         free = self.facts.capacity
         for run in self.runs.values():
@@ -750,6 +790,7 @@
         del self.owners[owner.incarnation]
         for run in list(self.runs.values()):
             if run.owner == owner.incarnation:
+                run.end_by = min(run.end_by, owner.runs_end_by)
                 self._stop(run, RunEnd.STOPPED)
 
     def _record_end(self, row: RunEndRecord, now: float) -> None:
--- a/marigoldkeel/platform/workers.py
+++ b/marigoldkeel/platform/workers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import anyio
 import msgspec
 from loguru import logger
 
@@ -32,8 +33,14 @@
 
 # One connection is used for polling, the others for orders.
 MAX_CONNECTIONS = 6
-# A runner on the same machine responds to an order within about a millisecond.
+# A runner on the same machine responds to an order within about a millisecond. A stop
+# that gets no answer is repeated on other connections while the first attempts wait: if
+# a run is not known to have ended in time, the worker's lease is withheld, at the cost
+# of all other runs. Stops have connections of their own, as lost orders occupy theirs.
 STOP_TIMEOUT_S = 0.1
+STOP_ATTEMPTS = 4
+STOP_ATTEMPT_INTERVAL_S = 0.025
+MAX_STOP_CONNECTIONS = 24
 # Added to the requested wait time of a poll to obtain its timeout. While a response is
 # missing, ends of runs are not noticed and the worker's lease is running out, so the
 # margin is short.
@@ -99,6 +106,7 @@
 
     def __init__(self, address: str, clock: Callable[[], float] = time.monotonic):
         self.client = PlatformClient(address, MAX_CONNECTIONS)
+        self.stop_client = PlatformClient(address, MAX_STOP_CONNECTIONS)
         self.clock = clock
         self.instance = ""
         self.clock_offset_ms: float | None = None
@@ -133,13 +141,31 @@
         return StartOutcome.REFUSED, reason
 
     async def stop(self, run: Run) -> bool:
+        answered = False
+
+        async def attempt() -> None:
+            nonlocal answered
+            if await self._stop_once(run):
+                answered = True
+                group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(attempt)
+            for _ in range(STOP_ATTEMPTS - 1):
+                await anyio.sleep(STOP_ATTEMPT_INTERVAL_S)
+                group.start_soon(attempt)
+        return answered
+
+    async def _stop_once(self, run: Run) -> bool:
         content = {
             "task": task_name(run.run_id.task),
             "run": run.run_id.number,
             "fence": FENCE,
         }
         try:
-            reply = await self._order("/api/run-stop", content, STOP_TIMEOUT_S)
+            reply = await self._order(
+                "/api/run-stop", content, STOP_TIMEOUT_S, self.stop_client
+            )
         except MarigoldkeelError as error:
             logger.info("stop order not confirmed: {}", error)
             return False
@@ -170,12 +196,20 @@
     async def aclose(self) -> None:
         """Close all connections."""
         await self.client.aclose()
-
-    async def _order(self, path: str, content: dict, timeout_s: float) -> Reply:
+        await self.stop_client.aclose()
+
+    async def _order(
+        self,
+        path: str,
+        content: dict,
+        timeout_s: float,
+        client: PlatformClient | None = None,
+    ) -> Reply:
         headers = {}
         if self.instance:
             headers["Marigoldkeel-Expect-Instance"] = self.instance
-        return await self.client.call("POST", path, timeout_s, content, headers)
+        client = client or self.client
+        return await client.call("POST", path, timeout_s, content, headers)
 
     def _until_ms(self, lease_s: float) -> int:
         return round(self.clock() * 1000 + self.clock_offset_ms + lease_s * 1000)
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -832,3 +832,71 @@
     agent.supervisor.record_start_outcome(order.run, StartOutcome.OUTDATED, detail)
     (notification,) = agent.supervisor.take_notifications()
     assert notification.content.reason == StartOutcome.OUTDATED
+
+
+def stop_run(agent: Agent) -> None:
+    agent.supervisor.stop(OWNER.incarnation, [run_id()])
+
+
+def replace_owner(agent: Agent) -> None:
+    agent.attach(owner=Member("entry-1", "entry-1@2", "10.0.0.1:7000", "a"))
+
+
+# Callers may submit their jobs again this long after their owner was lost.
+RESUBMIT_S = 1.3
+
+
+@pytest.mark.parametrize(
+    ("disrupt", "bound_s"),
+    [
+        (lambda agent: None, LOST_AGENT_TIMEOUT_S),
+        (replace_owner, LOST_AGENT_TIMEOUT_S),
+        # The owner may have ordered the stop 0.3 s after its caller had left.
+        (stop_run, RESUBMIT_S - 0.3),
+    ],
+    ids=["owner silent", "owner restarted", "stop ordered"],
+)
+def test_lease_is_not_extended_beyond_the_bound_while_a_stop_is_unconfirmed(
+    disrupt, bound_s
+):
+    # Guards against a task on two workers: the owner is killed, the agent's stop orders
+    # get no answer, polls are answered and renew the lease, and the caller submits the
+    # job again, whose task starts elsewhere.
+    agent = Agent()
+    agent.start(0)
+    other = Member("entry-2", "entry-2@1", "10.0.0.2:7000", "a")
+    agent.attach(owner=other)
+    began_at = agent.clock.now
+    disrupt(agent)
+    lease_ends_at = 0.0
+    while agent.clock.now < began_at + 3:
+        agent.supervisor.renew_owner_lease(other.incarnation)
+        if (lease_s := agent.supervisor.grantable_lease_s()) > 0:
+            slow_clock_s = lease_s * (1 + MAX_CLOCK_DRIFT)
+            lease_ends_at = max(lease_ends_at, agent.clock.now + slow_clock_s)
+        agent.advance_time(0.05, run_id(), renews_lease=False)
+        for order in agent.supervisor.take_orders():
+            agent.supervisor.record_stop_outcome(order.run, answered=False)
+        agent.supervisor.start(other.incarnation, start_message(1))
+        if agent.clock.now + WORKER_LEASE_S > began_at + bound_s:
+            # A start order would extend the lease of all runs.
+            assert agent.events()[-1] == refused(run_id(1))
+        else:
+            agent.supervisor.runs.pop(run_id(1), None)
+    assert began_at + bound_s - 0.2 < lease_ends_at < began_at + bound_s
+
+
+def test_lease_is_extended_again_once_the_stopped_run_has_ended():
+    agent = Agent()
+    agent.start(0)
+    agent.advance_time(1.0, run_id(), renews_lease=False)
+    assert agent.supervisor.grantable_lease_s() < WORKER_LEASE_S
+    agent.poll(ended=[RunEndRecord(1, run_id(), RunEnd.STOPPED)])
+    assert agent.supervisor.grantable_lease_s() == WORKER_LEASE_S
+
+
+def test_lease_for_a_successor_does_not_extend_a_run_whose_stop_is_unconfirmed():
+    agent = Agent()
+    agent.start(0)
+    agent.advance_time(1.3, run_id(), renews_lease=False)
+    assert agent.supervisor.handover_lease_s() == 0.0
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -93,6 +93,16 @@
         assert (await client.start(run, 0.5, 0.3))[0] == StartOutcome.OUTDATED
 
 
+async def test_stop_order_without_an_answer_is_repeated_on_other_connections(
+    monkeypatch,
+):
+    # Guards against a task on two workers: an order was repeated only after 0.15 s.
+    monkeypatch.setattr(workers, "STOP_TIMEOUT_S", 30.0)
+    async with open_runner() as (runner, client):
+        runner.responses_to_drop = workers.STOP_ATTEMPTS - 1
+        assert await client.stop(make_run())
+
+
 async def test_order_with_a_lease_in_the_past_is_refused():
     async with open_runner() as (_, client):
         outcome, reason = await client.start(make_run(), -1.0, 0.3)
