Deliver the last run ends at a planned stop; say "never started" only if known

Ruled out: the worker, which keeps an end until a poll acknowledges it.

Change: a stopping agent ends polling, delivers, grants the last lease and delivers again. A run that an agent has not known from its order on is reported as lapsed; the stop order before that, against a start order on its way, stays.

--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -404,4 +404,4 @@
         drain_deadline = self.clock() + RUN_DRAIN_TIMEOUT_S
         while self.supervisor.runs and self.clock() < drain_deadline:
             await anyio.sleep(DRAIN_POLL_INTERVAL_S)
-        await self.driver.extend_lease_for_successor()
+        await self.driver.finish()
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -35,6 +35,8 @@
 # driver sends them at most once in this time, so that the ends and starts of the tasks
 # of one job are combined into one message.
 COALESCE_DELAY_S = 0.004
+# Time for the last notifications to reach the owners before the process ends.
+LAST_DELIVERY_S = 0.02
 
 
 class WorkerClient(ABC):
@@ -86,6 +88,7 @@
         self.delivery_pending = False
         self.last_poll_answered = False
         self.lease_limited = False
+        self.poll_scope = anyio.CancelScope()
 
     def flush(self) -> None:
         """Start pending orders and schedule the delivery of changes to the owners."""
@@ -111,7 +114,13 @@
             logger.exception("unexpected error in step deliver")
 
     async def poll_forever(self) -> None:
-        """Poll the worker until cancelled."""
+        """Poll the worker until cancelled; after `finish`, only wait for it."""
+        if not self.poll_scope.cancel_called:
+            with anyio.CancelScope() as self.poll_scope:
+                await self._poll_repeatedly()
+        await anyio.sleep_forever()
+
+    async def _poll_repeatedly(self) -> None:
         supervisor = self.supervisor
         while True:
             # A worker that does not respond is granted no further lease, so that there
@@ -185,6 +194,19 @@
             if not self.delivery_pending:
                 self.deliver()
 
+    async def finish(self) -> None:
+        """End polling, notify the owners of all known ends and leave the worker.
+
+        A poll tells the worker to forget the ends that this agent has read. Without
+        further polls, those that no owner is told of are left to the successor.
+        """
+        self.poll_scope.cancel()
+        self.deliver()
+        await self.extend_lease_for_successor()
+        # Answers to orders may have arrived meanwhile.
+        self.deliver()
+        await anyio.sleep(LAST_DELIVERY_S)
+
     async def extend_lease_for_successor(self) -> None:
         """Grant the worker a final lease that keeps its runs alive for a successor."""
         lease_s = self.supervisor.handover_lease_s()
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -113,6 +113,7 @@
     :ivar confirmed: Whether a poll has listed the run.
     :ivar progressed_at: When the run started or its progress last changed.
     :ivar reported_at: The ``progressed_at`` that was last reported to the owner.
+    :ivar may_have_run: Whether the run may have ended without this agent's knowledge.
     :ivar end_by: When the worker must have ended the run, on the clock that includes
         suspension.
     """
@@ -131,6 +132,7 @@
     progressed_at: float = 0.0
     reported_at: float = 0.0
     stop_reason: RunEnd = RunEnd.STOPPED
+    may_have_run: bool = False
     end_by: float = float("inf")
 
 
@@ -689,6 +691,8 @@
                 if is_gone:
                     self._finish(run, RunEnd.LAPSED, "the worker has restarted")
                 elif not (is_answered and is_shown and run.phase == Phase.RUNNING):
+                    # The previous boot may have started it as well.
+                    run.may_have_run = True
                     self._stop_again(run)
         self.last_end = 0
         self.reports.reset_for_boot(boot)
@@ -724,13 +728,16 @@
         """Answer the claim of a run that is not on the worker.
 
         While a start order of an earlier agent may be on its way, the run is stopped
-        first, after which the worker refuses to start it.
+        first, after which the worker refuses to start it. It may also have run and
+        ended: the earlier agent may have read its end, which the worker then forgot,
+        and stopped before it notified the owner.
         """
         if not claim.may_start:
             self._notify_end(run_id, claim.owner, RunEnd.LAPSED, 0.0, reason)
             return
         sent_at = self.suspended_clock()
         run = Run(run_id, claim.owner, claim.demand, Phase.STARTING, sent_at)
+        run.may_have_run = True
         self.runs[run_id] = run
         self._stop(run, RunEnd.STOPPED)
 
@@ -822,8 +829,11 @@
         self._notify_end(run.run_id, run.owner, end, run_s, reason)
 
     def _settle_missing(self, run: Run) -> None:
-        """Remove a run that the worker no longer lists, and notify its owner."""
-        if run.confirmed or run.started_at is not None:
+        """Remove a run that the worker no longer lists, and notify its owner.
+
+        The owner is told that it never started only if this is certain.
+        """
+        if run.confirmed or run.started_at is not None or run.may_have_run:
             self._finish(run, RunEnd.LAPSED, NOT_LISTED)
         else:
             # The worker refuses a start order that arrives after the stop order.
