Apply a report about a worker only if it is complete, valid and newer by its clock

A report of another writer with a high number hid that the worker leaves, and the worker's reports were confirmed all the same. Ruled out as a fix: a limit on the step of the numbers, since a worker whose reports were lost has large steps.

Change: all fields must be there, of their type and in range; otherwise the answer is 400. The worker's clock must rise together with the number. Reports that contradict the last one are not confirmed (409), and count from the third one on that arrives in order and as far apart as sent. Capacities beyond 32 bits are refused: they could not be sent on.

Tests: the report of a leaving worker now has remaining_ms, as the platform's has; the emulator sends it too. update_facts returns the outcome, so the tests look at its `counts`.

--- a/emulator/runners.py
+++ b/emulator/runners.py
@@ -146,6 +146,7 @@
             "version": "v1",
             "slots": 8,
             "state": "draining" if worker.leaving else "ready",
+            **({"remaining_ms": 0} if worker.leaving else {}),
             "cold_left_ms": 0,
             "capacity": {
                 "cpu": worker.capacity.cpu_milli,
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -48,6 +48,7 @@
 )
 from marigoldkeel.fleet.reports import (
     MAX_UNCONFIRMED_REPORTS as MAX_UNCONFIRMED_REPORTS,
+    ReportOrder,
     ReportOutcome,
     WorkerReports,
 )
@@ -242,27 +243,28 @@
 
     # Events from the worker
 
-    def update_facts(self, facts: WorkerFacts, sequence: int) -> bool:
+    def update_facts(
+        self, facts: WorkerFacts, sequence: int, clock_ms: float | None = None
+    ) -> ReportOutcome:
         """Apply a worker's report about itself if it is newer than the last one.
 
         A report of a later boot ends no run: it is kept until a poll shows that boot.
 
         :param sequence: Increases with each report within a boot.
-        :return: Whether the report was applied or kept.
+        :param clock_ms: The worker's clock when it sent the report; None if unknown.
         """
-        is_unknown_boot = facts.boot not in self.reports.unconfirmed
-        outcome = self.reports.receive(facts, sequence)
+        is_unknown_boot = facts.boot not in self.unconfirmed
+        outcome = self.reports.receive(facts, sequence, clock_ms, self.clock())
         if outcome == ReportOutcome.KEPT and is_unknown_boot and self.reconciled:
             logger.bind(boot=facts.boot, polled_boot=self.boot).info(
                 "report of {} kept: no poll has shown its boot", facts.worker
             )
             self.orders.append(CheckBootOrder())
-        if outcome in (ReportOutcome.APPLIED, ReportOutcome.KEPT):
-            return True
-        logger.bind(
-            boot=facts.boot, polled_boot=self.boot, report_sequence=sequence
-        ).info("report of {} ignored: {}", facts.worker, outcome.value)
-        return False
+        if not outcome.counts:
+            logger.bind(
+                boot=facts.boot, polled_boot=self.boot, report_sequence=sequence
+            ).info("report of {} ignored: {}", facts.worker, outcome.value)
+        return outcome
 
     def adopt_facts(self, facts: WorkerFacts) -> None:
         """Use the worker facts cached by an owner if the worker has not reported yet.
@@ -538,7 +540,7 @@
         return self.reports.boot
 
     @property
-    def unconfirmed(self) -> dict[int, tuple[int, WorkerFacts]]:
+    def unconfirmed(self) -> dict[int, tuple[ReportOrder, WorkerFacts]]:
         """The reports of boots that no poll has shown."""
         return self.reports.unconfirmed
 
--- a/marigoldkeel/platform/workers.py
+++ b/marigoldkeel/platform/workers.py
@@ -5,11 +5,12 @@
 
 import time
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import anyio
 import msgspec
 from loguru import logger
+from msgspec import Meta
 
 from marigoldkeel.exceptions import (
     MarigoldkeelError,
@@ -18,6 +19,7 @@
 )
 from marigoldkeel.fleet.drivers import WorkerClient
 from marigoldkeel.fleet.messages import WorkerFacts
+from marigoldkeel.fleet.reports import ReportOutcome
 from marigoldkeel.fleet.supervisors import (
     Run,
     RunEndRecord,
@@ -260,31 +262,47 @@
     )
 
 
+# Numbers of a report, which may be written with or without a fraction. Amounts are sent
+# on as 32 bits.
+MAX_AMOUNT = 2**31 - 1
+Amount = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
+PositiveAmount = Annotated[float, Meta(gt=0, le=MAX_AMOUNT)]
+Counter = Annotated[float, Meta(ge=0, le=2**63)]
+Text = Annotated[str, Meta(min_length=1)]
+
+
 class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
+    cpu: PositiveAmount
+    mem_mb: PositiveAmount
+    gpus: Amount
 
 
 class _Report(msgspec.Struct):
-    """A runner's report about itself.
+    """A runner's report about itself; it counts only if it is complete.
 
     :ivar seq: Increases with each report until the runner restarts.
-    :ivar remaining_ms: Minimum time until a draining runner exits.
-    :ivar born: As in `_PollResponse`.
+    :ivar clock_ms: The runner's clock, as in its answers to polls.
+    :ivar remaining_ms: Minimum time until a draining runner exits; given only by one.
+    :ivar born: As in `_PollResponse`; given only where runners restart under their id.
     """
 
-    service: str
-    state: str
-    seq: int
+    service: Text
+    addr: Text
+    zone: Text
+    version: Text
+    slots: Amount
+    state: Literal["ready", "draining"]
+    cold_left_ms: Amount
     capacity: _Capacity
-    zone: str = ""
-    labels: list[str] = []
-    remaining_ms: int = 0
-    born: int = 0
-
+    labels: list[str]
+    clock_ms: Counter
+    seq: Counter
+    remaining_ms: Amount | None = None
+    born: Counter = 0
 
-LEAVING_BY_STATE = {"ready": False, "draining": True}
+    def __post_init__(self):
+        if self.state == "draining" and self.remaining_ms is None:
+            raise ValueError("Object missing required field `remaining_ms`")
 
 
 def reports_application(
@@ -303,24 +321,28 @@
         worker = request.path_parameters["worker"]
         try:
             content = msgspec.json.decode(request.body, type=_Report)
-            leaving = LEAVING_BY_STATE[content.state]
-        except (msgspec.MsgspecError, UnicodeDecodeError, KeyError) as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             logger.warning("malformed report of {}: {}", worker, error)
             return Response.from_json({"error": f"report not readable: {error}"}, 400)
         capacity = Resources(
-            content.capacity.cpu, content.capacity.mem_mb, content.capacity.gpus
+            int(content.capacity.cpu),
+            int(content.capacity.mem_mb),
+            int(content.capacity.gpus),
         )
         facts = WorkerFacts(
             worker,
-            content.born,
+            int(content.born),
             content.service,
             content.zone,
             content.labels,
             capacity,
-            leaving,
-            content.remaining_ms,
+            content.state == "draining",
+            int(content.remaining_ms or 0),
         )
-        supervisor.update_facts(facts, content.seq)
+        outcome = supervisor.update_facts(facts, int(content.seq), content.clock_ms)
+        if outcome == ReportOutcome.CONTRADICTORY:
+            # Not confirmed, since it may be the worker's: that it leaves, for example.
+            return Response.from_json({"error": f"report ignored: {outcome}"}, 409)
         flush()
         return Response.from_json({})
 
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -1,5 +1,6 @@
 """Tests of the supervisor: capacity, leases, restarts and delayed orders."""
 
+import msgspec
 import pytest
 
 from marigoldkeel.fleet.messages import (
@@ -453,7 +454,7 @@
     agent.poll(boot=8)
     assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
     assert not agent.supervisor.usable
-    assert agent.supervisor.update_facts(WorkerFacts("w-1", 8, capacity=CORE), 1)
+    assert agent.supervisor.update_facts(WorkerFacts("w-1", 8, capacity=CORE), 1).counts
     agent.poll(boot=8)
     assert agent.supervisor.usable
 
@@ -547,6 +548,56 @@
     assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
 
 
+READY, LEAVING = FACTS, msgspec.structs.replace(FACTS, leaving=True)
+
+
+@pytest.mark.parametrize(
+    ("others", "hidden"),
+    [
+        # Number and clock of each report of another writer, and how many reports of
+        # the worker have no effect after them.
+        ([(1_000_000, 1500)], 0),
+        ([(1_000_000, 1000)], 0),
+        ([(3, 10**9)], 2),
+        ([(10**15, 10**12)], 2),
+        ([(10**15, 10**12), (10**15 + 1, 10**12 + 1)], 2),
+        ([(2, 1000)], 0),
+        ([], 0),
+    ],
+)
+def test_report_with_any_number_hides_the_worker_for_a_short_time_only(others, hidden):
+    # Guards against runs on a leaving worker: a report of another writer had a number
+    # that the worker did not reach, so that it leaves was taken for out of date.
+    agent = Agent()
+    agent.supervisor.update_facts(READY, 2, 1000)
+    for sequence, clock_ms in others:
+        agent.clock.now += 0.25
+        agent.supervisor.update_facts(READY, sequence, clock_ms)
+    outcomes = []
+    for number in range(4):
+        agent.clock.now += 1.5
+        outcome = agent.supervisor.update_facts(
+            LEAVING, 3 + number, 3000 + 1500 * number
+        )
+        outcomes.append(outcome)
+    assert outcomes == (
+        [ReportOutcome.CONTRADICTORY] * hidden + [ReportOutcome.APPLIED] * (4 - hidden)
+    )
+    assert agent.supervisor.facts.leaving
+
+
+def test_late_reports_of_a_leaving_worker_have_no_effect():
+    agent = Agent()
+    agent.supervisor.update_facts(LEAVING, 9, 20_000)
+    # Sent 1.5 s apart, they arrive together.
+    for number in range(2, 8):
+        agent.clock.now += 0.01
+        outcome = agent.supervisor.update_facts(READY, number, 1500 * number)
+        assert outcome == ReportOutcome.CONTRADICTORY
+    assert agent.supervisor.update_facts(LEAVING, 9, 20_000) == ReportOutcome.OUTDATED
+    assert agent.supervisor.facts.leaving
+
+
 @pytest.mark.parametrize(
     "boot, sequence, accepted",
     [(7, 2, True), (7, 1, False), (6, 9, False), (8, 0, True)],
@@ -556,7 +607,7 @@
 ):
     agent = Agent()
     facts = WorkerFacts("w-1", boot, "service")
-    assert agent.supervisor.update_facts(facts, sequence) is accepted
+    assert agent.supervisor.update_facts(facts, sequence).counts is accepted
 
 
 OTHER_WRITERS = [
@@ -579,7 +630,7 @@
     agent.poll(run_id(0))
     assert agent.events() == []
     assert agent.supervisor.facts == FACTS
-    assert agent.supervisor.update_facts(FACTS, 2)
+    assert agent.supervisor.update_facts(FACTS, 2).counts
     agent.start(1)
     agent.poll(run_id(1), ended=[RunEndRecord(1, run_id(0), RunEnd.DONE)])
     assert agent.events() == [ended(run_id(0), RunEnd.DONE)]
@@ -662,16 +713,16 @@
     agent.start(0)
     agent.supervisor.take_orders()
     restarted = WorkerFacts("w-1", 8, "service", "a", [], FACTS.capacity)
-    assert agent.supervisor.update_facts(restarted, 1)
+    assert agent.supervisor.update_facts(restarted, 1).counts
     assert [type(order) for order in agent.supervisor.take_orders()] == [CheckBootOrder]
-    assert agent.supervisor.update_facts(restarted, 2)
+    assert agent.supervisor.update_facts(restarted, 2).counts
     assert agent.supervisor.take_orders() == []
     assert agent.events() == []
     agent.poll(boot=8)
     assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
     assert agent.supervisor.facts == restarted
     assert agent.supervisor.usable
-    assert not agent.supervisor.update_facts(restarted, 2)
+    assert not agent.supervisor.update_facts(restarted, 2).counts
 
 
 def test_worker_that_restarts_after_its_clock_was_set_back_gets_new_runs():
@@ -683,7 +734,7 @@
     agent.poll(boot=5)
     assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
     restarted = WorkerFacts("w-1", 5, "service", "a", ["a"], FACTS.capacity)
-    assert agent.supervisor.update_facts(restarted, 1)
+    assert agent.supervisor.update_facts(restarted, 1).counts
     assert agent.supervisor.usable
     # A report of the boot before arrives late.
     agent.supervisor.update_facts(FACTS, 9)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -181,7 +181,8 @@
         assert supervisor.facts.capacity == Resources(4000, 4096)
         assert supervisor.facts.labels == ["b", "r1-2"]
         assert client.instance == "i-1"
-        assert await send("PUT", report(state="draining", seq=2)) == 200
+        leaving = report(state="draining", remaining_ms=2000, seq=2, clock_ms=2000)
+        assert await send("PUT", leaving) == 200
         assert supervisor.facts.leaving
         assert await send("DELETE") == 200
         assert supervisor.facts is None
@@ -198,23 +199,95 @@
         assert client.instance == "i-other"
 
 
+COMPLETE = {
+    "service": "huvo11a",
+    "addr": "10.128.0.9:8080",
+    "zone": "pensacola",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpus": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+    "seq": 4,
+    "born": 5,
+}
+
+
 @pytest.mark.parametrize(
     "content",
     [
-        b"\xff\x00",
-        b"[]",
-        report(state="elsewhere"),
-        report(seq="one"),
-        report(capacity=None),
-        {"service": "s"},
+        COMPLETE,
+        {**COMPLETE, "state": "draining", "remaining_ms": 1999.5},
+        {**COMPLETE, "new_field": {"a": 1}},
+        {**COMPLETE, "clock_ms": 482113.25, "slots": 8.0, "seq": 4.0},
+        {**COMPLETE, "capacity": {"cpu": 16000.0, "mem_mb": 1.0, "gpus": 0.0, "x": 1}},
+        {**COMPLETE, "labels": []},
     ],
 )
-async def test_malformed_reports_are_rejected_without_effect(content):
+async def test_complete_reports_count(content):
+    async with open_reports_endpoint() as (supervisor, _, send):
+        assert await send("PUT", content) == 200
+        assert supervisor.facts.service == "huvo11a"
+        assert supervisor.facts.leaving is (content["state"] == "draining")
+
+
+def incomplete_reports() -> list:
+    capacity = COMPLETE["capacity"]
+    wrong = [
+        {"service": ""},
+        {"addr": 7},
+        {"zone": None},
+        {"version": 1},
+        {"slots": -1},
+        {"slots": "8"},
+        {"state": "elsewhere"},
+        {"state": "draining"},
+        {"state": "draining", "remaining_ms": "soon"},
+        {"cold_left_ms": -1},
+        {"capacity": None},
+        {"capacity": {**capacity, "cpu": 0}},
+        {"capacity": {**capacity, "mem_mb": -1}},
+        {"capacity": {**capacity, "cpu": 1e12}},
+        {"capacity": {"cpu": 1000, "mem_mb": 64}},
+        {"labels": "a"},
+        {"labels": ["a", 1]},
+        {"clock_ms": True},
+        {"seq": "one"},
+        {"seq": -1},
+        {"born": "later"},
+    ]
+    missing = [
+        {key: value for key, value in COMPLETE.items() if key != name}
+        for name in COMPLETE
+        if name != "born"
+    ]
+    return [b"\xff\x00", b"[]", *missing, *({**COMPLETE, **item} for item in wrong)]
+
+
+@pytest.mark.parametrize("content", incomplete_reports())
+async def test_incomplete_or_invalid_reports_are_rejected_without_effect(content):
+    # Guards against reports of other writers that hide those of the worker.
     async with open_reports_endpoint() as (supervisor, _, send):
         assert await send("PUT", content) == 400
         assert supervisor.facts is None
 
 
+async def test_worker_that_leaves_is_seen_after_an_incomplete_report_of_another():
+    # Guards against runs on a leaving worker: another writer's report without most
+    # fields and with a high number was confirmed, and so were, without effect, all
+    # reports of the worker after it.
+    other = {"service": "huvo11a", "state": "ready", "seq": 10**6, "born": 5}
+    other |= {"capacity": COMPLETE["capacity"], "labels": COMPLETE["labels"]}
+    async with open_reports_endpoint() as (supervisor, _, send):
+        assert await send("PUT", COMPLETE) == 200
+        assert await send("PUT", other) == 400
+        leaving = {"state": "draining", "remaining_ms": 2000, "seq": 5}
+        assert await send("PUT", {**COMPLETE, **leaving, "clock_ms": 483613}) == 200
+        assert supervisor.facts.leaving
+
+
 async def test_oversized_report_is_rejected():
     async with open_reports_endpoint() as (supervisor, _, send):
         content = report(labels=["x" * (4 * 1024 * 1024)])
