Tell cancellations to entries that are discovered later

An entry that has just started, while the store turns it away, serves before it knows the others. Ruled out: cancellations that were not received; those were repeated.

The memory is that of the log, not of the log for each entry.

--- a/marigoldkeel/fleet/cancellations.py
+++ b/marigoldkeel/fleet/cancellations.py
@@ -1,13 +1,22 @@
-"""Forwards cancellations to the other entries until each of them has confirmed."""
+"""Forwards cancellations to the other entries until each of them has confirmed.
 
-from collections.abc import Callable, Iterable
+A cancellation that this entry has confirmed to a caller holds at all entries for
+``CANCELLED_MEMORY_S``, also at those that are discovered or start again meanwhile. It
+is kept in a log, in which each other entry has a position.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
+from msgspec import Struct
 
 from marigoldkeel.exceptions import MarigoldkeelError, PeerTimeout
-from marigoldkeel.fleet.cancelled import CANCELLED_MEMORY_S
+from marigoldkeel.fleet.cancelled import (
+    CANCELLED_MEMORY_S,
+    MAX_REMEMBERED_CANCELLATIONS,
+)
 from marigoldkeel.fleet.messages import DropJob
 from marigoldkeel.guards import run_guarded
 from marigoldkeel.transports import PeerPool
@@ -16,63 +25,200 @@
 # An entry confirms within milliseconds; without an answer its connection may be silent.
 CONFIRM_TIMEOUT_S = 0.5
 RETRY_DELAY_S = 0.2
+# How many cancellations are sent at a time; to an entry that does not answer, only one.
+# The next ones follow when these are confirmed, so a wave of thousands neither fills
+# the connection's queue nor delays other messages by more than a few milliseconds.
+MAX_BATCH = 32
 
 
-class CancellationForwarder:
-    """Sends cancelled ids to other entries, one request at a time to each.
+class Cancellation(Struct):
+    """A cancelled job; ``until`` is when its id need no longer be remembered."""
+
+    position: int
+    job_id: str
+    until: float
+
+
+class CancellationLog:
+    """The cancellations of the last ``CANCELLED_MEMORY_S``, in order of arrival.
+
+    Performs no I/O; callers pass in the time. Bounded by
+    ``MAX_REMEMBERED_CANCELLATIONS``.
+
+    :ivar end: The position after the last cancellation.
+    """
+
+    __slots__ = ("items", "positions", "end")
+
+    def __init__(self):
+        self.items: dict[int, Cancellation] = {}
+        self.positions: dict[str, int] = {}
+        self.end = 0
+
+    @property
+    def start(self) -> int:
+        """The position of the first cancellation."""
+        return next(iter(self.items), self.end)
+
+    def add(self, job_id: str, until: float) -> int:
+        """Add a cancellation, in place of an earlier one of the job, if any.
+
+        :return: Its position.
+        """
+        earlier = self.items.pop(self.positions.get(job_id, -1), None)
+        if earlier is not None:
+            until = max(until, earlier.until)
+        position = self.end
+        self.items[position] = Cancellation(position, job_id, until)
+        self.positions[job_id] = position
+        self.end += 1
+        return position
+
+    def prune(self, now: float) -> list[Cancellation]:
+        """Remove and return the first cancellations as far as they have expired."""
+        removed = []
+        while self.items:
+            first = next(iter(self.items.values()))
+            is_over_limit = len(self.items) > MAX_REMEMBERED_CANCELLATIONS
+            if first.until >= now and not is_over_limit:
+                break
+            del self.items[first.position]
+            if self.positions.get(first.job_id) == first.position:
+                del self.positions[first.job_id]
+            removed.append(first)
+        return removed
+
+    def after(self, position: int, now: float) -> Iterator[Cancellation]:
+        """Return the cancellations from a position on that have not expired."""
+        for number in range(max(position, self.start), self.end):
+            item = self.items.get(number)
+            if item is not None and item.until >= now:
+                yield item
+
+
+class ForwardingPeer(Struct):
+    """Another entry.
+
+    :ivar position: It has confirmed all cancellations before this position.
+    :ivar discovered: How often it was discovered, with each incarnation once.
+    """
+
+    address: str
+    position: int
+    is_sending: bool = False
+    discovered: int = 0
 
-    :ivar unconfirmed: The ids that an entry has not confirmed, with the time at which
-        each is given up, by the entry's address.
+
+class CancellationForwarder:
+    """Sends cancelled ids to other entries, some at a time to each.
 
     Usage::
 
         forwarder = CancellationForwarder(peers, group, time.monotonic)
         forwarder.forward("00000000000000aa", ["10.0.0.1:7000", "10.0.1.1:7000"])
+        forwarder.discover("10.0.2.1:7000")
     """
 
     def __init__(self, peers: PeerPool, group: TaskGroup, clock: Callable[[], float]):
         self.peers = peers
         self.group = group
         self.clock = clock
-        self.unconfirmed: dict[str, dict[str, float]] = {}
+        self.log = CancellationLog()
+        self.known: dict[str, ForwardingPeer] = {}
+
+    @property
+    def unconfirmed(self) -> dict[str, list[str]]:
+        """The ids that an entry has not confirmed, by the entry's address."""
+        now = self.clock()
+        by_address = {
+            address: [item.job_id for item in self.log.after(peer.position, now)]
+            for address, peer in self.known.items()
+        }
+        return {address: ids for address, ids in by_address.items() if ids}
 
     def forward(self, job_id: str, addresses: Iterable[str]) -> None:
-        """Start to send the cancellation of a job to the entries at some addresses."""
-        give_up_at = self.clock() + CANCELLED_MEMORY_S
-        for address in addresses:
-            is_idle = address not in self.unconfirmed
-            self.unconfirmed.setdefault(address, {})[job_id] = give_up_at
-            if is_idle:
-                self.group.start_soon(
-                    run_guarded, "forward cancellations", self._send_all, address
-                )
-
-    async def _send_all(self, address: str) -> None:
-        unconfirmed = self.unconfirmed[address]
+        """Send the cancellation of a job to the entries at some addresses.
+
+        Entries that are discovered within ``CANCELLED_MEMORY_S`` receive it as well.
+        """
+        self._prune()
+        position = self.log.add(job_id, self.clock() + CANCELLED_MEMORY_S)
+        wanted = dict.fromkeys(addresses)
+        for address, peer in list(self.known.items()):
+            if address not in wanted and not peer.is_sending:
+                del self.known[address]
+        for address in wanted:
+            peer = self.known.setdefault(address, ForwardingPeer(address, position))
+            self._start_sending(peer)
+
+    def discover(self, address: str) -> None:
+        """Send all cancellations to an entry that is new or has started again."""
+        self._prune()
+        if not self.log.items:
+            return
+        peer = self.known.setdefault(address, ForwardingPeer(address, 0))
+        peer.position = self.log.start
+        peer.discovered += 1
+        self._start_sending(peer)
+
+    def _start_sending(self, peer: ForwardingPeer) -> None:
+        if not peer.is_sending:
+            peer.is_sending = True
+            self.group.start_soon(
+                run_guarded, "forward cancellations", self._send_all, peer
+            )
+
+    async def _send_all(self, peer: ForwardingPeer) -> None:
+        size = MAX_BATCH
         try:
-            while unconfirmed:
-                job_id, give_up_at = next(iter(unconfirmed.items()))
-                if self.clock() > give_up_at:
-                    logger.bind(job=job_id, peer=address).warning(
-                        "cancellation given up: not confirmed"
-                    )
-                    del unconfirmed[job_id]
-                elif await self._send(address, job_id):
-                    unconfirmed.pop(job_id, None)
-                else:
+            while batch := self._next_batch(peer, size):
+                discovered = peer.discovered
+                messages = [DropJob(item.job_id) for item in batch]
+                count = await self._send_batch(peer.address, messages)
+                if count and discovered == peer.discovered:
+                    peer.position = batch[count - 1].position + 1
+                size = MAX_BATCH
+                if count < len(batch):
+                    size = 1
                     await anyio.sleep(RETRY_DELAY_S)
         finally:
-            del self.unconfirmed[address]
+            peer.is_sending = False
 
-    async def _send(self, address: str, job_id: str) -> bool:
-        """Send one cancellation; return whether the entry confirmed it."""
-        try:
-            await self.peers.request(address, DropJob(job_id), CONFIRM_TIMEOUT_S)
-        except PeerTimeout as error:
-            logger.bind(job=job_id).info("cancellation not confirmed: {}", error)
+    def _next_batch(self, peer: ForwardingPeer, size: int) -> list[Cancellation]:
+        self._prune()
+        following = self.log.after(peer.position, self.clock())
+        return [item for item, _ in zip(following, range(size), strict=False)]
+
+    async def _send_batch(self, address: str, messages: list[DropJob]) -> int:
+        """Send messages and return how many of the first ones were confirmed."""
+        errors: list[MarigoldkeelError | None] = [None] * len(messages)
+
+        async def send(number: int, message: DropJob) -> None:
+            try:
+                await self.peers.request(address, message, CONFIRM_TIMEOUT_S)
+            except MarigoldkeelError as error:
+                errors[number] = error
+
+        async with anyio.create_task_group() as group:
+            for number, message in enumerate(messages):
+                group.start_soon(send, number, message)
+        count = next(
+            (number for number, error in enumerate(errors) if error is not None),
+            len(errors),
+        )
+        if count < len(errors):
+            unconfirmed = len(errors) - errors.count(None)
+            logger.bind(job=messages[count].job_id, unconfirmed=unconfirmed).info(
+                "cancellation not confirmed: {}", errors[count]
+            )
+        if any(isinstance(error, PeerTimeout) for error in errors):
             await self.peers.reset(address)
-            return False
-        except MarigoldkeelError as error:
-            logger.bind(job=job_id).info("cancellation not confirmed: {}", error)
-            return False
-        return True
+        return count
+
+    def _prune(self) -> None:
+        for item in self.log.prune(self.clock()):
+            for peer in self.known.values():
+                if peer.position <= item.position:
+                    logger.bind(job=item.job_id, peer=peer.address).warning(
+                        "cancellation given up: not confirmed"
+                    )
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -274,7 +274,11 @@
             self.store, self.peers, self.plan_key, self.decode_plan
         )
         self.directory = Directory(
-            self.own_member, self.links.add, self.links.remove, self.links.describe
+            self.own_member,
+            self.links.add,
+            self.links.remove,
+            self.links.describe,
+            on_entry_added=lambda member: self.cancellations.discover(member.address),
         )
         self.controller = self.make_controller(
             group,
--- a/marigoldkeel/fleet/directory.py
+++ b/marigoldkeel/fleet/directory.py
@@ -127,8 +127,10 @@
         on_worker_described: Callable[[str, WorkerFacts], None] = (
             lambda name, facts: None
         ),
+        on_entry_added: Callable[[Member], None] = lambda member: None,
     ):
         self.own_member = own_member
+        self.on_entry_added = on_entry_added
         self.on_agent_added = on_agent_added
         self.on_agent_removed = on_agent_removed
         self.on_worker_described = on_worker_described
@@ -149,6 +151,8 @@
             self.cached_digest = None
             if is_agent:
                 self.on_agent_added(member)
+            else:
+                self.on_entry_added(member)
         daemon.refreshed_at = now
         return daemon
 
--- a/tests/fleet/test_cancellations.py
+++ b/tests/fleet/test_cancellations.py
@@ -1,13 +1,27 @@
-"""Tests of the forwarding of cancellations to entries that do not answer."""
+"""Tests of the forwarding of cancellations, also to entries that are not known yet."""
 
 import anyio
+import anyio.lowlevel
 import pytest
 
-from marigoldkeel.exceptions import PeerLost, PeerTimeout, PeerUnavailable
+from marigoldkeel.exceptions import (
+    PeerLost,
+    PeerTimeout,
+    PeerUnavailable,
+)
 from marigoldkeel.fleet import cancellations
-from marigoldkeel.fleet.cancellations import CancellationForwarder
-from marigoldkeel.fleet.cancelled import CANCELLED_MEMORY_S
+from marigoldkeel.fleet.cancellations import (
+    CancellationForwarder,
+    CancellationLog,
+)
+from marigoldkeel.fleet.cancelled import (
+    CANCELLED_MEMORY_S,
+    MAX_REMEMBERED_CANCELLATIONS,
+)
+from marigoldkeel.fleet.daemons import FleetEntry
+from marigoldkeel.fleet.settings import FleetSettings
 from marigoldkeel.messages import Done
+from marigoldkeel.settings import StoreSettings
 from tests.fleet.test_supervisors import Clock
 
 
@@ -84,3 +98,114 @@
     assert set(peers.requests) == {
         (address, job_id) for address in "ab" for job_id in "jk"
     }
+
+
+async def test_entry_that_does_not_answer_gets_one_cancellation_at_a_time():
+    clock = Clock()
+    jobs = [f"j{number}" for number in range(10)]
+    peers = ScriptedPeers(clock, {"b": [SILENT] * (len(jobs) + 2)})
+    forwarder = await forward(peers, clock, *((job, ["b"]) for job in jobs))
+    repeated = [job for _, job in peers.requests[len(jobs) :][:3]]
+    assert repeated == ["j0", "j0", "j0"]
+    assert {job for _, job in peers.requests} == set(jobs)
+    assert forwarder.unconfirmed == {}
+
+
+def test_log_of_cancellations_is_limited_in_number_and_age():
+    log = CancellationLog()
+    for number in range(MAX_REMEMBERED_CANCELLATIONS + 5):
+        log.add(f"j{number}", 60.0)
+    assert [item.job_id for item in log.prune(0.0)] == [f"j{n}" for n in range(5)]
+    log.add("j10", 70.0)
+    assert len(log.prune(65.0)) == MAX_REMEMBERED_CANCELLATIONS - 1
+    assert [item.job_id for item in log.after(0, 65.0)] == ["j10"]
+    log.prune(71.0)
+    assert (log.items, log.positions) == ({}, {})
+
+
+class Network:
+    """Entries without processes; requests between them are handled at once.
+
+    :ivar unreachable: The addresses of entries that do not answer.
+    """
+
+    def __init__(self, group: anyio.abc.TaskGroup):
+        self.group = group
+        self.entries: dict[str, FleetEntry] = {}
+        self.unreachable: set[str] = set()
+
+    def start(self, number: int) -> FleetEntry:
+        """Start an entry that knows no other one."""
+        address = f"127.0.0.1:{number}"
+        settings = FleetSettings(
+            name=f"entry-{number}",
+            domain="a",
+            listen=address,
+            store=StoreSettings("127.0.0.1:1"),
+        )
+        entry = FleetEntry(settings, None, "plan", lambda data: None)
+        entry.peers = NetworkPeers(self, entry)
+        entry.build_components(self.group)
+        self.entries[address] = entry
+        return entry
+
+    def introduce(self, *entries: FleetEntry) -> None:
+        """Let entries discover each other."""
+        for entry in entries:
+            for other in entries:
+                entry.directory.upsert(other.own_member, False, entry.clock())
+
+
+class NetworkPeers:
+    """The peers of an entry; once it has ended, its requests reach nobody."""
+
+    def __init__(self, network: Network, entry: FleetEntry):
+        self.network = network
+        self.entry = entry
+
+    async def request(self, address, content, timeout_s):
+        await anyio.lowlevel.checkpoint()
+        entries = self.network.entries
+        has_ended = entries.get(self.entry.own_member.address) is not self.entry
+        if has_ended or address in self.network.unreachable or address not in entries:
+            raise SILENT
+        return await entries[address].handle(content, "peer")
+
+    async def reset(self, address):
+        pass
+
+
+def knows_cancelled(entry: FleetEntry, job_id: str) -> bool:
+    scheduler = entry.scheduler
+    return scheduler.cancelled_ids.contains(job_id, scheduler.clock())
+
+
+@pytest.fixture
+async def network(monkeypatch):
+    monkeypatch.setattr(cancellations, "RETRY_DELAY_S", 0.001)
+    async with anyio.create_task_group() as group:
+        yield Network(group)
+        group.cancel_scope.cancel()
+
+
+async def test_entry_that_is_discovered_later_receives_earlier_cancellations(network):
+    # Guards against a cancelled job that runs on: an entry that has just started, while
+    # the store turns it away, confirms the cancellation before it knows the owner.
+    confirming, owner = network.start(1), network.start(2)
+    confirming.cancel_on_other_entries("j")
+    await anyio.wait_all_tasks_blocked()
+    network.introduce(confirming, owner)
+    await anyio.wait_all_tasks_blocked()
+    assert knows_cancelled(owner, "j")
+
+
+async def test_entry_that_has_restarted_receives_earlier_cancellations(network):
+    confirming = network.start(1)
+    network.introduce(confirming, network.start(2))
+    confirming.cancel_on_other_entries("j")
+    await anyio.wait_all_tasks_blocked()
+    restarted = network.start(2)
+    assert not knows_cancelled(restarted, "j")
+    network.introduce(confirming, restarted)
+    await anyio.wait_all_tasks_blocked()
+    assert knows_cancelled(restarted, "j")
