Hand confirmed cancellations over at a planned stop of an entry

Ruled out: waiting for the confirmation alone, since the owner may be cut off for longer than the grace.

Change: at its end an entry hands its log over to one other entry, unconfirmed ones first, until its grace ends. From then on the stopping entry answers a DELETE 503. DropJob has two new fields at its end; an earlier version takes the message for an ordinary cancellation.

--- a/marigoldkeel/fleet/cancellations.py
+++ b/marigoldkeel/fleet/cancellations.py
@@ -112,11 +112,15 @@
 class CancellationForwarder:
     """Sends cancelled ids to other entries, some at a time to each.
 
+    :ivar closed: Whether all cancellations have been handed over at a planned stop, so
+        that no more may be confirmed.
+
     Usage::
 
         forwarder = CancellationForwarder(peers, group, time.monotonic)
         forwarder.forward("00000000000000aa", ["10.0.0.1:7000", "10.0.1.1:7000"])
         forwarder.discover("10.0.2.1:7000")
+        await forwarder.hand_over(["10.0.0.1:7000", "10.0.1.1:7000"], deadline)
     """
 
     def __init__(self, peers: PeerPool, group: TaskGroup, clock: Callable[[], float]):
@@ -125,6 +129,7 @@
         self.clock = clock
         self.log = CancellationLog()
         self.known: dict[str, ForwardingPeer] = {}
+        self.closed = False
 
     @property
     def unconfirmed(self) -> dict[str, list[str]]:
@@ -136,13 +141,15 @@
         }
         return {address: ids for address, ids in by_address.items() if ids}
 
-    def forward(self, job_id: str, addresses: Iterable[str]) -> None:
+    def forward(
+        self, job_id: str, addresses: Iterable[str], keep_s: float = CANCELLED_MEMORY_S
+    ) -> None:
         """Send the cancellation of a job to the entries at some addresses.
 
-        Entries that are discovered within ``CANCELLED_MEMORY_S`` receive it as well.
+        Entries that are discovered within ``keep_s`` receive it as well.
         """
         self._prune()
-        position = self.log.add(job_id, self.clock() + CANCELLED_MEMORY_S)
+        position = self.log.add(job_id, self.clock() + keep_s)
         wanted = dict.fromkeys(addresses)
         for address, peer in list(self.known.items()):
             if address not in wanted and not peer.is_sending:
@@ -151,6 +158,17 @@
             peer = self.known.setdefault(address, ForwardingPeer(address, position))
             self._start_sending(peer)
 
+    def keep(self, job_id: str, keep_s: float) -> None:
+        """Keep a cancellation only for the entries that are discovered later.
+
+        The known ones have confirmed it.
+        """
+        self._prune()
+        position = self.log.add(job_id, self.clock() + keep_s)
+        for peer in self.known.values():
+            if peer.position == position:
+                peer.position = self.log.end
+
     def discover(self, address: str) -> None:
         """Send all cancellations to an entry that is new or has started again."""
         self._prune()
@@ -161,6 +179,42 @@
         peer.discovered += 1
         self._start_sending(peer)
 
+    async def hand_over(self, addresses: Iterable[str], deadline: float) -> None:
+        """Hand all cancellations to one other entry, which goes on forwarding them.
+
+        Those that an entry has not confirmed come first. Entries that have confirmed
+        the most are asked first, as the others may not answer.
+        """
+        self.closed = True
+        self._prune()
+        confirmed = min((peer.position for peer in self.known.values()), default=0)
+        waiting = list(self.log.after(0, self.clock()))
+        waiting.sort(key=lambda item: item.position < confirmed)
+        candidates = [
+            self.known.get(address, ForwardingPeer(address, -1))
+            for address in addresses
+        ]
+        candidates.sort(key=lambda peer: -peer.position)
+        while waiting and candidates and self.clock() < deadline:
+            for peer in candidates:
+                while waiting and self.clock() < deadline:
+                    batch = waiting[:MAX_BATCH]
+                    messages = [self._handed_over(item, confirmed) for item in batch]
+                    count = await self._send_batch(peer.address, messages)
+                    del waiting[:count]
+                    if count < len(batch):
+                        break
+            if waiting:
+                await anyio.sleep(RETRY_DELAY_S)
+        if waiting:
+            logger.bind(cancellations=len(waiting)).warning(
+                "cancellations given up: no other entry has taken them over"
+            )
+
+    def _handed_over(self, item: Cancellation, confirmed: int) -> DropJob:
+        keep_ms = max(1, round((item.until - self.clock()) * 1000))
+        return DropJob(item.job_id, keep_ms, item.position >= confirmed)
+
     def _start_sending(self, peer: ForwardingPeer) -> None:
         if not peer.is_sending:
             peer.is_sending = True
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -17,6 +17,7 @@
 from marigoldkeel.clocks import boot_time_s
 from marigoldkeel.exceptions import ProtocolError, SettingsError
 from marigoldkeel.fleet.cancellations import CancellationForwarder
+from marigoldkeel.fleet.cancelled import CANCELLED_MEMORY_S
 from marigoldkeel.fleet.directory import Directory, DirectoryController
 from marigoldkeel.fleet.drivers import WorkerClient, WorkerDriver
 from marigoldkeel.fleet.following import PlanFollower
@@ -315,14 +316,35 @@
         if isinstance(message, Pull):
             return self.follower.answer(message)
         if isinstance(message, DropJob):
-            self.scheduler.cancel(message.job_id)
+            self._drop_job(message)
             return Done()
         return await super().handle(message, peer)
 
-    def cancel_on_other_entries(self, job_id: str) -> None:
-        """Forward the cancellation of a job to all other entries."""
-        addresses = [daemon.member.address for daemon in self.directory.entries()]
-        self.cancellations.forward(job_id, addresses)
+    def cancel_on_other_entries(self, job_id: str) -> bool:
+        """Forward the cancellation of a job to all other entries.
+
+        :return: False if this entry has stopped, so that it may not be confirmed.
+        """
+        if self.cancellations.closed:
+            return False
+        self.cancellations.forward(job_id, self._entry_addresses())
+        return True
+
+    def _entry_addresses(self) -> list[str]:
+        return [daemon.member.address for daemon in self.directory.entries()]
+
+    def _drop_job(self, message: DropJob) -> None:
+        """Cancel a job and, if another entry hands the cancellation over, keep it."""
+        keep_s = message.keep_ms / 1000
+        if keep_s and self.cancellations.closed:
+            raise ProtocolError("this entry has stopped", "hand over a cancellation")
+        self.scheduler.cancel(message.job_id)
+        if keep_s and message.forward:
+            self.cancellations.forward(
+                message.job_id, self._entry_addresses(), min(keep_s, CANCELLED_MEMORY_S)
+            )
+        elif keep_s:
+            self.cancellations.keep(message.job_id, min(keep_s, CANCELLED_MEMORY_S))
 
     async def drain(self) -> None:
         """Leave the balancer's rotation, then answer the requests in progress."""
@@ -344,6 +366,7 @@
         for owned in list(self.scheduler.jobs.values()):
             self.scheduler.abandon(owned, "the entry stops")
         await anyio.sleep(RESPONSE_FLUSH_S)
+        await self.cancellations.hand_over(self._entry_addresses(), self.stop_deadline)
 
 
 class FleetAgent(FleetDaemon):
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -190,6 +190,16 @@
 
 @message("dropJob")
 class DropJob(Struct):
-    """Notifies an entry that a job was cancelled; the reply is `Done`."""
+    """Notifies an entry that a job was cancelled; the reply is `Done`.
+
+    An entry that stops hands its cancellations over to another one. Entries of earlier
+    versions take such a message for an ordinary one.
+
+    :ivar keep_ms: For how long the receiver sends the cancellation to the entries that
+        it discovers; 0 if it is not handed over.
+    :ivar forward: Whether the receiver also sends it to the entries that it knows.
+    """
 
     job_id: str = ""
+    keep_ms: int = 0
+    forward: bool = False
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -348,4 +348,6 @@
 
 struct DropJob {
   jobId @0 :Text;
+  keepMs @1 :UInt32;
+  forward @2 :Bool;
 }
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -185,7 +185,8 @@
     if request.method == "DELETE":
         if entry.scheduler.cancel(job_id):
             return Response.from_json({})
-        entry.cancel_on_other_entries(job_id)
+        if not entry.cancel_on_other_entries(job_id):
+            return Response.from_json({"error": "the entry has stopped"}, 503)
         return Response.from_json({"error": "no such job here"}, 410)
     return Response.from_json({"error": "no such method"}, 405)
 
--- a/tests/fleet/test_cancellations.py
+++ b/tests/fleet/test_cancellations.py
@@ -8,8 +8,9 @@
     PeerLost,
     PeerTimeout,
     PeerUnavailable,
+    ProtocolError,
 )
-from marigoldkeel.fleet import cancellations
+from marigoldkeel.fleet import cancellations, daemons
 from marigoldkeel.fleet.cancellations import (
     CancellationForwarder,
     CancellationLog,
@@ -19,6 +20,7 @@
     MAX_REMEMBERED_CANCELLATIONS,
 )
 from marigoldkeel.fleet.daemons import FleetEntry
+from marigoldkeel.fleet.messages import DropJob
 from marigoldkeel.fleet.settings import FleetSettings
 from marigoldkeel.messages import Done
 from marigoldkeel.settings import StoreSettings
@@ -183,6 +185,7 @@
 @pytest.fixture
 async def network(monkeypatch):
     monkeypatch.setattr(cancellations, "RETRY_DELAY_S", 0.001)
+    monkeypatch.setattr(daemons, "BALANCER_DELAY_S", 0.0)
     async with anyio.create_task_group() as group:
         yield Network(group)
         group.cancel_scope.cancel()
@@ -192,7 +195,7 @@
     # Guards against a cancelled job that runs on: an entry that has just started, while
     # the store turns it away, confirms the cancellation before it knows the owner.
     confirming, owner = network.start(1), network.start(2)
-    confirming.cancel_on_other_entries("j")
+    assert confirming.cancel_on_other_entries("j")
     await anyio.wait_all_tasks_blocked()
     network.introduce(confirming, owner)
     await anyio.wait_all_tasks_blocked()
@@ -202,10 +205,46 @@
 async def test_entry_that_has_restarted_receives_earlier_cancellations(network):
     confirming = network.start(1)
     network.introduce(confirming, network.start(2))
-    confirming.cancel_on_other_entries("j")
+    assert confirming.cancel_on_other_entries("j")
     await anyio.wait_all_tasks_blocked()
     restarted = network.start(2)
     assert not knows_cancelled(restarted, "j")
     network.introduce(confirming, restarted)
     await anyio.wait_all_tasks_blocked()
     assert knows_cancelled(restarted, "j")
+
+
+async def wait_until(condition) -> None:
+    while not condition():
+        await anyio.sleep(0.001)
+
+
+@pytest.mark.parametrize("is_confirmed", [False, True])
+async def test_stopping_entry_hands_over_what_it_has_confirmed(network, is_confirmed):
+    # Guards against a cancelled job that runs on. False: the owner of the job is cut
+    # off while the entry that has confirmed the cancellation stops as planned. True:
+    # the owner is an entry that the others discover after that.
+    stopping, other, owner = (network.start(number) for number in (1, 2, 3))
+    if is_confirmed:
+        network.introduce(stopping, other)
+    else:
+        network.introduce(stopping, other, owner)
+        network.unreachable.add(owner.own_member.address)
+    assert stopping.cancel_on_other_entries("j")
+    stopping.stop()
+    await stopping.drain()
+    del network.entries[stopping.own_member.address]
+    assert not stopping.cancel_on_other_entries("k")
+    assert not knows_cancelled(owner, "j")
+    network.unreachable.clear()
+    network.introduce(other, owner)
+    await wait_until(lambda: knows_cancelled(owner, "j"))
+    assert owner.own_member.address not in other.cancellations.unconfirmed
+
+
+async def test_entry_that_has_stopped_takes_over_no_cancellation(network):
+    stopped = network.start(1)
+    stopped.cancellations.closed = True
+    with pytest.raises(ProtocolError):
+        await stopped.handle(DropJob("j", 1000, True), "peer")
+    await stopped.handle(DropJob("j"), "peer")
