--- a/soak/checks.py
+++ b/soak/checks.py
@@ -27,10 +27,12 @@
 ALLOWED_STATUSES = (200, 503, 504)
 NOT_RUN_STATUSES = (429, 503)
 MAX_ATTEMPTS = route("", "")["max_attempts"]
-# Limits of the platform: a leaving worker gets no new run after MAX_DRAIN_S, and an
-# entry does not return to an older configuration later than MAX_ROLLBACK_S after it
+# Limits of the platform: a leaving worker gets no new run after MAX_DRAIN_S, no task of
+# a cancelled job starts after MAX_CANCEL_S, counted from the end of a disruption, and
+# an entry does not return to an older configuration later than MAX_ROLLBACK_S after it
 # showed a newer one.
 MAX_DRAIN_S = 2.0
+MAX_CANCEL_S = 3.0
 MAX_ROLLBACK_S = 0.25
 # A request whose connection a planned stop closes within this time after it was sent
 # may not have been read yet.
@@ -226,6 +228,27 @@
                     )
 
 
+@timed_check
+def cancelled_jobs_start_nothing_late(record: RunRecord) -> Iterator[str]:
+    """Check cancellations that were confirmed while only one fault acted."""
+    for job in record.installation.cancelled_jobs:
+        acting = {
+            period.name
+            for period in record.installation.fault_periods
+            if period.began_at < job.ended_at and period.ended_at > job.began_at
+        }
+        if len(acting) > 1:
+            continue
+        for task, spans in record.spans.items():
+            for span in spans:
+                late_s = span.began_at - job.calm_at
+                if task.job_id == job.job_id and late_s > MAX_CANCEL_S:
+                    yield (
+                        f"{task.job_id}, step {task.step}, started on {span.worker} "
+                        f"{late_s:.2f} s after the disruption of its cancellation"
+                    )
+
+
 @check
 def configurations_never_go_back(record: RunRecord) -> Iterator[str]:
     by_process: dict[tuple[str, int], list[Probe]] = {}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,7 +2,8 @@
 
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from typing import Any
 
 import anyio
@@ -13,7 +14,7 @@
 from emulator.proxies import Proxy
 from emulator.runners import RunnerEmulator
 from marigoldkeel.fleet.directory import record_key
-from soak.installations import GRACE_S, Installation
+from soak.installations import GRACE_S, CancelledJob, Installation, entry_url
 from soak.programs import Program
 
 
@@ -36,10 +37,28 @@
 # How long before the pause of its process a link of callers may break.
 BREAK_BEFORE_PAUSE_S = 0.5
 
+# A job whose steps run one after the other, long enough for late ones, and when it is
+# cancelled and the entry stopped that has confirmed this.
+CHAIN_STEPS = 14
+CHAIN_WORK_MS = 1000
+CHAIN_DEADLINE_S = 30.0
+CANCEL_AFTER_S = 1.0
+STOP_AFTER_S = 0.2
+CUT_RANGE_S = (0.0, 2.0)
+CONFIRM_TIMEOUT_S = 5.0
+CONFIRM_RETRY_S = 0.05
+CANCELLED_STATUSES = (200, 410)
+# How long starts are recorded after the end of the disruption of a cancelled job.
+LATE_STARTS_S = 5.0
+AGENT_STOPS = (2, 4)
+
 Fault = Callable[[Installation, random.Random], Awaitable[None]]
 faults: dict[str, Fault] = {}
 # The faults in which a process is told what only another one can know, or is not heard.
 foreign_faults: dict[str, Fault] = {}
+# The faults that may lose what was promised at a planned stop, or told once to the
+# processes that were known then.
+handover_faults: dict[str, Fault] = {}
 
 
 def fault(function: Fault) -> Fault:
@@ -54,6 +73,12 @@
     return fault(function)
 
 
+def handover_fault(function: Fault) -> Fault:
+    """Register a fault of what a process hands over or tells others once."""
+    handover_faults[function.__name__] = function
+    return fault(function)
+
+
 async def _with_idle_process(
     installation: Installation,
     rng: random.Random,
@@ -380,3 +405,157 @@
             entry.signal_process(signal.SIGCONT)
 
     await _with_idle_process(installation, rng, pause, installation.entries)
+
+
+@handover_fault
+async def restart_agent_at_once(installation: Installation, rng: random.Random) -> None:
+    """Stop an agent as planned, again and again; its successor is there at once.
+
+    Its owners then claim runs whose start orders may still be on their way.
+    """
+
+    async def restart(agent: Program) -> None:
+        for _ in range(rng.randint(*AGENT_STOPS)):
+            with agent.disturbed("stopped"):
+                await agent.stop(GRACE_S)
+                agent.launch()
+            await anyio.sleep(rng.uniform(*RESTART_RANGE_S))
+
+    await _with_idle_process(installation, rng, restart, installation.agents)
+
+
+@handover_fault
+async def stop_after_cancelling(installation: Installation, rng: random.Random) -> None:
+    """Stop an entry as planned that has cancelled a job of one that is cut off."""
+    async with _chains(installation, rng, 1) as (confirming, jobs):
+        if not jobs:
+            return
+        ((job_id, owner),) = jobs.items()
+        began_at = anyio.current_time()
+        owner.links["peers"].silence()
+        try:
+            confirmed = await _cancel(confirming, job_id)
+            await anyio.sleep(STOP_AFTER_S)
+            with confirming.disturbed("stopped"):
+                await confirming.stop(GRACE_S)
+                await anyio.sleep(rng.uniform(*RESTART_RANGE_S))
+                confirming.launch()
+            await anyio.sleep(rng.uniform(*CUT_RANGE_S))
+        finally:
+            # What was sent meanwhile is lost, or the owner would get it now.
+            owner.links["peers"].reset()
+            owner.links["peers"].restore()
+        await _record_cancelled(installation, [job_id] * confirmed, began_at)
+
+
+@handover_fault
+async def cancel_at_new_entry(installation: Installation, rng: random.Random) -> None:
+    """Cancel jobs at an entry that has just started and that the store turns away."""
+    others = len(installation.entries) - 1
+    async with _chains(installation, rng, others) as (confirming, jobs):
+        if not jobs:
+            return
+        began_at = anyio.current_time()
+        confirming.links["store"].silence()
+        try:
+            with confirming.disturbed("killed"):
+                confirming.kill()
+                await anyio.sleep(rng.uniform(*RESTART_RANGE_S))
+                confirming.launch()
+            cancelled = [job for job in jobs if await _cancel(confirming, job)]
+            await anyio.sleep(rng.uniform(*CUT_RANGE_S))
+        finally:
+            confirming.links["store"].restore()
+        await _record_cancelled(installation, cancelled, began_at)
+
+
+@asynccontextmanager
+async def _chains(
+    installation: Installation, rng: random.Random, count: int
+) -> AsyncIterator[tuple[Program, dict[str, Program]]]:
+    """Submit a job of many steps to some entries, and yield another entry and them.
+
+    Other faults leave the entries alone meanwhile. There are no jobs if one already
+    acts on an entry, and none of an entry that has refused its job.
+    """
+    entries = installation.entries
+    if any(entry.fault_active for entry in entries):
+        yield entries[0], {}
+        return
+    for entry in entries:
+        entry.fault_active = True
+    try:
+        confirming, *owners = rng.sample(entries, 1 + count)
+        jobs = {f"{rng.getrandbits(64):016x}": owner for owner in owners}
+        async with anyio.create_task_group() as group:
+            for job_id, owner in dict(jobs).items():
+                group.start_soon(_submit_chain, jobs, job_id, owner)
+            await anyio.sleep(CANCEL_AFTER_S)
+            yield confirming, jobs
+            group.cancel_scope.cancel()
+    finally:
+        for entry in entries:
+            entry.fault_active = False
+
+
+async def _submit_chain(jobs: dict[str, Program], job_id: str, owner: Program) -> None:
+    """Submit a job; remove it from the jobs if it ends before it can be cancelled."""
+    steps = [
+        {
+            "count": 1,
+            "cpu": 1000,
+            "mem_mb": 64,
+            "estimate_ms": CHAIN_WORK_MS,
+            "after": [number - 1] if number else [],
+        }
+        for number in range(CHAIN_STEPS)
+    ]
+    task = {"work_ms": CHAIN_WORK_MS, "cpu": 1000, "fails": False}
+    spec = msgspec.json.encode(task).decode()
+    content = {"spec": spec, "steps": steps, "best_effort": True}
+    submitted_at = anyio.current_time()
+    await _send_to_entry(owner, "POST", job_id, CHAIN_DEADLINE_S, content)
+    if anyio.current_time() - submitted_at < CANCEL_AFTER_S:
+        jobs.pop(job_id, None)
+
+
+async def _cancel(entry: Program, job_id: str) -> bool:
+    """Cancel a job at an entry, which may be starting; return whether it confirms."""
+    with anyio.move_on_after(CONFIRM_TIMEOUT_S):
+        while True:
+            status = await _send_to_entry(entry, "DELETE", job_id, CONFIRM_TIMEOUT_S)
+            if status in CANCELLED_STATUSES:
+                return True
+            await anyio.sleep(CONFIRM_RETRY_S)
+    return False
+
+
+async def _send_to_entry(
+    entry: Program, method: str, job_id: str, timeout_s: float, content: Any = None
+) -> int:
+    """Send a request about a job; return its status, or 0 if there is no answer."""
+    url, headers = entry_url(entry, f"/stock/{job_id}")
+    headers["marigoldkeel-deadline-ms"] = str(round(1000 * timeout_s))
+    body = b"" if content is None else msgspec.json.encode(content)
+    async with httpcore.AsyncConnectionPool() as pool:
+        try:
+            with anyio.move_on_after(timeout_s):
+                response = await pool.request(
+                    method, url, headers=headers, content=body
+                )
+                return response.status
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            pass
+    return 0
+
+
+async def _record_cancelled(
+    installation: Installation, jobs: list[str], began_at: float
+) -> None:
+    """Wait until late starts would have been seen, and record the cancelled jobs."""
+    calm_at = anyio.current_time()
+    await anyio.sleep(LATE_STARTS_S)
+    ended_at = anyio.current_time()
+    for job_id in jobs:
+        cancelled = CancelledJob(job_id, began_at, calm_at, ended_at)
+        installation.cancelled_jobs.append(cancelled)
--- a/soak/installations.py
+++ b/soak/installations.py
@@ -45,6 +45,29 @@
     prefixes: set[str]
 
 
+@dataclass
+class CancelledJob:
+    """A job whose cancellation was confirmed during a disruption.
+
+    :ivar calm_at: When the disruption had ended.
+    :ivar ended_at: Until when starts of its tasks were to be seen.
+    """
+
+    job_id: str
+    began_at: float
+    calm_at: float
+    ended_at: float
+
+
+@dataclass
+class FaultPeriod:
+    """When a fault acted, on the soak test's clock."""
+
+    name: str
+    began_at: float
+    ended_at: float
+
+
 @dataclass
 class Installation:
     """Entries and agents as processes, with stand-ins for the systems that they use.
@@ -65,6 +88,8 @@
     runners: list[RunnerEmulator] = field(default_factory=list)
     changes: list[PlanChange] = field(default_factory=list)
     leaving_periods: list[tuple[str, float, float]] = field(default_factory=list)
+    cancelled_jobs: list[CancelledJob] = field(default_factory=list)
+    fault_periods: list[FaultPeriod] = field(default_factory=list)
     records: OverwrittenRecords = field(init=False)
 
     def __post_init__(self):
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -14,11 +14,13 @@
 from soak.callers import Callers
 from soak.checks import RunRecord, checks, findings, timed_checks
 from soak.faults import faults
-from soak.installations import Installation
+from soak.installations import FaultPeriod, Installation
 
 
 START_TIMEOUT_S = 30.0
 FAULT_INTERVALS_S = (0.05, 0.3, 0.8, 1.5)
+# A fault that returns sooner found nothing to act on, or acts at one moment.
+MIN_FAULT_S = 0.01
 # Limits of the platform, counted from the end of the last fault: every entry has the
 # newest configuration within CONFIGURATION_LIMIT_S and serves jobs again within
 # RECOVERY_LIMIT_S. The first limit is enforced loosely: its check starts only after the
@@ -132,7 +134,19 @@
             name = rng.choice(kinds)
             offset_s = anyio.current_time() - began_at
             report.faults.append(f"{offset_s:.2f} {name}")
-            group.start_soon(faults[name], installation, random.Random(rng.random()))
+            group.start_soon(
+                _run_fault, name, installation, random.Random(rng.random())
+            )
+
+
+async def _run_fault(name: str, installation: Installation, rng: random.Random) -> None:
+    """Run a fault and record when it acted, if it did."""
+    began_at = anyio.current_time()
+    await faults[name](installation, rng)
+    ended_at = anyio.current_time()
+    if ended_at - began_at > MIN_FAULT_S:
+        period = FaultPeriod(name, began_at, ended_at)
+        installation.fault_periods.append(period)
 
 
 async def _check_recovery(installation: Installation, callers: Callers) -> list[str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
 )
 from soak.checks import (
     MAX_ATTEMPTS,
+    MAX_CANCEL_S,
     MAX_DRAIN_S,
     RunRecord,
     Span,
@@ -31,14 +32,20 @@
     pair_ends,
     timed_checks,
 )
-from soak.faults import FOREIGN_REPORTS, faults, foreign_faults, foreign_report
-from soak.installations import PlanChange
+from soak.faults import (
+    FOREIGN_REPORTS,
+    faults,
+    foreign_faults,
+    foreign_report,
+    handover_faults,
+)
+from soak.installations import CancelledJob, FaultPeriod, PlanChange
 from soak.programs import Disturbance, Program
 from soak.records import OverwrittenRecords
 from soak.runs import run_seed
 
 
-JOB = "00000000000000aa"
+JOB, CANCELLED_JOB = "00000000000000aa", "00000000000000bb"
 ALL_CHECKS = {**checks, **timed_checks}
 DONE, FAILED, STOPPED = RunEnd.DONE, RunEnd.FAILED, RunEnd.STOPPED
 # How long new faults are started in the runs of CI.
@@ -47,6 +54,8 @@
 REGRESSIONS = (8, 9)
 # With this seed, each fault of another writer occurs within three seconds.
 FOREIGN_SEED = 6
+# The same for the faults of what is handed over.
+HANDOVER_SEED = 1
 
 
 class SampleRun:
@@ -67,6 +76,9 @@
         ]
         self.probes = [self.probe("/extra-1/", 6.0, known=True)]
         self.leaving_periods = [("w-1", 20.0, 25.0)]
+        self.cancelled_jobs = [CancelledJob(CANCELLED_JOB, 9.0, 9.5, 20.0)]
+        self.cancelled_spans = [Span("w-1", 9.5 + MAX_CANCEL_S - 0.1, 13.0, DONE)]
+        self.fault_periods = [FaultPeriod("stop_after_cancelling", 9.0, 20.0)]
 
     def probe(self, prefix: str, at: float, known: bool) -> Probe:
         return Probe(self.entry, prefix, at, at + 0.01, known, pid=1)
@@ -80,9 +92,15 @@
             runners=[SimpleNamespace(worker=self.worker)],
             changes=self.changes,
             leaving_periods=self.leaving_periods,
+            cancelled_jobs=self.cancelled_jobs,
+            fault_periods=self.fault_periods,
         )
         callers = SimpleNamespace(jobs=[self.job], probes=self.probes)
-        return RunRecord(installation, callers, {TaskId(JOB, 0, 0, 0): self.spans})
+        spans = {
+            TaskId(JOB, 0, 0, 0): self.spans,
+            TaskId(CANCELLED_JOB, 0, 3, 0): self.cancelled_spans,
+        }
+        return RunRecord(installation, callers, spans)
 
 
 def run_twice(sample):
@@ -134,6 +152,10 @@
     sample.spans.append(Span("w-1", 20.0 + MAX_DRAIN_S + 0.1, 23.0, DONE))
 
 
+def start_cancelled_job(sample):
+    sample.cancelled_spans[0].began_at = 9.5 + MAX_CANCEL_S + 0.1
+
+
 def roll_back_configuration(sample):
     sample.probes.append(sample.probe("/extra-1/", 7.0, known=False))
 
@@ -156,6 +178,7 @@
         (lose_connection_at_planned_stop, "entries_that_run_give_an_answer"),
         (exit_with_error, "planned_stops_end_in_time"),
         (start_at_leaving_worker, "leaving_workers_get_nothing_new"),
+        (start_cancelled_job, "cancelled_jobs_start_nothing_late"),
         (roll_back_configuration, "configurations_never_go_back"),
         (log_traceback, "no_unexpected_error_is_logged"),
     ],
@@ -214,7 +237,7 @@
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_short_run_has_no_violations(seed, tmp_path):
     """Checks with a time limit are left to manual runs of the soak test."""
-    kinds = faults.keys() - foreign_faults.keys()
+    kinds = faults.keys() - foreign_faults.keys() - handover_faults.keys()
     report = anyio.run(run_seed, seed, tmp_path, SHORT_S, 3, 4, kinds)
     assert report.violations == [], report.faults
     assert report.jobs
@@ -227,6 +250,20 @@
     assert {text.split()[1] for text in report.faults} == set(foreign_faults)
 
 
+def test_cancelled_job_is_not_checked_if_another_fault_acted(tmp_path):
+    sample = SampleRun(tmp_path)
+    start_cancelled_job(sample)
+    sample.fault_periods.append(FaultPeriod("silence_link", 19.0, 21.0))
+    assert findings(sample.record(), ALL_CHECKS) == []
+
+
+def test_short_run_with_planned_stops_has_no_violations(tmp_path):
+    run = (run_seed, HANDOVER_SEED, tmp_path, SHORT_S, 3, 4, handover_faults)
+    report = anyio.run(*run)
+    assert report.violations == [], report.faults
+    assert {text.split()[1] for text in report.faults} == set(handover_faults)
+
+
 @pytest.mark.parametrize("kind", [*FOREIGN_REPORTS, "unreadable", "boot"])
 def test_foreign_report_differs_from_that_of_the_worker(kind):
     own = RunnerEmulator(EmulatedWorker("i-1", "service", "a", Resources(1))).report()
