--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -36,6 +36,8 @@
 # driver sends them at most once in this time, so that the ends and starts of the tasks
 # of one job are combined into one message.
 COALESCE_DELAY_S = 0.004
+# Time for the last notifications to reach the owners before the process ends.
+LAST_DELIVERY_S = 0.02
 
 
 class WorkerClient(ABC):
@@ -86,6 +88,8 @@
         self.group = group
         self.delivery_pending = False
         self.last_poll_answered = False
+        self.lease_limited = False
+        self.poll_scope = anyio.CancelScope()
 
     def flush(self) -> None:
         """Start pending orders and schedule the delivery of changes to the owners."""
@@ -111,14 +115,21 @@
             logger.exception("unexpected error in step deliver")
 
     async def poll_forever(self) -> None:
-        """Poll the worker until cancelled."""
+        """Poll the worker until cancelled; after `finish`, only wait for it."""
+        if not self.poll_scope.cancel_called:
+            with anyio.CancelScope() as self.poll_scope:
+                await self._poll_repeatedly()
+        await anyio.sleep_forever()
+
+    async def _poll_repeatedly(self) -> None:
         supervisor = self.supervisor
         while True:
             # A worker that does not respond is granted no further lease, so that there
             # is a fixed time by which its runs will have ended. Nor are runs without a
             # known owner kept alive, as their owners may be about to repeat them.
             may_extend = self.last_poll_answered and not supervisor.has_unclaimed_runs
-            lease_s = WORKER_LEASE_S if may_extend else 0.0
+            lease_s = supervisor.grantable_lease_s() if may_extend else 0.0
+            self._log_lease_limit(may_extend and lease_s < WORKER_LEASE_S)
             requested_at = supervisor.clock()
             if lease_s:
                 supervisor.extend_worker_lease(lease_s)
@@ -146,6 +157,17 @@
                 supervisor.report_progress()
             self.flush()
 
+    def _log_lease_limit(self, limited: bool) -> None:
+        """Log when a run that is to end begins or ceases to limit the lease."""
+        if limited != self.lease_limited:
+            self.lease_limited = limited
+            logger.bind(runs=len(self.supervisor.runs)).warning(
+                "lease of the worker {}",
+                "withheld: a run that is to end goes on"
+                if limited
+                else "granted again",
+            )
+
     async def _check_boot(self) -> None:
         """Poll the worker at once, and apply the result if it shows another boot.
 
@@ -173,6 +195,19 @@
             if not self.delivery_pending:
                 self.deliver()
 
+    async def finish(self) -> None:
+        """End polling, notify the owners of all known ends and leave the worker.
+
+        A poll tells the worker to forget the ends that this agent has read. Without
+        further polls, those that no owner is told of are left to the successor.
+        """
+        self.poll_scope.cancel()
+        self.deliver()
+        await self.extend_lease_for_successor()
+        # Answers to orders may have arrived meanwhile.
+        self.deliver()
+        await anyio.sleep(LAST_DELIVERY_S)
+
     async def extend_lease_for_successor(self) -> None:
         """Grant the worker a final lease that keeps its runs alive for a successor."""
         lease_s = self.supervisor.handover_lease_s()
@@ -207,8 +242,11 @@
             by the last attempt.
         """
         clock = self.supervisor.clock
-        self.supervisor.extend_worker_lease(WORKER_LEASE_S)
-        lease_ends_at = clock() + WORKER_LEASE_S
+        granted_s = self.supervisor.grantable_lease_s()
+        if not granted_s:
+            return StartOutcome.REFUSED, "no lease may be granted"
+        self.supervisor.extend_worker_lease(granted_s)
+        lease_ends_at = clock() + granted_s
         reason = "no answer"  # Kept only if the run is stopped before any attempt.
         for attempt, timeout_s in enumerate(START_TIMEOUTS_S):
             if run.phase != Phase.STARTING:
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -9,7 +9,10 @@
   A run is counted from before its start order is sent until its end is known. A start
   order without a response is followed by a stop order, and the run is counted until the
   start order can no longer take effect.
-- A run is stopped once its owner's lease, ``OWNER_LEASE_S``, has expired.
+- A run is stopped once its owner's lease, ``OWNER_LEASE_S``, has expired. While the
+  run has not ended, no lease is granted to the worker that lasts beyond
+  ``LOST_AGENT_TIMEOUT_S`` after the owner's last message. The same holds for
+  ``ORDERED_STOP_TIMEOUT_S`` after an owner has ordered a run to stop.
 - The owner of each run is notified how the run ended or that it never started.
 """
 
@@ -21,6 +24,21 @@
 from msgspec import Struct, field
 
 from marigoldkeel.fleet.evacuations import EvacuatedDomains
+
+# The names with an alias are also imported from here.
+from marigoldkeel.fleet.leases import (
+    LEASE_MARGIN_S,
+    LOST_AGENT_TIMEOUT_S as LOST_AGENT_TIMEOUT_S,
+    MAX_CLOCK_DRIFT,
+    MAX_HANDOVER_LEASE_S,
+    MAX_ORDER_AGE_S as MAX_ORDER_AGE_S,
+    MAX_START_DELAY_S,
+    ORDERED_STOP_TIMEOUT_S,
+    OWNER_LEASE_S,
+    WORKER_LEASE_S,
+    Owner,
+    longest_lease_s,
+)
 from marigoldkeel.fleet.messages import (
     Attach,
     Progress,
@@ -30,41 +48,18 @@
     StartRuns,
     WorkerFacts,
 )
+from marigoldkeel.fleet.reports import (
+    MAX_UNCONFIRMED_REPORTS as MAX_UNCONFIRMED_REPORTS,
+    ReportOrder,
+    ReportOutcome,
+    WorkerReports,
+)
 from marigoldkeel.fleet.work import NO_RESOURCES, Resources, RunEnd, RunId, TaskId
 
 
-# A caller that loses its connection to an owner resubmits the job after 1.3 s at the
-# earliest; no task of the job may still be running then. Stopping a run takes up to
-# 0.1 s. The rest covers an agent that stops in the meantime: the worker then ends all
-# runs when its own lease expires.
-OWNER_LEASE_S = 0.5
 # How long a restarted agent keeps runs that no owner has claimed. Owners reconnect to a
 # restarted agent within a few tenths of a second.
 CLAIM_TIMEOUT_S = 0.6
-# How long an owner whose lease has expired is kept after its attach, so that it can
-# renew its lease. The worker's lease is not extended meanwhile.
-ATTACH_GRACE_S = 0.1
-# The worker's lease on all of its runs. Each poll renews it, at least every 0.2 s. Runs
-# on an unreachable worker cannot be repeated elsewhere until it has expired.
-WORKER_LEASE_S = 0.5
-# Maximum relative error of a worker's clock. A slow clock extends the worker's lease.
-MAX_CLOCK_DRIFT = 0.02
-LEASE_MARGIN_S = 0.05
-# Older start orders are not executed: a network partition or a pause of a process may
-# have delayed them until the owner has repeated the runs elsewhere.
-MAX_ORDER_AGE_S = 3 * LEASE_MARGIN_S
-# Time from an owner's last message to an unreachable agent until the owner may repeat
-# its runs elsewhere: the agent stops them when the owner's lease expires, and if the
-# agent has failed too, the worker ends them when its own lease expires.
-LOST_AGENT_TIMEOUT_S = (
-    MAX_ORDER_AGE_S + OWNER_LEASE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
-)
-# Time from an owner's last message until no start order of an earlier agent can have an
-# effect: the order carries the end of the worker's lease.
-MAX_START_DELAY_S = MAX_ORDER_AGE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
-# Longest lease granted at a planned stop of the agent: the agent's successor has this
-# long to start and take over the worker's runs.
-MAX_HANDOVER_LEASE_S = 1.0
 # A poll result older than this no longer describes the worker's current state.
 MAX_POLL_AGE_S = 0.5
 # A run is stopped if its progress has not changed for this fraction of its expected run
@@ -74,8 +69,6 @@
 # Run events that are kept for owners whose connection was lost before delivery. They
 # cover some tens of seconds.
 MAX_RECENT_EVENTS = 500
-# Reports of unconfirmed boots that are kept; all but one are those of other writers.
-MAX_UNCONFIRMED_REPORTS = 4
 # Progress is not reported for runs that are shorter than this.
 MIN_PROGRESS_RUN_S = 0.15
 PROGRESS_INTERVAL_S = 0.2
@@ -124,6 +117,9 @@
     :ivar confirmed: Whether a poll has listed the run.
     :ivar progressed_at: When the run started or its progress last changed.
     :ivar reported_at: The ``progressed_at`` that was last reported to the owner.
+    :ivar may_have_run: Whether the run may have ended without this agent's knowledge.
+    :ivar end_by: When the worker must have ended the run, on the clock that includes
+        suspension.
     """
 
     run_id: RunId
@@ -140,33 +136,8 @@
     progressed_at: float = 0.0
     reported_at: float = 0.0
     stop_reason: RunEnd = RunEnd.STOPPED
-
-
-class Owner(Struct):
-    """An entry that may own runs on this worker.
-
-    :ivar lease_renewed_at: When the owner sent the last message that renewed its lease,
-        on the clock that includes suspension.
-    :ivar attached_at: When its last attach arrived, on the same clock.
-    """
-
-    incarnation: str
-    name: str
-    lease_renewed_at: float
-    attached_at: float
-
-
-class ReportOutcome(StrEnum):
-    """What became of a report about the worker.
-
-    ``KEPT`` reports name a boot that no poll has shown yet. The last three are ignored.
-    """
-
-    APPLIED = "applied"
-    KEPT = "kept"
-    EARLIER_BOOT = "earlier boot"
-    OTHER_WORKER = "other worker"
-    OUTDATED = "outdated"
+    may_have_run: bool = False
+    end_by: float = float("inf")
 
 
 class PendingClaim(Struct):
@@ -231,17 +202,12 @@
 class Supervisor:
     """Tracks the runs and the free capacity of one worker.
 
-    Polls are answered by the worker itself, so only they show which boot it runs. A
-    report may have been sent by another writer; it counts once a poll has shown its
-    boot.
-
     :param clock: Returns monotonic seconds; measures what happens on this machine.
     :param suspended_clock: Returns seconds of a clock that includes time in system
         suspend; measures the leases and orders of owners on other machines.
     :param domain: The failure domain of the agent.
     :ivar evacuations: The evacuated domains, as stated by the owners.
     :ivar refused_orders: How many runs were refused, by reason.
-    :ivar identity: Name and service of the worker by the first report of its boot.
 
     Usage::
 
@@ -265,12 +231,7 @@
         self.domain = domain
         self.evacuations = EvacuatedDomains()
         self.refused_orders: Counter[str] = Counter()
-        self.facts: WorkerFacts | None = None
-        self.report_sequence = -1
-        self.identity: tuple[str, str] | None = None
-        self.unconfirmed: dict[int, tuple[int, WorkerFacts]] = {}
-        self.report_counts: Counter[ReportOutcome] = Counter()
-        self.boot = 0
+        self.reports = WorkerReports()
         self.ignored_poll_boot = 0
         self.last_end = 0
         self.runs: dict[RunId, Run] = {}
@@ -283,41 +244,44 @@
         self.first_polled_at = float("-inf")
         self.progress_reported_at = float("-inf")
         self.leaving = False
-        self.exit_announced = False
         self.reachable = False
         self.last_demand = NO_RESOURCES
         self.orders: list[StartOrder | StopOrder | CheckBootOrder] = []
         self.notifications: list[OwnerNotification] = []
         self.last_tick_at = self.suspended_clock()
         self.on_run_end: Callable[[RunEnd, float], None] = lambda end, run_s: None
-        self.on_facts: Callable[[WorkerFacts], None] = lambda facts: None
 
     # Events from the worker
 
-    def update_facts(self, facts: WorkerFacts, sequence: int) -> bool:
+    def update_facts(
+        self, facts: WorkerFacts, sequence: int, clock_ms: float | None = None
+    ) -> ReportOutcome:
         """Apply a worker's report about itself if it is newer than the last one.
 
         A report of a later boot ends no run: it is kept until a poll shows that boot.
 
         :param sequence: Increases with each report within a boot.
-        :return: Whether the report was applied or kept.
+        :param clock_ms: The worker's clock when it sent the report; None if unknown.
         """
-        outcome = self._handle_report(facts, sequence)
-        self.report_counts[outcome] += 1
-        if outcome in (ReportOutcome.APPLIED, ReportOutcome.KEPT):
-            return True
-        logger.bind(
-            boot=facts.boot, polled_boot=self.boot, report_sequence=sequence
-        ).info("report of {} ignored: {}", facts.worker, outcome.value)
-        return False
+        is_unknown_boot = facts.boot not in self.unconfirmed
+        outcome = self.reports.receive(facts, sequence, clock_ms, self.clock())
+        if outcome == ReportOutcome.KEPT and is_unknown_boot and self.reconciled:
+            logger.bind(boot=facts.boot, polled_boot=self.boot).info(
+                "report of {} kept: no poll has shown its boot", facts.worker
+            )
+            self.orders.append(CheckBootOrder())
+        if not outcome.counts:
+            logger.bind(
+                boot=facts.boot, polled_boot=self.boot, report_sequence=sequence
+            ).info("report of {} ignored: {}", facts.worker, outcome.value)
+        return outcome
 
     def adopt_facts(self, facts: WorkerFacts) -> None:
         """Use the worker facts cached by an owner if the worker has not reported yet.
 
         Facts of another boot are ignored.
         """
-        if self.facts is None and facts.worker and facts.boot == self.boot:
-            self.facts = facts
+        self.reports.adopt(facts)
 
     def record_worker_exit(self, worker: str) -> None:
         """Record that the worker has announced its immediate exit.
@@ -325,13 +289,10 @@
         It gets no further runs until its next report. Its runs end once a poll finds
         it gone: the announcement may be that of an earlier boot, delivered late.
         """
-        is_known = self.facts is not None and self.facts.worker == worker
+        is_known = self.reports.announce_exit(worker)
         logger.bind(polled_boot=self.boot, runs=len(self.runs)).info(
             "exit of {} announced{}", worker, "" if is_known else ", ignored"
         )
-        if is_known:
-            self.exit_announced = True
-            self.facts = None
 
     def extend_worker_lease(self, lease_s: float) -> None:
         """Record that the worker is being granted a lease on all of its runs."""
@@ -380,7 +341,7 @@
         :param not_connected: Whether the worker accepted no connection.
         """
         self.reachable = False
-        if not_connected and self.exit_announced:
+        if not_connected and self.reports.exit_announced:
             self._end_all(RunEnd.LAPSED, "the worker has exited")
         elif self.clock() > self.worker_lease_ends_at:
             self._end_all(RunEnd.LAPSED, "the worker's lease has expired")
@@ -438,7 +399,7 @@
         now = self.suspended_clock()
         for other in list(self.owners.values()):
             is_other = other.name == message.owner.name and other.incarnation != owner
-            is_alive = other.incarnation in connected and self._has_lease(other, now)
+            is_alive = other.incarnation in connected and other.has_lease(now)
             if is_other and not is_alive:
                 self._remove_owner(other)
         renewed_at = now - age_s
@@ -503,8 +464,12 @@
             self.last_demand = message.demand
             self.orders.append(StartOrder(run))
 
-    def stop(self, owner: str, run_ids: list[RunId]) -> None:
-        """Stop runs of an owner; report runs that do not exist as lapsed."""
+    def stop(self, owner: str, run_ids: list[RunId], age_s: float = 0.0) -> None:
+        """Stop runs of an owner; report runs that do not exist as lapsed.
+
+        :param age_s: Time since the owner sent the message.
+        """
+        end_by = self.suspended_clock() - age_s + ORDERED_STOP_TIMEOUT_S
         for run_id in run_ids:
             run = self.runs.get(run_id)
             claim = self.pending_claims.get(run_id)
@@ -513,6 +478,7 @@
             elif run is None:
                 self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, UNKNOWN_RUN)
             elif run.owner == owner:
+                run.end_by = min(run.end_by, end_by - LEASE_MARGIN_S)
                 self._stop(run, RunEnd.STOPPED)
 
     def order_age_s(self, run: Run) -> float:
@@ -532,9 +498,7 @@
             now = last_tick_at
         owners_with_runs = {run.owner for run in self.runs.values()}
         for owner in list(self.owners.values()):
-            is_expired = not (
-                self._has_lease(owner, now) or self._may_renew(owner, now)
-            )
+            is_expired = not (owner.has_lease(now) or owner.may_renew(now))
             if is_expired and owner.incarnation in owners_with_runs:
                 logger.bind(
                     owner=owner.incarnation,
@@ -576,6 +540,26 @@
 
     # Current state
 
+    @property
+    def facts(self) -> WorkerFacts | None:
+        """The worker as its last report describes it."""
+        return self.reports.facts
+
+    @property
+    def boot(self) -> int:
+        """The boot that the last poll has shown; 0 before the first one."""
+        return self.reports.boot
+
+    @property
+    def unconfirmed(self) -> dict[int, tuple[ReportOrder, WorkerFacts]]:
+        """The reports of boots that no poll has shown."""
+        return self.reports.unconfirmed
+
+    @property
+    def report_counts(self) -> Counter[ReportOutcome]:
+        """The number of reports by outcome."""
+        return self.reports.counts
+
     @property
     def has_unclaimed_runs(self) -> bool:
         """Whether any run is without an owner that holds a lease.
@@ -585,8 +569,7 @@
         """
         now = self.suspended_clock()
         return any(
-            run.owner not in self.owners
-            or not self._has_lease(self.owners[run.owner], now)
+            run.owner not in self.owners or not self.owners[run.owner].has_lease(now)
             for run in self.runs.values()
             if run.phase != Phase.STOPPING
         )
@@ -596,17 +579,40 @@
 
         It ends before any owner may repeat its runs elsewhere.
         """
-        owners = {run.owner for run in self.runs.values()}
-        heard_at = [
-            owner.lease_renewed_at
-            for owner in self.owners.values()
-            if owner.incarnation in owners
-        ]
-        if not heard_at:
+        if not self.runs:
             return 0.0
-        remaining_s = min(heard_at) + LOST_AGENT_TIMEOUT_S - self.suspended_clock()
-        lease_s = (remaining_s - LEASE_MARGIN_S) / (1 + MAX_CLOCK_DRIFT)
-        return min(MAX_HANDOVER_LEASE_S, max(0.0, lease_s))
+        return min(MAX_HANDOVER_LEASE_S, self._longest_lease_s())
+
+    def grantable_lease_s(self) -> float:
+        """Return the lease on all runs that the worker may be granted now.
+
+        It is shorter than ``WORKER_LEASE_S`` only while a run has not ended that was
+        to end by now or soon, since a lease covers all runs and never shortens.
+        """
+        return min(WORKER_LEASE_S, self._longest_lease_s())
+
+    @property
+    def lease_limited(self) -> bool:
+        """Whether a run that is to end prevents a full lease."""
+        return self.grantable_lease_s() < WORKER_LEASE_S
+
+    def _longest_lease_s(self) -> float:
+        """Return the longest lease with which each run ends in time.
+
+        An owner that is not known may have been silent for any time.
+        """
+        until = float("inf")
+        owners = set()
+        for run in self.runs.values():
+            if run.end_by == float("inf"):
+                owners.add(run.owner)
+            elif run.end_by < until:
+                until = run.end_by
+        for incarnation in owners:
+            owner = self.owners.get(incarnation)
+            end_by = owner.runs_end_by if owner is not None else float("-inf")
+            until = min(until, end_by)
+        return longest_lease_s(until, self.suspended_clock())
 
     @property
     def reconciled(self) -> bool:
@@ -640,8 +646,12 @@
 
     @property
     def free_resources(self) -> Resources:
-        """Capacity that is available for new runs; none if any demand is unknown."""
-        if self.facts is None:
+        """Capacity that is available for new runs.
+
+        It is none if any demand is unknown, or if the lease that a new run needs would
+        keep a run alive that is to end.
+        """
+        if self.facts is None or self.lease_limited:
             return NO_RESOURCES
         free = self.facts.capacity
         for run in self.runs.values():
@@ -664,18 +674,6 @@
 
     # State transitions
 
-    def _has_lease(self, owner: Owner, now: float) -> bool:
-        return now - owner.lease_renewed_at <= OWNER_LEASE_S
-
-    def _may_renew(self, owner: Owner, now: float) -> bool:
-        """Return whether an owner that has just attached may still renew its lease.
-
-        Its runs end before it may repeat them elsewhere, even if the renewal is lost.
-        """
-        silent_s = now - owner.lease_renewed_at
-        is_in_time = silent_s < LOST_AGENT_TIMEOUT_S - MAX_ORDER_AGE_S
-        return is_in_time and now - owner.attached_at <= ATTACH_GRACE_S
-
     def _refusal_reason(self, task: TaskId, message: StartRuns) -> str:
         if self.evacuated:
             return EVACUATED
@@ -721,55 +719,11 @@
                 if is_gone:
                     self._finish(run, RunEnd.LAPSED, "the worker has restarted")
                 elif not (is_answered and is_shown and run.phase == Phase.RUNNING):
+                    # The previous boot may have started it as well.
+                    run.may_have_run = True
                     self._stop_again(run)
-        self.boot = boot
-        self.identity = None
-        self.report_sequence = -1
         self.last_end = 0
-        self.exit_announced = False
-        self.facts = None
-        report = self.unconfirmed.get(boot)
-        self.unconfirmed = {
-            other: kept for other, kept in self.unconfirmed.items() if other > boot
-        }
-        if report is not None:
-            sequence, facts = report
-            self._apply_report(facts, sequence)
-
-    def _handle_report(self, facts: WorkerFacts, sequence: int) -> ReportOutcome:
-        if facts.boot < self.boot:
-            return ReportOutcome.EARLIER_BOOT
-        if facts.boot > self.boot:
-            is_kept = self._keep_report(facts, sequence)
-            return ReportOutcome.KEPT if is_kept else ReportOutcome.OUTDATED
-        if self.identity not in (None, (facts.worker, facts.service)):
-            return ReportOutcome.OTHER_WORKER
-        if sequence <= self.report_sequence:
-            return ReportOutcome.OUTDATED
-        self._apply_report(facts, sequence)
-        return ReportOutcome.APPLIED
-
-    def _apply_report(self, facts: WorkerFacts, sequence: int) -> None:
-        self.identity = facts.worker, facts.service
-        self.report_sequence = sequence
-        self.exit_announced = False
-        self.facts = facts
-        self.on_facts(facts)
-
-    def _keep_report(self, facts: WorkerFacts, sequence: int) -> bool:
-        """Keep a report of a later boot until a poll shows that boot."""
-        if facts.boot not in self.unconfirmed:
-            if self.reconciled:
-                logger.bind(boot=facts.boot, polled_boot=self.boot).info(
-                    "report of {} kept: no poll has shown its boot", facts.worker
-                )
-                self.orders.append(CheckBootOrder())
-            if len(self.unconfirmed) == MAX_UNCONFIRMED_REPORTS:
-                del self.unconfirmed[next(iter(self.unconfirmed))]
-        elif sequence <= self.unconfirmed[facts.boot][0]:
-            return False
-        self.unconfirmed[facts.boot] = (sequence, facts)
-        return True
+        self.reports.reset_for_boot(boot)
 
     def _log_ignored_poll(self, poll: WorkerPoll) -> None:
         """Log an ignored poll, once for each boot that the worker shows."""
@@ -802,13 +756,16 @@
         """Answer the claim of a run that is not on the worker.
 
         While a start order of an earlier agent may be on its way, the run is stopped
-        first, after which the worker refuses to start it.
+        first, after which the worker refuses to start it. It may also have run and
+        ended: the earlier agent may have read its end, which the worker then forgot,
+        and stopped before it notified the owner.
         """
         if not claim.may_start:
             self._notify_end(run_id, claim.owner, RunEnd.LAPSED, 0.0, reason)
             return
         sent_at = self.suspended_clock()
         run = Run(run_id, claim.owner, claim.demand, Phase.STARTING, sent_at)
+        run.may_have_run = True
         self.runs[run_id] = run
         self._stop(run, RunEnd.STOPPED)
 
@@ -868,6 +825,7 @@
         del self.owners[owner.incarnation]
         for run in list(self.runs.values()):
             if run.owner == owner.incarnation:
+                run.end_by = min(run.end_by, owner.runs_end_by)
                 self._stop(run, RunEnd.STOPPED)
 
     def _record_end(self, row: RunEndRecord, now: float) -> None:
@@ -899,8 +857,11 @@
         self._notify_end(run.run_id, run.owner, end, run_s, reason)
 
     def _settle_missing(self, run: Run) -> None:
-        """Remove a run that the worker no longer lists, and notify its owner."""
-        if run.confirmed or run.started_at is not None:
+        """Remove a run that the worker no longer lists, and notify its owner.
+
+        The owner is told that it never started only if this is certain.
+        """
+        if run.confirmed or run.started_at is not None or run.may_have_run:
             self._finish(run, RunEnd.LAPSED, NOT_LISTED)
         else:
             # The worker refuses a start order that arrives after the stop order.
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -354,4 +354,6 @@
 
 struct DropJob {
   jobId @0 :Text;
+  keepMs @1 :UInt32;
+  forward @2 :Bool;
 }
--- a/marigoldkeel/platform/workers.py
+++ b/marigoldkeel/platform/workers.py
@@ -5,10 +5,12 @@
 
 import time
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Annotated, Any, Literal
 
+import anyio
 import msgspec
 from loguru import logger
+from msgspec import Meta
 
 from marigoldkeel.exceptions import (
     MarigoldkeelError,
@@ -17,6 +19,7 @@
 )
 from marigoldkeel.fleet.drivers import WorkerClient
 from marigoldkeel.fleet.messages import WorkerFacts
+from marigoldkeel.fleet.reports import ReportOutcome
 from marigoldkeel.fleet.supervisors import (
     Run,
     RunEndRecord,
@@ -32,8 +35,14 @@
 
 # One connection is used for polling, the others for orders.
 MAX_CONNECTIONS = 6
-# A runner on the same machine responds to an order within about a millisecond.
+# A runner on the same machine responds to an order within about a millisecond. A stop
+# that gets no answer is repeated on other connections while the first attempts wait: if
+# a run is not known to have ended in time, the worker's lease is withheld, at the cost
+# of all other runs. Stops have connections of their own, as lost orders occupy theirs.
 STOP_TIMEOUT_S = 0.1
+STOP_ATTEMPTS = 4
+STOP_ATTEMPT_INTERVAL_S = 0.025
+MAX_STOP_CONNECTIONS = 24
 # Added to the requested wait time of a poll to obtain its timeout. While a response is
 # missing, ends of runs are not noticed and the worker's lease is running out, so the
 # margin is short.
@@ -101,6 +110,7 @@
 
     def __init__(self, address: str, clock: Callable[[], float] = time.monotonic):
         self.client = PlatformClient(address, MAX_CONNECTIONS)
+        self.stop_client = PlatformClient(address, MAX_STOP_CONNECTIONS)
         self.clock = clock
         self.instance = ""
         self.clock_offset_ms: float | None = None
@@ -135,13 +145,31 @@
         return StartOutcome.REFUSED, reason
 
     async def stop(self, run: Run) -> bool:
+        answered = False
+
+        async def attempt() -> None:
+            nonlocal answered
+            if await self._stop_once(run):
+                answered = True
+                group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(attempt)
+            for _ in range(STOP_ATTEMPTS - 1):
+                await anyio.sleep(STOP_ATTEMPT_INTERVAL_S)
+                group.start_soon(attempt)
+        return answered
+
+    async def _stop_once(self, run: Run) -> bool:
         content = {
             "task": task_name(run.run_id.task),
             "run": run.run_id.number,
             "fence": FENCE,
         }
         try:
-            reply = await self._order("/api/run-stop", content, STOP_TIMEOUT_S)
+            reply = await self._order(
+                "/api/run-stop", content, STOP_TIMEOUT_S, self.stop_client
+            )
         except MarigoldkeelError as error:
             logger.info("stop order not confirmed: {}", error)
             return False
@@ -172,12 +200,20 @@
     async def aclose(self) -> None:
         """Close all connections."""
         await self.client.aclose()
-
-    async def _order(self, path: str, content: dict, timeout_s: float) -> Reply:
+        await self.stop_client.aclose()
+
+    async def _order(
+        self,
+        path: str,
+        content: dict,
+        timeout_s: float,
+        client: PlatformClient | None = None,
+    ) -> Reply:
         headers = {}
         if self.instance:
             headers["Marigoldkeel-Expect-Instance"] = self.instance
-        return await self.client.call("POST", path, timeout_s, content, headers)
+        client = client or self.client
+        return await client.call("POST", path, timeout_s, content, headers)
 
     def _until_ms(self, lease_s: float) -> int:
         return round(self.clock() * 1000 + self.clock_offset_ms + lease_s * 1000)
@@ -228,33 +264,48 @@
     )
 
 
+# Numbers of a report, which may be written with or without a fraction. Amounts are sent
+# on as 32 bits.
+MAX_AMOUNT = 2**31 - 1
+Amount = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
+PositiveAmount = Annotated[float, Meta(gt=0, le=MAX_AMOUNT)]
+Counter = Annotated[float, Meta(ge=0, le=2**63)]
+Text = Annotated[str, Meta(min_length=1)]
+
+
 class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
+    cpu: PositiveAmount
+    mem_mb: PositiveAmount
+    gpus: Amount
 
 
 class _Report(msgspec.Struct):
-    """A runner's report about itself.
+    """A runner's report about itself; it counts only if it is complete.
 
     :ivar seq: Increases with each report until the runner restarts.
-    :ivar remaining_ms: Minimum time until a draining runner exits.
-    :ivar born: As in `_PollResponse`.
     :ivar cold_left_ms: How much longer the runner is slow after its start.
+    :ivar clock_ms: The runner's clock, as in its answers to polls.
+    :ivar remaining_ms: Minimum time until a draining runner exits; given only by one.
+    :ivar born: As in `_PollResponse`; given only where runners restart under their id.
     """
 
-    service: str
-    state: str
-    seq: int
+    service: Text
+    addr: Text
+    zone: Text
+    version: Text
+    slots: Amount
+    state: Literal["ready", "draining"]
+    cold_left_ms: Amount
     capacity: _Capacity
-    zone: str = ""
-    labels: list[str] = []
-    remaining_ms: int = 0
-    born: int = 0
-    cold_left_ms: float = 0
-
+    labels: list[str]
+    clock_ms: Counter
+    seq: Counter
+    remaining_ms: Amount | None = None
+    born: Counter = 0
 
-LEAVING_BY_STATE = {"ready": False, "draining": True}
+    def __post_init__(self):
+        if self.state == "draining" and self.remaining_ms is None:
+            raise ValueError("Object missing required field `remaining_ms`")
 
 
 def reports_application(
@@ -266,32 +317,36 @@
     def name_instance(facts: WorkerFacts) -> None:
         client.instance = facts.worker
 
-    supervisor.on_facts = name_instance
+    supervisor.reports.on_facts = name_instance
 
     @application.route("PUT", "/api/instances/{worker}")
     async def receive_report(request: Request) -> Response:
         worker = request.path_parameters["worker"]
         try:
             content = msgspec.json.decode(request.body, type=_Report)
-            leaving = LEAVING_BY_STATE[content.state]
-        except (msgspec.MsgspecError, UnicodeDecodeError, KeyError) as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             logger.warning("malformed report of {}: {}", worker, error)
             return Response.from_json({"error": f"report not readable: {error}"}, 400)
         capacity = Resources(
-            content.capacity.cpu, content.capacity.mem_mb, content.capacity.gpus
+            int(content.capacity.cpu),
+            int(content.capacity.mem_mb),
+            int(content.capacity.gpus),
         )
         facts = WorkerFacts(
             worker,
-            content.born,
+            int(content.born),
             content.service,
             content.zone,
             content.labels,
             capacity,
-            leaving,
-            content.remaining_ms,
-            round(min(MAX_COLD_MS, max(0, content.cold_left_ms))),
+            content.state == "draining",
+            int(content.remaining_ms or 0),
+            round(min(MAX_COLD_MS, content.cold_left_ms)),
         )
-        supervisor.update_facts(facts, content.seq)
+        outcome = supervisor.update_facts(facts, int(content.seq), content.clock_ms)
+        if outcome == ReportOutcome.CONTRADICTORY:
+            # Not confirmed, since it may be the worker's: that it leaves, for example.
+            return Response.from_json({"error": f"report ignored: {outcome}"}, 409)
         flush()
         return Response.from_json({})
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -353,9 +353,15 @@
             assert status == 200
             report = {
                 "service": "service",
+                "addr": fleet.addresses["reports"],
+                "zone": "a",
+                "version": "v1",
+                "slots": 8,
                 "state": "ready",
+                "cold_left_ms": 0,
+                "labels": [],
+                "clock_ms": 10**9,
                 "seq": 1_000_000,
-                "zone": "a",
                 "capacity": {"cpu": 4000, "mem_mb": 65_536, "gpus": 0},
             }
             body = msgspec.json.encode(report).ljust(MAX_REPORT_BYTES - 1)
