Skip waiting jobs that fit nowhere without looking at each worker

Cause: a pass over a long queue looked at each worker for each waiting job, and drew random numbers for jobs that the reserve for urgent ones holds back. An entry with little processor time and most of the callers is slowed down by its own queue.

Change: the largest free capacity is kept during a pass, and a job that may place no task is not packed. Decisions are the same but for the random numbers.

--- a/marigoldkeel/fleet/placement.py
+++ b/marigoldkeel/fleet/placement.py
@@ -46,6 +46,11 @@
     return candidates
 
 
+def largest_free_cpu_milli(candidates: Iterable[Candidate]) -> int:
+    """Return the largest free CPU capacity of a single worker."""
+    return max((item.free.cpu_milli for item in candidates), default=-1)
+
+
 def eligible_workers(
     owned: OwnedJob, number: int, candidates: list[Candidate]
 ) -> list[Candidate]:
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -56,7 +56,11 @@
     count_outside_reserve,
     find_packing,
 )
-from marigoldkeel.fleet.placement import eligible_workers, find_candidates
+from marigoldkeel.fleet.placement import (
+    eligible_workers,
+    find_candidates,
+    largest_free_cpu_milli,
+)
 from marigoldkeel.fleet.reservations import (
     LookAhead,
     RecentDemands,
@@ -370,6 +374,7 @@
         if not self.waiting:
             return
         candidates_by_service: dict[str, list[Candidate]] = {}
+        largest_free: dict[str, int] = {}
         for owned in self._waiting_in_order():
             if owned.held or now > owned.caller_deadline:
                 continue
@@ -382,9 +387,17 @@
                     self.domain,
                     now,
                 )
+                largest_free[service] = largest_free_cpu_milli(
+                    candidates_by_service[service]
+                )
             try:
-                for number in range(len(owned.job.steps)):
-                    self._place_step(owned, number, candidates_by_service[service])
+                for number, step in enumerate(owned.job.steps):
+                    # Most of a long queue is skipped here while the workers are full.
+                    if step.demand.cpu_milli > largest_free[service]:
+                        continue
+                    candidates = candidates_by_service[service]
+                    if self._place_step(owned, number, candidates):
+                        largest_free[service] = largest_free_cpu_milli(candidates)
             except Exception as error:
                 self._drop_after_error(owned, error)
             if not owned.is_waiting:
@@ -503,14 +516,14 @@
 
     def _place_step(
         self, owned: OwnedJob, number: int, candidates: list[Candidate]
-    ) -> None:
-        """Start as many waiting tasks of a step as fit."""
+    ) -> bool:
+        """Start as many waiting tasks of a step as fit; return whether any did."""
         step = owned.job.steps[number]
         if not any(step.demand.fits(item.free) for item in candidates):
-            return
+            return False
         waiting = owned.waiting_tasks(number)
         if not waiting:
-            return
+            return False
         remaining_s = owned.objective_deadline - self.clock() - OVERHEAD_S
         allow_late = (
             owned.has_started
@@ -526,6 +539,8 @@
         )
         if not owned.has_started and self._keeps_reserve(owned):
             request.count = count_outside_reserve(request, candidates)
+            if not request.count:
+                return False
         withheld = []
         if self.look_ahead is not None:
             withheld = self.look_ahead.withhold(owned, number, candidates, self.clock())
@@ -544,6 +559,7 @@
             self._log(owned, "placed", step=number, placed=placed, **inputs)
         for worker, tasks in by_worker.items():
             self._start_runs(owned, step, worker, tasks, request.task_s)
+        return bool(by_worker)
 
     def _keeps_reserve(self, owned: OwnedJob) -> bool:
         """Return whether a job must leave the reserve for urgent jobs free.
