--- a/marigoldkeel/client_limits.py
+++ b/marigoldkeel/client_limits.py
@@ -13,8 +13,8 @@
 
 MB = 1024 * 1024
 # Accounted for each connection: objects of the connection and its parser, a request in
-# progress, and the buffers of the operating system's interface. Measured at about 3 KB
-# for an idle connection; a request in progress and a write buffer add to that.
+# progress, and the buffers of the operating system's interface. An idle connection
+# takes about 3 KB; a request in progress and a write buffer add to that.
 CONNECTION_BYTES = 16 * 1024
 # What a connection may keep beyond the fixed amount without being accounted, so that
 # ordinary requests cost no accounting.
