Pass limits and evacuations to the processes by environment variables

A reload reads them as well, so it does not report the limits as changed. The line of the start says which limits are in force.

--- a/marigoldkeel/commands.py
+++ b/marigoldkeel/commands.py
@@ -73,9 +73,8 @@
     from marigoldkeel.fleet.settings import FleetSettings
     from marigoldkeel.logs import configure_decision_log
     from marigoldkeel.platform.daemons import open_daemon
-    from marigoldkeel.settings import read_settings
 
-    settings = read_settings(settings_file, FleetSettings)
+    settings = FleetSettings.from_toml(settings_file)
     configure_decision_log(settings.log_lines_per_s)
     daemon = open_daemon(settings, settings_file)
     anyio.run(_run_daemon, daemon, backend_options={"use_uvloop": True})
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -44,7 +44,6 @@
 from marigoldkeel.metrics import Metric, add_metrics_route
 from marigoldkeel.models import Member
 from marigoldkeel.servers import HttpApplication, Request, Response, serve_http
-from marigoldkeel.settings import read_settings
 from marigoldkeel.stores import LeasedStore
 from marigoldkeel.transports import PeerPool, parse_address, serve_peers
 
@@ -129,7 +128,11 @@
                 for address, application in self.servers:
                     host, port = parse_address(address)
                     await group.start(serve_http, application, host, port, self.guard)
-                logger.info("started as {}", self.own_member.incarnation)
+                logger.bind(
+                    client_bytes=self.guard.budget.capacity,
+                    max_connections=self.guard.max_connections,
+                    follows_evacuations=self.settings.evacuation is not None,
+                ).info("started as {}", self.own_member.incarnation)
                 self.start(group)
                 await self.stopping.wait()
                 await self.drain()
@@ -150,7 +153,7 @@
         is ignored.
         """
         try:
-            settings = read_settings(self.settings_path, FleetSettings)
+            settings = FleetSettings.from_toml(self.settings_path)
         except SettingsError as error:
             logger.warning("settings not reloaded: {}", error)
             return
--- a/marigoldkeel/fleet/settings.py
+++ b/marigoldkeel/fleet/settings.py
@@ -1,11 +1,15 @@
 """Settings of the daemons that serve repeatable jobs, validated before they start."""
 
+import math
+import os
+from collections.abc import Mapping
+from pathlib import Path
 from typing import Annotated
 
 import msgspec
 from msgspec import Meta
 
-from marigoldkeel.exceptions import InvalidInput
+from marigoldkeel.exceptions import InvalidInput, SettingsError
 from marigoldkeel.fleet.capacity import make_capacity_share
 from marigoldkeel.fleet.overload import find_overload_policy
 from marigoldkeel.fleet.packing import find_packing
@@ -14,6 +18,7 @@
     ProcessName,
     StoreSettings,
     check_addresses,
+    read_settings,
 )
 
 
@@ -80,6 +85,16 @@
     max_descriptors: Annotated[float, Meta(ge=0)] = 0
 
 
+# Settings that depend on the machine or the deployment and not on the daemon. An
+# environment variable states them without a file, and goes before the file.
+ENVIRONMENT_VARIABLES = {
+    "MARIGOLDKEEL_MEMORY_MB": ("limits", "memory_mb"),
+    "MARIGOLDKEEL_MAX_DESCRIPTORS": ("limits", "max_descriptors"),
+    "MARIGOLDKEEL_EVACUATE_WITHIN_MS": ("evacuation", "within_ms"),
+}
+SECTIONS = {"limits": LimitSettings, "evacuation": EvacuationSettings}
+
+
 class FleetSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Settings of an entry or agent of a fleet.
 
@@ -112,6 +127,36 @@
     placement: PlacementSettings = msgspec.field(default_factory=PlacementSettings)
     limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
 
+    @classmethod
+    def from_toml(
+        cls, path: str | Path, environment: Mapping[str, str] = os.environ
+    ) -> "FleetSettings":
+        """Read and validate the settings in a file and in environment variables.
+
+        Usage::
+
+            settings = FleetSettings.from_toml("entry.toml")
+
+        :param environment: Its `ENVIRONMENT_VARIABLES` go before the file; an empty one
+            counts as missing.
+        :raises SettingsError: Names the file and the key, or the variable, and the
+            reason.
+        """
+        settings = read_settings(path, cls)
+        for variable, (section, key) in ENVIRONMENT_VARIABLES.items():
+            text = environment.get(variable, "").strip()
+            if not text:
+                continue
+            current = getattr(settings, section)
+            content = {} if current is None else msgspec.to_builtins(current)
+            try:
+                content[key] = _parse_number(text)
+                value = msgspec.convert(content, SECTIONS[section])
+            except (ValueError, msgspec.ValidationError) as error:
+                raise SettingsError(f"{variable}: {error}", "read settings") from None
+            setattr(settings, section, value)
+        return settings
+
     def check(self) -> None:
         """Validate constraints that the schema cannot express.
 
@@ -137,3 +182,17 @@
             raise InvalidInput(f"placement.packing: {error.message}") from None
         find_overload_policy(self.overload.policy)
         make_capacity_share(self.overload.capacity)
+
+
+def _parse_number(text: str) -> float:
+    """Parse the value of a variable.
+
+    :raises ValueError: If it is not a finite number.
+    """
+    try:
+        number = float(text)
+    except ValueError:
+        number = math.nan
+    if not math.isfinite(number):
+        raise ValueError(f"{text!r} is not a number")
+    return number
