Count a stop from when its reason may have arisen, not from the order that arrives

What the workers saw: a task on two workers for up to 0.2 s, if stop orders to a worker get no answer and the owner's order reaches the agent late. Its caller submits the job again 1.3 s after it has left.

Cause: an agent lets a run go on for `ORDERED_STOP_TIMEOUT_S` after the owner's order to stop it. The order counted from when it was sent. An entry that had been paused reads late that a caller has left, and an order that is lost with a link is repeated on the next one; both renew the owner's lease in between, so nothing else ended the run.

Ruled out: a shorter `ORDERED_STOP_TIMEOUT_S` (the pause and the loss each take up to 0.5 s, which would leave no time for repeated stop orders), and not renewing the lease (the runs of other callers would end).

Change: `StopRuns` carries how long ago the reason may have arisen: at the owner's tick before the last one, as what had happened by then has been acted on. The repetition on a new link has the age of the first order.

--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -506,9 +506,9 @@
         )
         link.stated_revision = evacuations.revision
         connection.send(attach)
-        if stopping:
-            # The order or the end of these runs may have been lost with the last link.
-            self.send(link.member.name, StopRuns(0, [item.run for item in stopping]))
+        # The orders or the ends of these runs may have been lost with the last link.
+        for order in self.scheduler.stop_orders(link.member.name):
+            self.send(link.member.name, order)
 
     def _is_taken(self, link: AgentLink, connection: Connection) -> bool:
         """Return whether another agent's link uses a connection.
@@ -669,6 +669,7 @@
         elif isinstance(content, StartRuns):
             self.supervisor.start(link.owner.incarnation, content, age_s)
         elif isinstance(content, StopRuns):
+            age_s += content.age_ms / 1000
             self.supervisor.stop(link.owner.incarnation, content.runs, age_s)
         else:
             self._send_state(
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -130,11 +130,16 @@
 
 @message("stopRuns")
 class StopRuns(Struct):
-    """Asks the agent to stop runs; ``sent_ms`` is as in `StartRuns`."""
+    """Asks the agent to stop runs; ``sent_ms`` is as in `StartRuns`.
+
+    :ivar age_ms: How long before sending the owner may have had the reason to stop
+        them, for example that the caller has left.
+    """
 
     sequence: int = 0
     runs: list[RunId] = field(default_factory=list)
     sent_ms: int = 0
+    age_ms: int = 0
 
 
 @message("renew")
--- a/marigoldkeel/fleet/owned.py
+++ b/marigoldkeel/fleet/owned.py
@@ -29,6 +29,8 @@
     :ivar failures: How many of its runs have failed.
     :ivar avoided: Workers on which a run of it did not complete.
     :ivar stopping: Whether the run has been ordered to stop.
+    :ivar stop_due_since: The earliest time at which the reason to stop it may have
+        arisen.
     :ivar sample: The run time of its last run, measured or predicted.
     :ivar placed_at: When its current run was ordered.
     :ivar expected_s: Forecast run time of its current run.
@@ -41,6 +43,7 @@
     failures: int = 0
     avoided: set[str] = field(default_factory=set)
     stopping: bool = False
+    stop_due_since: float = 0.0
     sample: Sample | None = None
     placed_at: float = 0.0
     expected_s: float = 0.0
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -12,6 +12,7 @@
   has started and none can start later.
 """
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -110,6 +111,8 @@
 # How long failures of a queue are counted, and how long a probe may take.
 FAILURE_WINDOW_S = 5.0
 PROBE_TIMEOUT_S = 2.0
+# Largest age of a stop order that its message can state.
+MAX_AGE_MS = 2**32 - 1
 # Added to the run numbers when a worker already knows higher ones. This happens
 # after the wall clock was set back, usually by seconds.
 RENUMBER_MS = 60_000
@@ -134,6 +137,8 @@
     :param capacity: Name of the share of the workers' capacity that is counted on.
     :ivar workers_ready_at: When each service was last found to have ready workers.
     :ivar last_tick_at: When `tick` was last called.
+    :ivar previous_tick_at: When it was called before that. What had happened by then,
+        for example that a caller had left, has been acted on.
     :ivar resuming: Whether the last interval between ticks was a pause.
     :ivar shutdown_at: When this entry shuts down; jobs that would end later are
         refused.
@@ -194,7 +199,7 @@
         self.last_run_number = 0
         self.requeued: Counter[str] = Counter()
         self.refused: Counter[tuple[str, str]] = Counter()
-        self.last_tick_at = self.started_at
+        self.last_tick_at = self.previous_tick_at = self.started_at
         self.resuming = False
         self.shutdown_at = float("inf")
         self.on_answer: Callable[[RepeatableJob, JobState, float], None] = (
@@ -327,6 +332,22 @@
         """Return the runs on a worker that have been ordered to stop."""
         return self._held_runs(worker, stopping=True)
 
+    def stop_orders(self, worker: str) -> list[StopRuns]:
+        """Return the orders to stop the runs on a worker that are to be stopped.
+
+        Runs that were to stop at the same time share an order, which has that age.
+        """
+        runs: dict[float, list[RunId]] = {}
+        for owned in self.jobs.values():
+            for task in owned.all_tasks():
+                if task.worker == worker and task.stopping:
+                    runs.setdefault(task.stop_due_since, []).append(task.run)
+        return [self._stop_order(item, since) for since, item in runs.items()]
+
+    def _stop_order(self, runs: list[RunId], since: float) -> StopRuns:
+        age_s = self.clock() - since
+        return StopRuns(0, runs, age_ms=min(MAX_AGE_MS, math.ceil(1000 * age_s)))
+
     def _held_runs(self, worker: str, stopping: bool) -> list[HeldRun]:
         return [
             HeldRun(task.run, owned.job.steps[task.task_id.step].demand)
@@ -357,7 +378,7 @@
 
     def _detect_pause(self, now: float) -> None:
         interval_s = now - self.last_tick_at
-        self.last_tick_at = now
+        self.previous_tick_at, self.last_tick_at = self.last_tick_at, now
         self.resuming = interval_s > MAX_TICK_INTERVAL_S
         if self.resuming:
             logger.bind(
@@ -713,9 +734,10 @@
         for task in owned.all_tasks():
             if task.phase == TaskPhase.PLACED and not task.stopping:
                 task.stopping = True
+                task.stop_due_since = self.previous_tick_at
                 running.setdefault(task.worker, []).append(task.run)
         for worker, runs in running.items():
-            self.send(worker, StopRuns(0, runs))
+            self.send(worker, self._stop_order(runs, self.previous_tick_at))
 
     def _log_run(
         self, owned: OwnedJob, task: TaskRecord, outcome: str, reason: str, **inputs
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -467,7 +467,7 @@
     def stop(self, owner: str, run_ids: list[RunId], age_s: float = 0.0) -> None:
         """Stop runs of an owner; report runs that do not exist as lapsed.
 
-        :param age_s: Time since the owner sent the message.
+        :param age_s: Time since the owner may have had the reason to stop them.
         """
         end_by = self.suspended_clock() - age_s + ORDERED_STOP_TIMEOUT_S
         for run_id in run_ids:
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -318,6 +318,7 @@
   sequence @0 :UInt64;
   runs @1 :List(RunId);
   sentMs @2 :UInt64;
+  ageMs @3 :UInt32;
 }
 
 struct Renew {
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -31,6 +31,7 @@
     OWNER_LEASE_S,
     WORKER_LEASE_S,
     RunEndRecord,
+    StartOrder,
     StartOutcome,
     StopOrder,
     Supervisor,
@@ -42,6 +43,7 @@
     RepeatableJob,
     Resources,
     RunEnd,
+    RunId,
     Step,
 )
 from marigoldkeel.models import Member
@@ -49,6 +51,7 @@
     CORE,
     FACTS,
     OWNER,
+    RESUBMIT_S,
     Agent,
     Clock,
     run_id,
@@ -315,7 +318,7 @@
     :ivar connecting: Addresses of the agents that the owner has begun to connect to.
     """
 
-    def __init__(self):
+    def __init__(self, caller_timeout_s: float = 30.0):
         self.clock, self.fleet = Clock(), FleetView()
         self.owner = OwnerEndpoint(OWNER, self.fleet, self.clock)
         self.scheduler = Scheduler(
@@ -326,9 +329,10 @@
         self.owner.add(AGENT)
         self.owner.step()
         self.connection = self.connect()
-        job = RepeatableJob("j", QUEUE, "p", [Step(1, CORE, 0.3)], self.clock.now, 30.0)
+        steps = [Step(1, CORE, 0.3)]
+        job = RepeatableJob("j", QUEUE, "p", steps, self.clock.now, caller_timeout_s)
         self.answers: list[JobAnswer] = []
-        self.scheduler.submit(job, self.answers.append)
+        self.owned = self.scheduler.submit(job, self.answers.append)
         (self.run,) = [item.run for item in self.scheduler.runs_on("agent-1")]
 
     def start_soon(self, action, *arguments) -> None:
@@ -571,3 +575,142 @@
     connection = Connection(agent.address)
     owner.attach(link, connection)
     assert connection.sent[-1].facts == facts
+
+
+class UnstoppableRun:
+    """A run of an owner, whose worker answers each poll but no stop order.
+
+    The owner and the agent are on one clock. Messages arrive at once, or are lost with
+    the link.
+
+    :ivar ends_at: When the worker's lease, and so the run, ends at the latest.
+    """
+
+    def __init__(self, caller_timeout_s: float = 30.0):
+        self.owner = LinkedOwner(caller_timeout_s)
+        self.clock = self.owner.clock
+        self.ends_at = 0.0
+        self.linked = True
+        self.run: RunId | None = None
+        self.start_agent()
+        # The first order is refused, as the owner did not know the agent's clock yet.
+        self.advance_time(0.3)
+        assert list(self.agent.supervisor.runs) == [self.run]
+
+    def start_agent(self) -> None:
+        """Start the agent, perhaps again, without its earlier state."""
+        self.agent = LinkedAgent()
+        self.agent.clock = self.agent.supervisor.clock = self.clock
+        self.agent.supervisor.suspended_clock = self.clock
+        self.agent.supervisor.created_at = self.clock.now
+        self.agent.supervisor.last_tick_at = self.clock.now
+        self.agent.supervisor.first_polled_at = self.clock.now
+        self.agent.supervisor.owners.clear()
+        self.agent.links.clock = self.agent.boot_time_s
+
+    def lose_link(self) -> None:
+        """Lose what either end sends from now on."""
+        self.linked = False
+
+    def reset_link(self) -> None:
+        """Let the owner notice the loss, and connect again."""
+        self.owner.owner.connection_closed(self.owner.connection)
+        link = self.owner.owner.links["agent-1"]
+        self.owner.connection = Connection(link.member.address)
+        self.agent.connection = Connection()
+        link.connecting = False
+        self.owner.owner.attach(link, self.owner.connection)
+        self.linked = True
+
+    def exchange_messages(self) -> None:
+        sent, self.owner.connection.sent = self.owner.connection.sent, []
+        for message in sent if self.linked else []:
+            self.agent.links.message_received(self.agent.connection, message)
+        self.agent.links.deliver()
+        sent, self.agent.connection.sent = self.agent.connection.sent, []
+        for message in sent if self.linked else []:
+            self.owner.owner.message_received(self.owner.connection, message)
+
+    def advance_time(self, seconds: float, owner_runs: bool = True) -> None:
+        until = self.clock.now + seconds
+        while self.clock.now < until:
+            self.clock.now += TICK_INTERVAL_S
+            if owner_runs:
+                self.owner.owner.step()
+            self.step_agent()
+
+    def step_agent(self) -> None:
+        """Let the agent read messages, poll the worker and repeat its orders."""
+        supervisor = self.agent.supervisor
+        self.exchange_messages()
+        for order in supervisor.take_orders():
+            if isinstance(order, StopOrder):
+                supervisor.record_stop_outcome(order.run, answered=False)
+            elif isinstance(order, StartOrder):
+                self.run = order.run.run_id
+                self.extend_lease()
+                supervisor.record_start_outcome(order.run, StartOutcome.STARTED)
+        self.agent.percent += 1
+        is_running = self.clock.now < self.ends_at
+        listed = [self.run] if self.run is not None and is_running else []
+        self.agent.poll(*listed, percent=self.agent.percent)
+        supervisor.tick()
+        if not supervisor.has_unclaimed_runs and is_running:
+            self.extend_lease()
+
+    def extend_lease(self) -> None:
+        lease_s = self.agent.supervisor.grantable_lease_s()
+        ends_at = self.clock.now + lease_s * (1 + MAX_CLOCK_DRIFT)
+        self.ends_at = max(self.ends_at, ends_at)
+
+    def end(self) -> float:
+        """Return when the run ends."""
+        while self.clock.now < self.ends_at:
+            self.advance_time(TICK_INTERVAL_S)
+        return self.ends_at
+
+
+def caller_leaves_a_paused_entry(run: UnstoppableRun, pause_s: float) -> None:
+    run.advance_time(pause_s, owner_runs=False)
+    # The process reads what has arrived only after its first tick.
+    run.owner.owner.step()
+    run.step_agent()
+    run.owner.scheduler.abandon(run.owner.owned, "the caller has left")
+
+
+def caller_leaves_and_the_order_is_lost(run: UnstoppableRun, silent_s: float) -> None:
+    run.lose_link()
+    run.owner.scheduler.abandon(run.owner.owned, "the caller has left")
+    run.advance_time(silent_s)
+    run.reset_link()
+
+
+def caller_leaves_and_the_agent_restarts(run: UnstoppableRun, down_s: float) -> None:
+    # The agent's lease for its successor reaches further than its usual one.
+    lease_s = run.agent.supervisor.handover_lease_s()
+    run.ends_at = run.clock.now + lease_s * (1 + MAX_CLOCK_DRIFT)
+    caller_leaves_and_the_order_is_lost(run, 0.0)
+    run.lose_link()
+    run.advance_time(down_s)
+    run.start_agent()
+    run.reset_link()
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.1, 0.3, 0.45, 0.6, 0.8, 1.2])
+@pytest.mark.parametrize(
+    "disrupt",
+    [
+        caller_leaves_a_paused_entry,
+        caller_leaves_and_the_order_is_lost,
+        caller_leaves_and_the_agent_restarts,
+    ],
+)
+def test_run_ends_before_its_caller_submits_again_however_late_its_stop_is_ordered(
+    disrupt, after_s
+):
+    # Guards against a task on two workers: the time allowed for a stop without an
+    # answer counted from the order that arrived, not from when the caller left.
+    run = UnstoppableRun()
+    left_at = run.clock.now
+    disrupt(run, after_s)
+    assert run.end() <= left_at + RESUBMIT_S
