Keep the time by which a claimed run is to end while the agent has not polled yet

What the workers saw: a task that went on beside its next run until it was done, if stop orders to its worker get no answer, and the owner attaches to an agent that has just started and orders the stop before that agent's first poll.

Cause: an order to stop a run that is only claimed so far was noted without its time. When the poll showed the run, it was stopped, but had no time by which it was to end, so the worker's lease was extended with the owner's.

Change: `PendingClaim` has the time, and the run takes it over.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -145,12 +145,14 @@
 
     :ivar may_start: Whether a start order of an earlier agent may still have an effect.
     :ivar stopping: Whether the owner has ordered the run to stop.
+    :ivar end_by: As in `Run`.
     """
 
     owner: str
     demand: Resources
     may_start: bool
     stopping: bool = False
+    end_by: float = float("inf")
 
 
 class RunStatus(Struct):
@@ -469,16 +471,18 @@
 
         :param age_s: Time since the owner may have had the reason to stop them.
         """
-        end_by = self.suspended_clock() - age_s + ORDERED_STOP_TIMEOUT_S
+        due_at = self.suspended_clock() - age_s
+        end_by = due_at + ORDERED_STOP_TIMEOUT_S - LEASE_MARGIN_S
         for run_id in run_ids:
             run = self.runs.get(run_id)
             claim = self.pending_claims.get(run_id)
             if claim is not None:
                 claim.stopping = True
+                claim.end_by = min(claim.end_by, end_by)
             elif run is None:
                 self._notify_end(run_id, owner, RunEnd.LAPSED, 0.0, UNKNOWN_RUN)
             elif run.owner == owner:
-                run.end_by = min(run.end_by, end_by - LEASE_MARGIN_S)
+                run.end_by = min(run.end_by, end_by)
                 self._stop(run, RunEnd.STOPPED)
 
     def order_age_s(self, run: Run) -> float:
@@ -766,6 +770,7 @@
         sent_at = self.suspended_clock()
         run = Run(run_id, claim.owner, claim.demand, Phase.STARTING, sent_at)
         run.may_have_run = True
+        run.end_by = claim.end_by
         self.runs[run_id] = run
         self._stop(run, RunEnd.STOPPED)
 
@@ -789,6 +794,7 @@
         self.runs[run_id] = run
         if claim is not None:
             run.owner, run.demand, run.phase = claim.owner, claim.demand, Phase.RUNNING
+            run.end_by = claim.end_by
             if claim.stopping:
                 self._stop(run, RunEnd.STOPPED)
         return run
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -597,7 +597,7 @@
         self.advance_time(0.3)
         assert list(self.agent.supervisor.runs) == [self.run]
 
-    def start_agent(self) -> None:
+    def start_agent(self, has_polled: bool = True) -> None:
         """Start the agent, perhaps again, without its earlier state."""
         self.agent = LinkedAgent()
         self.agent.clock = self.agent.supervisor.clock = self.clock
@@ -606,6 +606,9 @@
         self.agent.supervisor.last_tick_at = self.clock.now
         self.agent.supervisor.first_polled_at = self.clock.now
         self.agent.supervisor.owners.clear()
+        if not has_polled:
+            self.agent.supervisor.polled_at = float("-inf")
+            self.agent.supervisor.reports.reset_for_boot(0)
         self.agent.links.clock = self.agent.boot_time_s
 
     def lose_link(self) -> None:
@@ -664,8 +667,9 @@
         self.ends_at = max(self.ends_at, ends_at)
 
     def end(self) -> float:
-        """Return when the run ends."""
-        while self.clock.now < self.ends_at:
+        """Return when the run ends, or a time that is too late."""
+        too_late_at = self.clock.now + 5.0
+        while self.clock.now < min(self.ends_at, too_late_at):
             self.advance_time(TICK_INTERVAL_S)
         return self.ends_at
 
@@ -685,17 +689,25 @@
     run.reset_link()
 
 
-def caller_leaves_and_the_agent_restarts(run: UnstoppableRun, down_s: float) -> None:
+def caller_leaves_and_the_agent_restarts(
+    run: UnstoppableRun, down_s: float, has_polled: bool = True
+) -> None:
     # The agent's lease for its successor reaches further than its usual one.
     lease_s = run.agent.supervisor.handover_lease_s()
     run.ends_at = run.clock.now + lease_s * (1 + MAX_CLOCK_DRIFT)
     caller_leaves_and_the_order_is_lost(run, 0.0)
     run.lose_link()
     run.advance_time(down_s)
-    run.start_agent()
+    run.start_agent(has_polled)
     run.reset_link()
 
 
+def caller_leaves_and_the_owner_attaches_before_the_restarted_agent_polls(
+    run: UnstoppableRun, down_s: float
+) -> None:
+    caller_leaves_and_the_agent_restarts(run, down_s, has_polled=False)
+
+
 @pytest.mark.parametrize("after_s", [0.0, 0.1, 0.3, 0.45, 0.6, 0.8, 1.2])
 @pytest.mark.parametrize(
     "disrupt",
@@ -703,6 +715,7 @@
         caller_leaves_a_paused_entry,
         caller_leaves_and_the_order_is_lost,
         caller_leaves_and_the_agent_restarts,
+        caller_leaves_and_the_owner_attaches_before_the_restarted_agent_polls,
     ],
 )
 def test_run_ends_before_its_caller_submits_again_however_late_its_stop_is_ordered(
