Send the caller's time-out with a start order, so that the agent knows it

What the workers saw: a task on two workers for up to 0.02 s in played orders of events, if a caller times out whose connection is silent, the owner's order to stop the task is lost with its link to the agent, and stop orders to the worker get no answer.

Cause: the entry orders the stop up to 0.35 s after the time-out (`CALLER_TIMEOUT_GRACE_S` and a tick). If this order is lost, the run ends by the owner's silence, up to 1.11 s after its last message, in sum 1.46 s; the caller submits again after 1.3 s.

Ruled out: a shorter `LOST_AGENT_TIMEOUT_S` (an agent that restarts as planned would have less time until its worker's lease expires), a shorter grace (late answers are delivered in it).

Change: `StartRuns` carries how much longer the caller waits. The agent stops a run `CALLER_TIMEOUT_GRACE_S` after that without an order, and grants no lease that ends later than `RESUBMIT_DELAY_S` after it, less a margin.

--- a/marigoldkeel/fleet/leases.py
+++ b/marigoldkeel/fleet/leases.py
@@ -7,10 +7,14 @@
 from msgspec import Struct
 
 
-# A caller that loses its connection to an owner resubmits the job after 1.3 s at the
-# earliest; no task of the job may still be running then. Stopping a run takes up to
-# 0.1 s. The rest covers an agent that stops in the meantime: the worker then ends all
-# runs when its own lease expires.
+# A caller that loses its connection to an owner, or has waited in vain, resubmits the
+# job after this time at the earliest; no task of the job may still be running then.
+RESUBMIT_DELAY_S = 1.3
+# How long the runs of a job may continue after its caller has timed out.
+CALLER_TIMEOUT_GRACE_S = 0.3
+# Stopping a run takes up to 0.1 s. The rest of the time until a caller resubmits covers
+# an agent that stops in the meantime: the worker then ends all runs when its own lease
+# expires.
 OWNER_LEASE_S = 0.5
 # How long an owner whose lease has expired is kept after its attach, so that it can
 # renew its lease. The worker's lease is not extended meanwhile.
@@ -30,10 +34,9 @@
 LOST_AGENT_TIMEOUT_S = (
     MAX_ORDER_AGE_S + OWNER_LEASE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
 )
-# Time from an owner's order to stop a run until the worker must have ended it. A caller
-# that has left submits its job again after 1.3 s at the earliest, and the owner may
-# order the stop up to 0.3 s after a caller has timed out (CALLER_TIMEOUT_GRACE_S).
-ORDERED_STOP_TIMEOUT_S = 1.0
+# Time from the reason of an owner's order to stop a run until the worker must have
+# ended it.
+ORDERED_STOP_TIMEOUT_S = RESUBMIT_DELAY_S - CALLER_TIMEOUT_GRACE_S
 # Time from an owner's last message until no start order of an earlier agent can have an
 # effect: the order carries the end of the worker's lease.
 MAX_START_DELAY_S = MAX_ORDER_AGE_S + WORKER_LEASE_S * (1 + MAX_CLOCK_DRIFT)
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -104,6 +104,8 @@
     :ivar spread_limit: Maximum number of tasks of the step on one worker; 0 for no
         limit.
     :ivar sent_ms: The owner's estimate of the agent's clock at the time of sending.
+    :ivar caller_waits_ms: How much longer the caller waits at the time of sending; 0 if
+        it is not known.
     """
 
     sequence: int = 0
@@ -116,6 +118,7 @@
     spread_limit: int = 0
     runs: list[RunNumber] = field(default_factory=list)
     sent_ms: int = 0
+    caller_waits_ms: int = 0
 
     def run_ids(self) -> list[RunId]:
         """Return the identifiers of the runs that are to be started."""
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -33,6 +33,7 @@
     learn_critical_path,
     learn_run_time,
 )
+from marigoldkeel.fleet.leases import CALLER_TIMEOUT_GRACE_S
 from marigoldkeel.fleet.messages import (
     HeldRun,
     Progress,
@@ -88,9 +89,6 @@
 # An entry that has just started, or has just lost all of its workers, does not yet know
 # what it can serve. Agents that start together with it are usable within this time.
 WORKER_DISCOVERY_S = 1.5
-# How long the runs of a job may continue after its caller has timed out. A caller whose
-# connection was lost unnoticed retries 1.3 s later; the runs must have ended by then.
-CALLER_TIMEOUT_GRACE_S = 0.3
 # An interval between ticks above this is a pause of this process. A caller that left
 # during it has submitted its job elsewhere by now, 1.3 s after it left at the earliest.
 MAX_TICK_INTERVAL_S = 0.5
@@ -111,8 +109,8 @@
 # How long failures of a queue are counted, and how long a probe may take.
 FAILURE_WINDOW_S = 5.0
 PROBE_TIMEOUT_S = 2.0
-# Largest age of a stop order that its message can state.
-MAX_AGE_MS = 2**32 - 1
+# Longest time that a field of a message can state.
+MAX_FIELD_MS = 2**32 - 1
 # Added to the run numbers when a worker already knows higher ones. This happens
 # after the wall clock was set back, usually by seconds.
 RENUMBER_MS = 60_000
@@ -345,8 +343,8 @@
         return [self._stop_order(item, since) for since, item in runs.items()]
 
     def _stop_order(self, runs: list[RunId], since: float) -> StopRuns:
-        age_s = self.clock() - since
-        return StopRuns(0, runs, age_ms=min(MAX_AGE_MS, math.ceil(1000 * age_s)))
+        age_ms = math.ceil(1000 * (self.clock() - since))
+        return StopRuns(0, runs, age_ms=min(MAX_FIELD_MS, age_ms))
 
     def _held_runs(self, worker: str, stopping: bool) -> list[HeldRun]:
         return [
@@ -606,6 +604,7 @@
             owned.place(task, worker, self._next_run_number())
             task.placed_at, task.expected_s = self.clock(), expected_s
         first = tasks[0].task_id
+        caller_waits_ms = int(1000 * (owned.caller_deadline - self.clock()))
         message = StartRuns(
             0,
             first.job_id,
@@ -616,6 +615,7 @@
             round(expected_s * 1000),
             step.spread_limit,
             [RunNumber(task.task_id.index, task.run.number) for task in tasks],
+            caller_waits_ms=min(MAX_FIELD_MS, max(1, caller_waits_ms)),
         )
         self.detector.record_start(worker, self.clock())
         sequence = self.send(worker, message)
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -12,7 +12,8 @@
 - A run is stopped once its owner's lease, ``OWNER_LEASE_S``, has expired. While the
   run has not ended, no lease is granted to the worker that lasts beyond
   ``LOST_AGENT_TIMEOUT_S`` after the owner's last message. The same holds for
-  ``ORDERED_STOP_TIMEOUT_S`` after an owner has ordered a run to stop.
+  ``ORDERED_STOP_TIMEOUT_S`` after an owner had reason to order a run to stop, and for
+  ``RESUBMIT_DELAY_S`` after the caller has timed out.
 - The owner of each run is notified how the run ended or that it never started.
 """
 
@@ -35,6 +36,7 @@
     MAX_START_DELAY_S,
     ORDERED_STOP_TIMEOUT_S,
     OWNER_LEASE_S,
+    RESUBMIT_DELAY_S,
     WORKER_LEASE_S,
     Owner,
     longest_lease_s,
@@ -462,6 +464,9 @@
                 message.payload,
                 message.expected_ms / 1000,
             )
+            if message.caller_waits_ms:
+                times_out_at = sent_at + message.caller_waits_ms / 1000
+                run.end_by = times_out_at + RESUBMIT_DELAY_S - LEASE_MARGIN_S
             self.runs[run_id] = run
             self.last_demand = message.demand
             self.orders.append(StartOrder(run))
@@ -492,7 +497,11 @@
     # Periodic work
 
     def tick(self) -> None:
-        """Stop unclaimed runs, stalled runs, and runs whose owner's lease expired."""
+        """Stop the runs that must not go on.
+
+        These are unclaimed and stalled runs, and those whose owner's lease has expired
+        or whose caller has timed out.
+        """
         now, last_tick_at = self.suspended_clock(), self.last_tick_at
         self.last_tick_at = now
         was_paused = now - last_tick_at > OWNER_LEASE_S / 2
@@ -514,6 +523,10 @@
                 self._remove_owner(owner)
         if was_paused:
             return
+        for run in self.runs.values():
+            # An owner whose link is intact has ordered it before.
+            if now > run.end_by - ORDERED_STOP_TIMEOUT_S + LEASE_MARGIN_S:
+                self._stop(run, RunEnd.STOPPED)
         now = self.clock()
         for run in list(self.runs.values()):
             if (
@@ -603,19 +616,17 @@
     def _longest_lease_s(self) -> float:
         """Return the longest lease with which each run ends in time.
 
-        An owner that is not known may have been silent for any time.
+        A run whose owner is not known may have to end at any time.
         """
         until = float("inf")
         owners = set()
         for run in self.runs.values():
-            if run.end_by == float("inf"):
-                owners.add(run.owner)
-            elif run.end_by < until:
-                until = run.end_by
-        for incarnation in owners:
-            owner = self.owners.get(incarnation)
-            end_by = owner.runs_end_by if owner is not None else float("-inf")
-            until = min(until, end_by)
+            until = min(until, run.end_by)
+            owners.add(run.owner)
+            if run.owner not in self.owners and run.end_by == float("inf"):
+                return 0.0
+        for incarnation in owners & self.owners.keys():
+            until = min(until, self.owners[incarnation].runs_end_by)
         return longest_lease_s(until, self.suspended_clock())
 
     @property
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -312,6 +312,7 @@
   spreadLimit @7 :UInt32;
   runs @8 :List(RunNumber);
   sentMs @9 :UInt64;
+  callerWaitsMs @10 :UInt32;
 }
 
 struct StopRuns {
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -727,3 +727,19 @@
     left_at = run.clock.now
     disrupt(run, after_s)
     assert run.end() <= left_at + RESUBMIT_S
+
+
+@pytest.mark.parametrize("silent_s", [0.0, 0.2, 0.25, 0.3, 0.35, 0.5, 0.9])
+@pytest.mark.parametrize("caller_timeout_s", [2.0, 2.05, 2.1, 2.15, 2.2])
+def test_run_of_a_silent_caller_ends_before_it_submits_again_if_the_link_is_lost(
+    silent_s, caller_timeout_s
+):
+    # Guards against a task on two workers: the caller's time-out counts from when the
+    # entry notices it, and the order to stop is lost with the link to the agent.
+    run = UnstoppableRun(caller_timeout_s)
+    times_out_at = run.owner.owned.caller_deadline
+    run.advance_time(times_out_at + silent_s - run.clock.now)
+    run.lose_link()
+    run.advance_time(0.5)
+    run.reset_link()
+    assert run.end() <= times_out_at + RESUBMIT_S
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from marigoldkeel.fleet.leases import CALLER_TIMEOUT_GRACE_S
 from marigoldkeel.fleet.messages import (
     Attach,
     HeldRun,
@@ -967,3 +968,22 @@
     agent.start(0)
     agent.advance_time(1.3, run_id(), renews_lease=False)
     assert agent.supervisor.handover_lease_s() == 0.0
+
+
+@pytest.mark.parametrize("waits_s", [0.2, 1.0, 3.0])
+def test_run_is_stopped_once_its_caller_has_timed_out_although_no_order_arrives(
+    waits_s,
+):
+    # Guards against a task on two workers: the owner's order to stop it was lost.
+    agent = Agent()
+    agent.supervisor.start(
+        OWNER.incarnation, start_message(0, caller_waits_ms=round(1000 * waits_s))
+    )
+    times_out_at = agent.clock.now + waits_s
+    (order,) = agent.supervisor.take_orders()
+    agent.supervisor.record_start_outcome(order.run, StartOutcome.STARTED)
+    while agent.clock.now < times_out_at + CALLER_TIMEOUT_GRACE_S:
+        assert agent.stops() == []
+        agent.advance_time(0.05, run_id())
+    agent.advance_time(0.05, run_id())
+    assert agent.stops() == [run_id()]
