Tell an owner the end of a run that was being stopped when it claimed it

What callers would see: no answer until they time out, though the task could have been repeated: an agent that has started again stops runs that nobody has claimed for 0.6 s. If the owner attaches while the stop has no answer, the run kept no owner, and its end was told to nobody.

Cause: a claim gave a run its owner only in the phase `FOUND`, not while it was being stopped.

Change: a claim gives it to any run without an owner.

Test: test_owner_learns_the_end_of_a_run_that_it_claims_while_it_is_being_stopped, which failed before (nobody was notified).

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -755,8 +755,9 @@
     def _claim(self, run_id: RunId, claim: PendingClaim) -> None:
         run = self.runs.get(run_id)
         if run is not None:
-            if run.phase == Phase.FOUND:
+            if not run.owner:
                 run.owner, run.demand = claim.owner, claim.demand
+            if run.phase == Phase.FOUND:
                 run.phase = Phase.RUNNING
         elif run_id in self.recent_events:
             self.notifications.append(
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -987,3 +987,20 @@
         agent.advance_time(0.05, run_id())
     agent.advance_time(0.05, run_id())
     assert agent.stops() == [run_id()]
+
+
+def test_owner_learns_the_end_of_a_run_that_it_claims_while_it_is_being_stopped():
+    # Guards against a caller that waits in vain: the owner attached to a restarted
+    # agent after the agent had begun to stop the run, and was not told of its end.
+    agent = Agent()
+    agent.poll(run_id())
+    agent.advance_time(0.7, run_id(), renews_lease=False)
+    assert agent.stops() == [run_id()]
+    agent.attach(HeldRun(run_id(), CORE))
+    agent.poll(ended=[RunEndRecord(1, run_id(), RunEnd.STOPPED)])
+    notified = {
+        notification.owner
+        for notification in agent.supervisor.take_notifications()
+        if isinstance(notification.content, RunEvent)
+    }
+    assert notified == {OWNER.incarnation}
