Play the related paths of the lease bounds that were only read

Played now as orders of events, without processes: 24 orders in which a resumed agent reads, polls, renews and ticks, pauses of 0.2 to 2.5 s, links that come back after 0.05 and 0.15 s, with and without answers.

--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -1,6 +1,8 @@
 """Tests of the links between owners and agents: delayed messages, acknowledgements."""
 
+from itertools import permutations
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -19,6 +21,7 @@
     Renew,
     RunEvent,
     RunEventKind,
+    StartRuns,
     StopRuns,
     WorkerFacts,
     WorkerState,
@@ -362,6 +365,10 @@
             if answers:
                 self.acknowledge(self.connection)
 
+    def held(self) -> list[RunId]:
+        """Return the runs that the owner has not given up."""
+        return [item.run for item in self.scheduler.runs_on("agent-1")]
+
     def end_run(self, end: RunEnd = RunEnd.DONE) -> None:
         event = RunEvent(self.run, RunEventKind.ENDED, end)
         self.owner.message_received(self.connection, event)
@@ -592,6 +599,7 @@
         self.ends_at = 0.0
         self.linked = True
         self.answers_arrive = True
+        self.unread: list[tuple[Connection, Any]] = []
         self.run: RunId | None = None
         self.start_agent()
         # The first order is refused, as the owner did not know the agent's clock yet.
@@ -618,6 +626,7 @@
 
     def reset_link(self) -> None:
         """Let the owner notice the loss, and connect again."""
+        self._transmit()
         self.owner.owner.connection_closed(self.owner.connection)
         link = self.owner.owner.links["agent-1"]
         self.owner.connection = Connection(link.member.address)
@@ -626,27 +635,42 @@
         self.owner.owner.attach(link, self.owner.connection)
         self.linked = True
 
-    def exchange_messages(self) -> None:
+    def _transmit(self) -> None:
+        """Let what the owner has sent arrive at the agent's process."""
         sent, self.owner.connection.sent = self.owner.connection.sent, []
-        for message in sent if self.linked else []:
-            self.agent.links.message_received(self.agent.connection, message)
+        self.unread += [(self.agent.connection, item) for item in sent if self.linked]
+
+    def exchange_messages(self) -> None:
+        self._transmit()
+        unread, self.unread = self.unread, []
+        for connection, message in unread:
+            self.agent.links.message_received(connection, message)
         self.agent.links.deliver()
         sent, self.agent.connection.sent = self.agent.connection.sent, []
         for message in sent if self.linked and self.answers_arrive else []:
             self.owner.owner.message_received(self.owner.connection, message)
 
-    def advance_time(self, seconds: float, owner_runs: bool = True) -> None:
+    def advance_time(
+        self, seconds: float, owner_runs: bool = True, agent_runs: bool = True
+    ) -> None:
         until = self.clock.now + seconds
         while self.clock.now < until:
             self.clock.now += TICK_INTERVAL_S
             if owner_runs:
                 self.owner.owner.step()
-            self.step_agent()
+            if agent_runs:
+                self.step_agent()
 
     def step_agent(self) -> None:
         """Let the agent read messages, poll the worker and repeat its orders."""
-        supervisor = self.agent.supervisor
         self.exchange_messages()
+        self.carry_out_orders()
+        self.poll_worker()
+        self.agent.supervisor.tick()
+        self.renew_lease()
+
+    def carry_out_orders(self) -> None:
+        supervisor = self.agent.supervisor
         for order in supervisor.take_orders():
             if isinstance(order, StopOrder):
                 supervisor.record_stop_outcome(order.run, answered=False)
@@ -654,12 +678,18 @@
                 self.run = order.run.run_id
                 self.extend_lease()
                 supervisor.record_start_outcome(order.run, StartOutcome.STARTED)
+
+    @property
+    def is_running(self) -> bool:
+        return self.run is not None and self.clock.now < self.ends_at
+
+    def poll_worker(self) -> None:
         self.agent.percent += 1
-        is_running = self.clock.now < self.ends_at
-        listed = [self.run] if self.run is not None and is_running else []
+        listed = [self.run] if self.is_running else []
         self.agent.poll(*listed, percent=self.agent.percent)
-        supervisor.tick()
-        if not supervisor.has_unclaimed_runs and is_running:
+
+    def renew_lease(self) -> None:
+        if not self.agent.supervisor.has_unclaimed_runs and self.is_running:
             self.extend_lease()
 
     def extend_lease(self) -> None:
@@ -764,3 +794,86 @@
             run.reset_link()
     assert requeued["agent not reachable"]
     assert run.ends_at <= run.clock.now
+
+
+# What an agent's process may do first when it goes on after a pause.
+STEPS_AFTER_PAUSE = {
+    "read": UnstoppableRun.exchange_messages,
+    "poll": UnstoppableRun.poll_worker,
+    "renew": UnstoppableRun.renew_lease,
+    "tick": lambda run: run.agent.supervisor.tick(),
+}
+
+
+def advance_time_until_repeated(
+    run: UnstoppableRun, reconnect_s: float, limit_s: float, **who_runs
+) -> bool:
+    """Let the owner connect again where it has dropped the link.
+
+    :return: Whether the owner has given up the run, so that it may repeat it.
+    """
+    until = run.clock.now + limit_s
+    while run.clock.now < until and run.run in run.owner.held():
+        run.advance_time(TICK_INTERVAL_S, **who_runs)
+        if run.owner.owner.links["agent-1"].connection is None:
+            run.advance_time(reconnect_s, **who_runs)
+            run.reset_link()
+    return run.run not in run.owner.held()
+
+
+@pytest.mark.parametrize("answers_arrive", [True, False])
+@pytest.mark.parametrize("reconnect_s", [0.05, 0.15])
+@pytest.mark.parametrize("pause_s", [0.2, 0.4, 0.45, 0.6, 0.8, 1.0, 1.15, 1.3])
+@pytest.mark.parametrize("order", list(permutations(STEPS_AFTER_PAUSE)))
+def test_run_ends_before_it_is_repeated_if_a_paused_agent_reads_late_messages(
+    order, pause_s, reconnect_s, answers_arrive
+):
+    # Guards against a task on two workers: messages that waited for a paused agent
+    # renewed the owner's lease from when they were read.
+    run = UnstoppableRun()
+    is_repeated = advance_time_until_repeated(
+        run, reconnect_s, pause_s, agent_runs=False
+    )
+    run.answers_arrive = answers_arrive
+    for step in order:
+        STEPS_AFTER_PAUSE[step](run)
+    is_repeated = is_repeated or advance_time_until_repeated(run, reconnect_s, 10.0)
+    assert is_repeated == (run.ends_at <= run.clock.now)
+
+
+@pytest.mark.parametrize("pause_s", [0.2, 0.45, 0.7, 1.0, 1.3, 2.5])
+@pytest.mark.parametrize("before_s", [0.0, 0.2, 0.4, 0.6, 0.8, 1.0])
+@pytest.mark.parametrize("reconnect_s", [0.05, 0.15])
+def test_run_ends_before_it_is_repeated_by_an_owner_that_was_paused(
+    reconnect_s, before_s, pause_s
+):
+    # Guards against a task on two workers: an owner that is only heard is paused, and
+    # what it sends afterwards renews its lease.
+    run = UnstoppableRun()
+    run.answers_arrive = False
+    is_repeated = advance_time_until_repeated(run, reconnect_s, before_s)
+    if not is_repeated:
+        run.advance_time(pause_s, owner_runs=False)
+        is_repeated = advance_time_until_repeated(run, reconnect_s, 10.0)
+    assert is_repeated
+    assert run.ends_at <= run.clock.now
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.3, 0.6, 2.0])
+def test_no_run_starts_on_a_link_without_an_answer(pause_s):
+    # A start order would reach an agent whose answers and refusals are lost.
+    owner = LinkedOwner()
+    owner.owner.connection_closed(owner.connection)
+    link = owner.owner.links["agent-1"]
+    owner.connection = Connection(link.member.address)
+    link.connecting = False
+    owner.owner.attach(link, owner.connection)
+    owner.clock.now += pause_s
+    steps = [Step(1, CORE, 0.3)]
+    job = RepeatableJob("k", QUEUE, "p", steps, owner.clock.now, 30.0)
+    owner.scheduler.submit(job, owner.answers.append)
+    owner.advance_time(1.0, answers=False)
+    assert StartRuns not in [type(item) for item in owner.connection.sent]
+    owner.connection = owner.connect()
+    owner.advance_time(TICK_INTERVAL_S)
+    assert StartRuns in [type(item) for item in owner.connection.sent]
