--- a/emulator/runners.py
+++ b/emulator/runners.py
@@ -9,7 +9,7 @@
 
 from emulator.workers import EmulatedWorker
 from marigoldkeel.exceptions import InvalidInput
-from marigoldkeel.fleet.supervisors import StartOutcome
+from marigoldkeel.fleet.runs import StartOutcome
 from marigoldkeel.fleet.work import Resources, RunEnd, RunId
 from marigoldkeel.platform.workers import RUN_ENDS, parse_task_name, task_name
 from marigoldkeel.servers import HttpApplication, Request, Response
--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -30,15 +30,9 @@
 from marigoldkeel.fleet.messages import WorkerFacts
 from marigoldkeel.fleet.owned import OwnedJob
 from marigoldkeel.fleet.plans import Queue
+from marigoldkeel.fleet.runs import CheckBootOrder, Phase, Run, StartOrder, StartOutcome
 from marigoldkeel.fleet.schedulers import Scheduler
-from marigoldkeel.fleet.supervisors import (
-    CheckBootOrder,
-    Phase,
-    Run,
-    StartOrder,
-    StartOutcome,
-    Supervisor,
-)
+from marigoldkeel.fleet.supervisors import Supervisor
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import (
     JobAnswer,
--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -3,12 +3,7 @@
 from dataclasses import dataclass, field
 
 from marigoldkeel.fleet.messages import WorkerFacts
-from marigoldkeel.fleet.supervisors import (
-    RunEndRecord,
-    RunStatus,
-    StartOutcome,
-    WorkerPoll,
-)
+from marigoldkeel.fleet.runs import RunEndRecord, RunStatus, StartOutcome, WorkerPoll
 from marigoldkeel.fleet.work import Resources, RunEnd, RunId
 
 
--- a/marigoldkeel/fleet/drivers.py
+++ b/marigoldkeel/fleet/drivers.py
@@ -8,18 +8,20 @@
 from loguru import logger
 
 from marigoldkeel.exceptions import MarigoldkeelError, PeerUnavailable
-from marigoldkeel.fleet.supervisors import (
-    EVACUATED,
-    MAX_ORDER_AGE_S,
-    WORKER_LEASE_S,
+from marigoldkeel.fleet.runs import (
     CheckBootOrder,
     Phase,
     Run,
     StartOrder,
     StartOutcome,
-    Supervisor,
     WorkerPoll,
 )
+from marigoldkeel.fleet.supervisors import (
+    EVACUATED,
+    MAX_ORDER_AGE_S,
+    WORKER_LEASE_S,
+    Supervisor,
+)
 from marigoldkeel.guards import run_guarded
 
 
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -70,8 +70,8 @@
     ReservationEvent,
     forecast_end,
 )
+from marigoldkeel.fleet.runs import StartOutcome
 from marigoldkeel.fleet.subsets import is_suitable
-from marigoldkeel.fleet.supervisors import StartOutcome
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import (
     JobAnswer,
--- a/marigoldkeel/fleet/status.py
+++ b/marigoldkeel/fleet/status.py
@@ -10,7 +10,7 @@
 
 from marigoldkeel.fleet.admission import waiting_times
 from marigoldkeel.fleet.links import AgentLink
-from marigoldkeel.fleet.supervisors import Run
+from marigoldkeel.fleet.runs import Run
 
 
 def entry_report(entry) -> dict[str, Any]:
--- a/marigoldkeel/platform/workers.py
+++ b/marigoldkeel/platform/workers.py
@@ -20,14 +20,14 @@
 from marigoldkeel.fleet.drivers import WorkerClient
 from marigoldkeel.fleet.messages import WorkerFacts
 from marigoldkeel.fleet.reports import ReportOutcome
-from marigoldkeel.fleet.supervisors import (
+from marigoldkeel.fleet.runs import (
     Run,
     RunEndRecord,
     RunStatus,
     StartOutcome,
-    Supervisor,
     WorkerPoll,
 )
+from marigoldkeel.fleet.supervisors import Supervisor
 from marigoldkeel.fleet.work import Resources, RunEnd, RunId, TaskId
 from marigoldkeel.platform.calls import PlatformClient, Reply
 from marigoldkeel.servers import HttpApplication, Request, Response
--- a/tests/fleet/test_daemons.py
+++ b/tests/fleet/test_daemons.py
@@ -9,13 +9,8 @@
 from marigoldkeel.fleet.daemons import FleetAgent
 from marigoldkeel.fleet.drivers import WorkerClient
 from marigoldkeel.fleet.messages import Attach, RunEvent
+from marigoldkeel.fleet.runs import RunEndRecord, RunStatus, StartOutcome, WorkerPoll
 from marigoldkeel.fleet.settings import FleetSettings
-from marigoldkeel.fleet.supervisors import (
-    RunEndRecord,
-    RunStatus,
-    StartOutcome,
-    WorkerPoll,
-)
 from marigoldkeel.fleet.work import RunEnd
 from marigoldkeel.settings import StoreSettings
 from tests.fleet.test_supervisors import FACTS, OWNER, run_id, start_message
--- a/tests/fleet/test_drivers.py
+++ b/tests/fleet/test_drivers.py
@@ -6,17 +6,15 @@
 from marigoldkeel.exceptions import PeerTimeout, PeerUnavailable
 from marigoldkeel.fleet.drivers import START_TIMEOUTS_S, WorkerClient, WorkerDriver
 from marigoldkeel.fleet.messages import HeldRun, WorkerFacts
-from marigoldkeel.fleet.supervisors import (
-    EVACUATED,
-    WORKER_LEASE_S,
+from marigoldkeel.fleet.runs import (
     Phase,
     Run,
     RunStatus,
     StartOutcome,
     StopOrder,
-    Supervisor,
     WorkerPoll,
 )
+from marigoldkeel.fleet.supervisors import EVACUATED, WORKER_LEASE_S, Supervisor
 from tests.fleet.test_supervisors import FACTS, Agent, run_id, start_message
 
 
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -27,16 +27,13 @@
     WorkerState,
 )
 from marigoldkeel.fleet.plans import Queue
+from marigoldkeel.fleet.runs import RunEndRecord, StartOrder, StartOutcome, StopOrder
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.supervisors import (
     MAX_CLOCK_DRIFT,
     MAX_START_DELAY_S,
     OWNER_LEASE_S,
     WORKER_LEASE_S,
-    RunEndRecord,
-    StartOrder,
-    StartOutcome,
-    StopOrder,
     Supervisor,
 )
 from marigoldkeel.fleet.views import FleetView
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -19,6 +19,7 @@
     WorkerState,
 )
 from marigoldkeel.fleet.plans import Queue
+from marigoldkeel.fleet.runs import StartOutcome
 from marigoldkeel.fleet.schedulers import (
     MAX_RETRY_AFTER_S,
     MAX_TICK_INTERVAL_S,
@@ -26,7 +27,6 @@
     WORKER_DISCOVERY_S,
     Scheduler,
 )
-from marigoldkeel.fleet.supervisors import StartOutcome
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import (
     JobAnswer,
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -13,6 +13,16 @@
     StartRuns,
     WorkerFacts,
 )
+from marigoldkeel.fleet.runs import (
+    CheckBootOrder,
+    Phase,
+    RunEndRecord,
+    RunStatus,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    WorkerPoll,
+)
 from marigoldkeel.fleet.supervisors import (
     CLAIM_TIMEOUT_S,
     LOST_AGENT_TIMEOUT_S,
@@ -24,16 +34,8 @@
     NOT_LISTED,
     OWNER_LEASE_S,
     WORKER_LEASE_S,
-    CheckBootOrder,
-    Phase,
     ReportOutcome,
-    RunEndRecord,
-    RunStatus,
-    StartOrder,
-    StartOutcome,
-    StopOrder,
     Supervisor,
-    WorkerPoll,
 )
 from marigoldkeel.fleet.work import Resources, RunEnd, RunId, TaskId
 from marigoldkeel.models import Member
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -11,13 +11,8 @@
 from emulator.runners import RunnerEmulator
 from emulator.workers import EmulatedWorker
 from marigoldkeel.exceptions import MarigoldkeelError, ProtocolError
-from marigoldkeel.fleet.supervisors import (
-    Phase,
-    Run,
-    StartOutcome,
-    Supervisor,
-    WorkerPoll,
-)
+from marigoldkeel.fleet.runs import Phase, Run, StartOutcome, WorkerPoll
+from marigoldkeel.fleet.supervisors import Supervisor
 from marigoldkeel.fleet.work import Resources, RunEnd, RunId, TaskId
 from marigoldkeel.platform import workers
 from marigoldkeel.platform.workers import (
