Tell a restarted agent how long the callers of its runs wait

What callers could see: nothing; a task could run on two workers at the same time for up to 0.08 s.

Cause: an agent learns with a start order when the caller times out, so that the run ends without any further order. A restarted agent finds the run and gets it from the owner's attach, which did not say so.

Ruled out: a shorter time after the owner's last message, which a planned restart of an agent needs; to take it from the time of the attach, as a delayed attach would add its delay.

Change: each run that an attach lists states how much longer its caller waits, counted from the time that the attach states, negative after the time-out. The agent takes the earlier bound. Entries of earlier versions state none, as before.

`Scheduler.runs_on` served two tests only and is gone; what they check is checked on `held_on` and `stop_orders`: runs of an abandoned job are still listed, and each is ordered to stop.

--- a/marigoldkeel/fleet/leases.py
+++ b/marigoldkeel/fleet/leases.py
@@ -80,3 +80,11 @@
 def longest_lease_s(until: float, now: float) -> float:
     """Return the longest lease that ends by a time, whatever the worker's clock."""
     return max(0.0, (until - now) / (1 + MAX_CLOCK_DRIFT))
+
+
+def end_by_time_out(sent_at: float, caller_waits_ms: int) -> float:
+    """Return when a run must have ended, as its caller may submit again afterwards.
+
+    :param sent_at: When the caller waited for ``caller_waits_ms`` milliseconds more.
+    """
+    return sent_at + caller_waits_ms / 1000 + RESUBMIT_DELAY_S - LEASE_MARGIN_S
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -415,7 +415,7 @@
         name = link.member.name
         if target is None or link.connection is not None:
             return False
-        if self.scheduler.runs_on(name) or self.scheduler.stopping_on(name):
+        if self.scheduler.held_on(name, self.clock()):
             return False
         self._discard(link)
         moved = self._create(target)
@@ -485,15 +485,14 @@
         link.connection = connection
         self._next_sequence(link)
         link.record_sent(now)
-        stopping = self.scheduler.stopping_on(link.member.name)
-        held = self.scheduler.runs_on(link.member.name) + stopping
+        # An attach is no proof that the agent answers, so until a state has arrived,
+        # the runs expire as before it.
+        sent_at = link.lease_sent_at(now) if link.agent_clock_ms else now
+        held = self.scheduler.held_on(link.member.name, sent_at)
         self.fleet.view(link.member.name).restore(held, link.sequence)
         facts = link.facts or WorkerFacts()
         sent_ms = 0
         if link.agent_clock_ms:
-            # An attach is no proof that the agent answers, so until a state has
-            # arrived, the runs expire as before it.
-            sent_at = link.lease_sent_at(now)
             sent_ms = max(1, link.estimate_agent_clock_ms(sent_at))
         evacuations = self.fleet.evacuations
         attach = Attach(
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -15,6 +15,8 @@
 
 
 NO_RUN = RunId(TaskId("", 0, 0, 0), 0)
+# Longest time that a field of a message can state.
+MAX_FIELD_MS = 2**32 - 1
 
 
 @message("announce")
@@ -58,10 +60,15 @@
 
 
 class HeldRun(Struct):
-    """A run that its owner believes to be on the agent's worker."""
+    """A run that its owner believes to be on the agent's worker.
+
+    :ivar caller_waits_ms: How much longer the caller waits at the time that ``sent_ms``
+        of the `Attach` states; negative if it has timed out, 0 if it is not known.
+    """
 
     run: RunId = NO_RUN
     demand: Resources = NO_RESOURCES
+    caller_waits_ms: int = 0
 
 
 @message("attach")
--- a/marigoldkeel/fleet/owned.py
+++ b/marigoldkeel/fleet/owned.py
@@ -6,6 +6,7 @@
 from msgspec import Struct, field
 
 from marigoldkeel.fleet.forecasts import Sample
+from marigoldkeel.fleet.messages import MAX_FIELD_MS
 from marigoldkeel.fleet.work import JobAnswer, RepeatableJob, RunId, Step, TaskId
 
 
@@ -114,6 +115,14 @@
         """When the caller times out."""
         return self.job.received_at + self.job.caller_timeout_s
 
+    def caller_waits_ms(self, now: float) -> int:
+        """Return how much longer the caller waits, as a message states it.
+
+        :return: Milliseconds; negative if it has timed out, and never 0.
+        """
+        waits_ms = int(1000 * (self.caller_deadline - now))
+        return min(MAX_FIELD_MS, waits_ms) or 1
+
     @property
     def has_started(self) -> bool:
         """Whether any run of its tasks, ended or current, may have started."""
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -35,6 +35,7 @@
 )
 from marigoldkeel.fleet.leases import CALLER_TIMEOUT_GRACE_S
 from marigoldkeel.fleet.messages import (
+    MAX_FIELD_MS,
     HeldRun,
     Progress,
     RunEvent,
@@ -109,8 +110,6 @@
 # How long failures of a queue are counted, and how long a probe may take.
 FAILURE_WINDOW_S = 5.0
 PROBE_TIMEOUT_S = 2.0
-# Longest time that a field of a message can state.
-MAX_FIELD_MS = 2**32 - 1
 # Added to the run numbers when a worker already knows higher ones. This happens
 # after the wall clock was set back, usually by seconds.
 RENUMBER_MS = 60_000
@@ -322,13 +321,21 @@
         """Discard the failure history of a worker that has restarted."""
         self.detector.remove(worker, self.clock())
 
-    def runs_on(self, worker: str) -> list[HeldRun]:
-        """Return the runs on a worker that are to continue."""
-        return self._held_runs(worker, stopping=False)
+    def held_on(self, worker: str, sent_at: float) -> list[HeldRun]:
+        """Return the runs on a worker, also those that have been ordered to stop.
 
-    def stopping_on(self, worker: str) -> list[HeldRun]:
-        """Return the runs on a worker that have been ordered to stop."""
-        return self._held_runs(worker, stopping=True)
+        :param sent_at: From when the time that their callers wait counts.
+        """
+        return [
+            HeldRun(
+                task.run,
+                owned.job.steps[task.task_id.step].demand,
+                owned.caller_waits_ms(sent_at),
+            )
+            for owned in self.jobs.values()
+            for task in owned.all_tasks()
+            if task.worker == worker
+        ]
 
     def stop_orders(self, worker: str) -> list[StopRuns]:
         """Return the orders to stop the runs on a worker that are to be stopped.
@@ -346,14 +353,6 @@
         age_ms = math.ceil(1000 * (self.clock() - since))
         return StopRuns(0, runs, age_ms=min(MAX_FIELD_MS, age_ms))
 
-    def _held_runs(self, worker: str, stopping: bool) -> list[HeldRun]:
-        return [
-            HeldRun(task.run, owned.job.steps[task.task_id.step].demand)
-            for owned in self.jobs.values()
-            for task in owned.all_tasks()
-            if task.worker == worker and task.stopping == stopping
-        ]
-
     # Decisions
 
     def tick(self) -> None:
@@ -604,7 +603,6 @@
             owned.place(task, worker, self._next_run_number())
             task.placed_at, task.expected_s = self.clock(), expected_s
         first = tasks[0].task_id
-        caller_waits_ms = int(1000 * (owned.caller_deadline - self.clock()))
         message = StartRuns(
             0,
             first.job_id,
@@ -615,7 +613,7 @@
             round(expected_s * 1000),
             step.spread_limit,
             [RunNumber(task.task_id.index, task.run.number) for task in tasks],
-            caller_waits_ms=min(MAX_FIELD_MS, max(1, caller_waits_ms)),
+            caller_waits_ms=max(1, owned.caller_waits_ms(self.clock())),
         )
         self.detector.record_start(worker, self.clock())
         sequence = self.send(worker, message)
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -35,9 +35,9 @@
     MAX_START_DELAY_S,
     ORDERED_STOP_TIMEOUT_S,
     OWNER_LEASE_S,
-    RESUBMIT_DELAY_S,
     WORKER_LEASE_S,
     Owner,
+    end_by_time_out,
     longest_lease_s,
 )
 from marigoldkeel.fleet.messages import (
@@ -305,7 +305,7 @@
         if owner in self.owners:
             renewed_at = max(renewed_at, self.owners[owner].lease_renewed_at)
         self.owners[owner] = Owner(owner, message.owner.name, renewed_at, now)
-        held = {item.run: item.demand for item in message.held}
+        held = {item.run: item for item in message.held}
         for run in list(self.runs.values()):
             if run.owner == owner and run.run_id not in held:
                 self._stop(run, RunEnd.STOPPED)
@@ -313,8 +313,11 @@
             age_s <= MAX_START_DELAY_S
             and self.clock() - self.created_at <= MAX_START_DELAY_S
         )
-        for run_id, demand in held.items():
-            self._claim(run_id, PendingClaim(owner, demand, may_start))
+        for run_id, item in held.items():
+            claim = PendingClaim(owner, item.demand, may_start)
+            if item.caller_waits_ms:
+                claim.end_by = end_by_time_out(now - age_s, item.caller_waits_ms)
+            self._claim(run_id, claim)
         self.adopt_facts(message.facts)
 
     def renew_owner_lease(self, owner: str, age_s: float = 0.0) -> bool:
@@ -360,8 +363,7 @@
                 message.expected_ms / 1000,
             )
             if message.caller_waits_ms:
-                times_out_at = sent_at + message.caller_waits_ms / 1000
-                run.end_by = times_out_at + RESUBMIT_DELAY_S - LEASE_MARGIN_S
+                run.end_by = end_by_time_out(sent_at, message.caller_waits_ms)
             self.runs[run_id] = run
             self.last_demand = message.demand
             self.orders.append(StartOrder(run))
@@ -652,6 +654,8 @@
         if run is not None:
             if not run.owner:
                 run.owner, run.demand = claim.owner, claim.demand
+            if run.owner == claim.owner:
+                run.end_by = min(run.end_by, claim.end_by)
             if run.phase == Phase.FOUND:
                 run.phase = Phase.RUNNING
         elif run_id in self.recent_events:
--- a/marigoldkeel/messages.capnp
+++ b/marigoldkeel/messages.capnp
@@ -283,6 +283,7 @@
 struct HeldRun {
   run @0 :RunId;
   demand @1 :Resources;
+  callerWaitsMs @2 :Int64;
 }
 
 struct Attach {
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -333,7 +333,7 @@
         job = RepeatableJob("j", QUEUE, "p", steps, self.clock.now, caller_timeout_s)
         self.answers: list[JobAnswer] = []
         self.owned = self.scheduler.submit(job, self.answers.append)
-        (self.run,) = [item.run for item in self.scheduler.runs_on("agent-1")]
+        (self.run,) = self.held()
 
     def start_soon(self, action, *arguments) -> None:
         if arguments:
@@ -364,7 +364,7 @@
 
     def held(self) -> list[RunId]:
         """Return the runs that the owner has not given up."""
-        return [item.run for item in self.scheduler.runs_on("agent-1")]
+        return [item.run for item in self.scheduler.held_on("agent-1", self.clock.now)]
 
     def end_run(self, end: RunEnd = RunEnd.DONE) -> None:
         event = RunEvent(self.run, RunEventKind.ENDED, end)
@@ -717,19 +717,23 @@
     run.reset_link()
 
 
-def caller_leaves_and_the_agent_restarts(
-    run: UnstoppableRun, down_s: float, has_polled: bool = True
-) -> None:
+def restart_agent(run: UnstoppableRun, down_s: float, has_polled: bool) -> None:
     # The agent's lease for its successor reaches further than its usual one.
     lease_s = run.agent.supervisor.handover_lease_s()
     run.ends_at = run.clock.now + lease_s * (1 + MAX_CLOCK_DRIFT)
-    caller_leaves_and_the_order_is_lost(run, 0.0)
     run.lose_link()
     run.advance_time(down_s)
     run.start_agent(has_polled)
     run.reset_link()
 
 
+def caller_leaves_and_the_agent_restarts(
+    run: UnstoppableRun, down_s: float, has_polled: bool = True
+) -> None:
+    caller_leaves_and_the_order_is_lost(run, 0.0)
+    restart_agent(run, down_s, has_polled)
+
+
 def caller_leaves_and_the_owner_attaches_before_the_restarted_agent_polls(
     run: UnstoppableRun, down_s: float
 ) -> None:
@@ -773,6 +777,27 @@
     assert run.end() <= times_out_at + RESUBMIT_S
 
 
+@pytest.mark.parametrize("silent_s", [0.0, 0.2, 0.25, 0.3, 0.35])
+@pytest.mark.parametrize("lost_s", [0.5, 1.5])
+@pytest.mark.parametrize("before_s", [0.2, 0.4, 0.8])
+@pytest.mark.parametrize("down_s", [0.1, 0.3])
+@pytest.mark.parametrize("has_polled", [True, False])
+def test_run_of_a_silent_caller_ends_before_it_submits_again_if_the_agent_restarts(
+    has_polled, down_s, before_s, lost_s, silent_s
+):
+    # Guards against a task on two workers: a restarted agent does not know when the
+    # callers time out, and the order to stop is lost with its link.
+    run = UnstoppableRun(caller_timeout_s=3.0)
+    times_out_at = run.owner.owned.caller_deadline
+    run.advance_time(times_out_at - before_s - down_s - run.clock.now)
+    restart_agent(run, down_s, has_polled)
+    run.advance_time(times_out_at + silent_s - run.clock.now)
+    run.lose_link()
+    run.advance_time(lost_s)
+    run.reset_link()
+    assert run.end() <= times_out_at + RESUBMIT_S
+
+
 @pytest.mark.parametrize("reconnect_s", [0.05, 0.1, 0.15, 0.2])
 def test_run_ends_before_its_owner_repeats_it_while_only_the_owner_is_heard(
     reconnect_s,
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -78,6 +78,9 @@
         view.connected = True
         view.update(WorkerState(0, capacity, True))
 
+    def held_on_worker(self, worker: str) -> list[RunId]:
+        return [item.run for item in self.scheduler.held_on(worker, self.now)]
+
     def send(self, worker, message) -> int:
         self.sent.append((worker, message))
         self.sequence += 1
@@ -371,7 +374,8 @@
     runs = [run for _, run in entry.starts()]
     entry.scheduler.abandon(entry.scheduler.jobs["j"], "left")
     assert entry.stops() == runs
-    assert entry.scheduler.runs_on("w") == []
+    assert entry.held_on_worker("w") == runs
+    assert [order.runs for order in entry.scheduler.stop_orders("w")] == [runs]
     for run in runs:
         entry.end("w", run, RunEnd.STOPPED)
     assert entry.scheduler.jobs == {}
@@ -401,7 +405,8 @@
     entry.submit(steps=[Step(2, CORE, 0.1)])
     (_, first), (_, second) = entry.starts()
     entry.end("w", first)
-    assert [held.run for held in entry.scheduler.runs_on("w")] == [second]
+    assert entry.held_on_worker("w") == [second]
+    assert entry.scheduler.stop_orders("w") == []
 
 
 def test_events_of_earlier_runs_change_nothing():
