End the daemons that a failing case leaves behind

Cause: the rig of cases 6 to 10 ends its daemons only once all of them are launched. A template that fails for the second role left those of the first one running: nine after a trial with a further field in deploy/agent.toml. tests/test_review.py now runs each case in a process group of its own and ends the group.

--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -4,9 +4,11 @@
 import os
 import re
 import shutil
+import signal
 import subprocess
 import sys
 import sysconfig
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -37,13 +39,21 @@
     """Run a script with the interpreter of the tests as ``python3``."""
     path = os.pathsep.join((str(Path(sys.executable).parent), os.environ["PATH"]))
     environment = {**os.environ, "PATH": path, "TROUBLE": str(int(trouble))}
-    return subprocess.run(
+    with subprocess.Popen(
         ["bash", script],
         env=environment,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         text=True,
-    )
+        start_new_session=True,
+    ) as process:
+        try:
+            output, _ = process.communicate()
+        finally:
+            # A rig that fails while it launches leaves the daemons launched before.
+            with suppress(ProcessLookupError):
+                os.killpg(process.pid, signal.SIGKILL)
+    return subprocess.CompletedProcess(process.args, process.returncode, output)
 
 
 @pytest.mark.parametrize("name", ["build.sh", "build-2.sh"])
