Run the callers of the soak in a process of their own

Cause: callers, workers, store, proxies and checks shared one process and event loop, late by up to a second in runs with findings; whether a request was late or its caller could not be told from one another.

Change: soak/loads.py runs the callers in a process of their own, which is told the changed prefixes and gives back what it observed; times are of the one monotonic clock. A probe's process is found by when it was sent. The checks are as they were. The random choices of the callers are those of the seed as before; those of the requests that check the start and the recovery have a generator of their own.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -69,8 +69,10 @@
         names = kinds.split(",") if kinds else []
         report = anyio.run(run_seed, seed, directory, seconds, entries, workers, names)
         lag_ms = round(report.lag_s * 1000)
+        callers_ms = round(report.callers_lag_s * 1000)
         print(
-            f"seed {seed}: {report.jobs} jobs, {dict(report.outcomes)}, lag {lag_ms} ms"
+            f"seed {seed}: {report.jobs} jobs, {dict(report.outcomes)}, "
+            f"lag {lag_ms} ms, of the callers {callers_ms} ms"
         )
         findings = report.violations + report.late_violations
         for text in findings:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -171,10 +171,10 @@
     async def probe(self, entry: Program, prefix: str) -> Probe | None:
         """Ask an entry for a queue; return None if its reply does not show either."""
         sent_at = anyio.current_time()
-        pid = entry.process.pid
         status, _ = await self._request(entry, "GET", prefix, 1.0)
         if status not in (200, 404):
             return None
+        pid = entry.pid_at(sent_at)
         result = Probe(entry, prefix, sent_at, anyio.current_time(), status == 200, pid)
         self.probes.append(result)
         return result
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -39,6 +39,7 @@
         on the soak test's clock.
     :ivar unexpected_exits: One text for each planned stop that did not end as expected:
         the exit code, or that there was none within the time limit.
+    :ivar pids: When each of its processes was started, and its id.
     :ivar fault_active: Whether a fault is acting on the process now, so that no other
         process fault selects it. Includes reloads, which are not disturbances.
     """
@@ -54,6 +55,7 @@
     fault_active: bool = False
     launched_at: float = 0.0
     launches: int = 0
+    pids: list[tuple[float, int]] = field(default_factory=list)
 
     @property
     def age_s(self) -> float:
@@ -91,6 +93,11 @@
                 stdout=log,
                 stderr=log,
             )
+        self.pids.append((self.launched_at, self.process.pid))
+
+    def pid_at(self, moment: float) -> int:
+        """Return the id of the last process started by then; 0 if there was none."""
+        return max((row for row in self.pids if row[0] <= moment), default=(0, 0))[1]
 
     def signal_process(self, number: int) -> None:
         """Send a signal to the process if it runs."""
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -15,6 +15,7 @@
 from soak.checks import RunRecord, checks, findings, timed_checks
 from soak.faults import faults
 from soak.installations import FaultPeriod, Installation
+from soak.loads import Load, LoopLag
 
 
 START_TIMEOUT_S = 30.0
@@ -29,7 +30,6 @@
 RECOVERY_LIMIT_S = 12.0
 # Added to these limits, since the event loop may be delayed on a busy machine.
 LOOP_LAG_MARGIN_S = 3.0
-LAG_CHECK_INTERVAL_S = 0.01
 
 
 @dataclass
@@ -41,6 +41,7 @@
     :ivar late_violations: Violations of guarantees with a time limit.
     :ivar lag_s: The largest delay of the soak test's event loop. The stand-ins for the
         store and the workers' runners use this loop too, so it delays their responses.
+    :ivar callers_lag_s: The same of the callers, which run in a process of their own.
     :ivar jobs: Number of jobs sent by callers.
     :ivar outcomes: Number of attempts by outcome: the state of the job if the response
         has one, otherwise the HTTP status or the kind of connection failure.
@@ -51,6 +52,7 @@
     violations: list[str] = field(default_factory=list)
     late_violations: list[str] = field(default_factory=list)
     lag_s: float = 0.0
+    callers_lag_s: float = 0.0
     jobs: int = 0
     outcomes: Counter = field(default_factory=Counter)
 
@@ -74,7 +76,8 @@
     report, rng = Report(seed), random.Random(seed)
     host = f"127.1.{seed // 200 % 200}.{seed % 200 + 1}"
     async with Installation.open(directory, entries, workers, host) as installation:
-        callers = Callers(installation, random.Random(f"callers {seed}"))
+        callers = Callers(installation, random.Random(f"checks {seed}"))
+        load, lag = Load(installation, f"callers {seed}"), LoopLag()
         with anyio.move_on_after(START_TIMEOUT_S) as timeout_scope:
             await _wait_until_serving(callers)
         if timeout_scope.cancelled_caught:
@@ -83,16 +86,19 @@
             )
             return report
         async with anyio.create_task_group() as lag_group:
-            lag_group.start_soon(_measure_lag, report)
+            lag_group.start_soon(lag.measure)
             async with anyio.create_task_group() as group:
-                group.start_soon(callers.run)
+                group.start_soon(load.run)
                 chosen = sorted(kinds or faults)
                 await _inject_faults(installation, rng, seconds, report, chosen)
                 # A precaution: each fault also ends by itself.
                 installation.restore()
                 report.late_violations += await _check_recovery(installation, callers)
-                callers.stopping = True
+                load.stopping = True
             lag_group.cancel_scope.cancel()
+        report.lag_s, report.callers_lag_s = lag.seconds, load.lag_s
+        callers.jobs += load.jobs
+        callers.probes += load.probes
         record = RunRecord.from_run(installation, callers)
         report.violations += findings(record, checks)
         report.late_violations += findings(record, timed_checks)
@@ -103,14 +109,6 @@
     return report
 
 
-async def _measure_lag(report: Report) -> None:
-    """Record the largest delay of this event loop."""
-    while True:
-        due_at = anyio.current_time() + LAG_CHECK_INTERVAL_S
-        await anyio.sleep(LAG_CHECK_INTERVAL_S)
-        report.lag_s = max(report.lag_s, anyio.current_time() - due_at)
-
-
 async def _wait_until_serving(callers: Callers) -> None:
     """Wait until every entry has served a job."""
     async with anyio.create_task_group() as group:
