--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
     NOT_CONNECTED,
     TIMED_OUT,
     Attempt,
+    Callers,
     Probe,
     SentJob,
 )
@@ -44,8 +45,10 @@
     EVACUATE_S,
     CancelledJob,
     FaultPeriod,
+    Installation,
     PlanChange,
 )
+from soak.loads import Load
 from soak.programs import Disturbance, Program
 from soak.records import OverwrittenRecords
 from soak.runs import run_seed
@@ -347,3 +350,34 @@
     host = "127.1.99.1"
     addresses = [free_address(host), free_address(host)]
     assert addresses == [f"{host}:15000", f"{host}:15001"]
+
+
+@pytest.mark.parametrize(
+    ("moment", "pid"), [(0.5, 0), (1.0, 11), (2.9, 11), (3.0, 12), (9.0, 12)]
+)
+def test_process_of_a_probe_is_the_last_one_started_by_then(tmp_path, moment, pid):
+    program = Program("entry-0", {}, tmp_path, pids=[(1.0, 11), (3.0, 12)])
+    assert program.pid_at(moment) == pid
+
+
+async def observe(directory: Path) -> Load:
+    async with Installation.open(directory, 2, 2, "127.1.98.1") as installation:
+        callers = Callers(installation, random.Random(1))
+        for entry in installation.entries:
+            await callers.wait_until_serving(entry)
+        load = Load(installation, "callers 1")
+        async with anyio.create_task_group() as group:
+            group.start_soon(load.run)
+            await anyio.sleep(1.0)
+            installation.configure({"/stock/", "/extra-1/"})
+            await anyio.sleep(4.0)
+            load.stopping = True
+    return load
+
+
+def test_callers_in_their_own_process_send_to_all_entries_and_new_queues(tmp_path):
+    load = anyio.run(observe, tmp_path)
+    entries = {attempt.entry.name for job in load.jobs for attempt in job.attempts}
+    assert entries == {"entry-0", "entry-1"}
+    assert {probe.prefix for probe in load.probes} == {"/stock/", "/extra-1/"}
+    assert all(probe.pid == probe.entry.process.pid for probe in load.probes)
