Run the stand-ins of the soak on uvloop

Cause, traced in part: a run under a profiler, with the same finding, waited for events in 0.8 of 49 s. The loop of the workers, the store and the proxies is saturated, so agents time out on their workers.

Change: that loop is uvloop's, which the daemons use too. The callers keep asyncio's, whose clock is not that of the loop's last turn.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -67,7 +67,11 @@
         logging.disable(logging.CRITICAL)
         logger.disable("marigoldkeel")
         names = kinds.split(",") if kinds else []
-        report = anyio.run(run_seed, seed, directory, seconds, entries, workers, names)
+        # The loop of the stand-ins is the first to saturate in large runs.
+        report = anyio.run(
+            *(run_seed, seed, directory, seconds, entries, workers, names),
+            backend_options={"use_uvloop": True},
+        )
         lag_ms = round(report.lag_s * 1000)
         callers_ms = round(report.callers_lag_s * 1000)
         print(
