Compare the end of a run with its repetition to one tick in the plays of pauses

Cause: the plays of a paused agent and a paused owner let the time to reconnect pass in one step, so an overlap of up to 0.15 s after the owner had given up the run would not have been seen.

Change: they connect again between ticks of 0.05 s and stop at the tick in which the run is given up.

--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -834,11 +834,14 @@
 
     :return: Whether the owner has given up the run, so that it may repeat it.
     """
-    until = run.clock.now + limit_s
+    until, dropped_at = run.clock.now + limit_s, None
     while run.clock.now < until and run.run in run.owner.held():
         run.advance_time(TICK_INTERVAL_S, **who_runs)
-        if run.owner.owner.links["agent-1"].connection is None:
-            run.advance_time(reconnect_s, **who_runs)
+        if run.owner.owner.links["agent-1"].connection is not None:
+            dropped_at = None
+        elif dropped_at is None:
+            dropped_at = run.clock.now
+        elif run.clock.now - dropped_at >= reconnect_s - 0.01:
             run.reset_link()
     return run.run not in run.owner.held()
 
