Review: look up the process of a channel only during a cut

Cause: the rig read the table of channels for each new one, which is slow when many have closed lately. Change: the rig reads it only while a process is cut off.

--- a/review/rig3.py
+++ b/review/rig3.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -157,8 +158,12 @@
 
 def process_of(port: int, processes: set[int]) -> int:
     """Return which of some processes has a channel from a port; 0 if none of them."""
-    rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
-    inodes = [row[9] for row in rows if int(row[1].split(":")[1], 16) == port]
+    if not processes:
+        return 0
+    # The fields are: local and remote address, state, queues, timer, retransmissions,
+    # user, time-out and inode.
+    row = rf"\d+: [0-9A-F]+:{port:04X} (?:\S+\s+){{7}}(\d+)"
+    inodes = re.findall(row, Path("/proc/net/tcp").read_text())
     names = {f"socket:[{inode}]" for inode in inodes if inode != "0"}
     for process in processes:
         for path in Path(f"/proc/{process}/fd").glob("*"):
@@ -184,6 +189,8 @@
         self.is_cut = False
         self.processes: set[int] = set()
         self.cut_processes: set[int] = set()
+        # The processes of the channels, by their ports.
+        self.owners: dict[int, int] = {}
         self.channels: list[tuple[int, asyncio.StreamWriter]] = []
         self.is_silent = False
         self.healed = asyncio.Event()
@@ -193,11 +200,11 @@
 
     def cut(self) -> None:
         self.is_cut = True
-        self._reset(lambda process: True)
+        self._reset(self._is_closed_to)
 
     def cut_process(self, process: int) -> None:
         self.cut_processes.add(process)
-        self._reset(lambda other: other == process)
+        self._reset(self._is_closed_to)
 
     def heal(self) -> None:
         self.is_cut = False
@@ -205,32 +212,38 @@
         self.healed.set()
         self.healed = asyncio.Event()
 
-    def _is_closed_to(self, process: int) -> bool:
-        return self.is_cut or process in self.cut_processes
+    def _is_closed_to(self, port: int) -> bool:
+        """Return whether a channel from a port is cut."""
+        if self.is_cut or not self.cut_processes:
+            return self.is_cut
+        if port not in self.owners:
+            self.owners[port] = process_of(port, self.processes)
+        return self.owners[port] in self.cut_processes
 
     def _reset(self, is_meant: Callable[[int], bool]) -> None:
         if self.is_silent:
             return
-        for process, writer in list(self.channels):
-            if is_meant(process):
+        for port, writer in list(self.channels):
+            if is_meant(port):
                 writer.transport.abort()
 
     async def _forward(self, reader, writer) -> None:
-        process = process_of(writer.get_extra_info("peername")[1], self.processes)
-        if self._is_closed_to(process) and not self.is_silent:
+        port = writer.get_extra_info("peername")[1]
+        self.owners.pop(port, None)
+        if self._is_closed_to(port) and not self.is_silent:
             writer.transport.abort()
             return
-        rows = [(process, writer)]
+        rows = [(port, writer)]
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 "127.0.0.1", self.target
             )
-            rows.append((process, far_writer))
+            rows.append((port, far_writer))
             self.channels += rows
             await asyncio.wait(
                 [
-                    asyncio.ensure_future(self._copy(process, reader, far_writer)),
-                    asyncio.ensure_future(self._copy(process, far_reader, writer)),
+                    asyncio.ensure_future(self._copy(port, reader, far_writer)),
+                    asyncio.ensure_future(self._copy(port, far_reader, writer)),
                 ],
                 return_when=asyncio.FIRST_COMPLETED,
             )
@@ -242,10 +255,10 @@
                     self.channels.remove(row)
                 row[1].close()
 
-    async def _copy(self, process: int, reader, writer) -> None:
+    async def _copy(self, port: int, reader, writer) -> None:
         try:
             while data := await reader.read(65_536):
-                while self._is_closed_to(process):
+                while self._is_closed_to(port):
                     await self.healed.wait()
                 writer.write(data)
                 await writer.drain()
