Review: an entry that wakes goes on placing a job of a caller that has left

Cause: a pass of the scheduler looks at the clock and at the callers' deadlines once, at its start; a pause inside the pass is not noticed.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,49 +1,73 @@
-"""A task runs on two runners after the planned restart of an agent."""
+"""Tasks run twice: an entry that wakes goes on placing the job that it was placing."""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
+from signal import SIGCONT, SIGSTOP
 
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from signal import SIGTERM  # noqa: E402
+from rig3 import TROUBLE, CannotRunError, Rig, main, step  # noqa: E402
 
-from rig3 import GRACE_S, TROUBLE, CannotRunError, Rig, main, step  # noqa: E402
 
+STEPS = 200
+WORK_MS = 1200
+# How long the client waits for its answer, and then until it sends its job again.
+WAITS_S = 1.5
+RETRANSMIT_S = 1.3
+FREEZE_S = 3.6
+ROUNDS = 10
+# When the entry is frozen after the job was sent, as a share of the time that it takes
+# to the job's first start.
+FIRST_SHARE, LAST_SHARE = 0.25, 0.6
+CALM_S = 1.0
 
-JOB = "00000000000000b1"
-WORK_MS = 8000
-WAITS_S = 30.0
-RESTART_DELAY_S = 0.05
-# Which calls for the lists of runs the runner leaves unanswered after the restart.
-UNANSWERED = (2, 3)
+
+async def submit(rig: Rig, job_id: str) -> None:
+    """Hand in a job; without an answer, send it again to the other entry."""
+    steps = [step(cpu=50, estimate_ms=WORK_MS) for _ in range(STEPS)]
+    first, second = rig.entries
+    if await first.submit(job_id, steps, WORK_MS, WAITS_S) in (0, 502, 504):
+        await asyncio.sleep(RETRANSMIT_S)
+        await second.submit(job_id, steps, WORK_MS, WAITS_S)
+
+
+async def measure(rig: Rig, job_id: str) -> float:
+    """Return the time from sending a job to its first start."""
+    posted = rig.spawn(submit(rig, job_id))
+    began_at = time.monotonic()
+    while not rig.starts_of(job_id):
+        if time.monotonic() - began_at > WAITS_S:
+            raise CannotRunError("the job has not started")
+        await asyncio.sleep(0)
+    seconds = time.monotonic() - began_at
+    await posted
+    return seconds
 
 
 async def case(rig: Rig) -> list[str]:
-    (entry,) = rig.entries
-    rig.spawn(entry.submit(JOB, [step(estimate_ms=WORK_MS)], WORK_MS, WAITS_S))
-    await asyncio.sleep(1.5)
-    starts = rig.starts_of(JOB)
-    if len(starts) != 1:
-        raise CannotRunError("the job has not started once")
-    agent = next(item for item in rig.agents if item.runner.name == starts[0][1])
-    runner = agent.runner
-    agent.send(SIGTERM)
-    await agent.wait_end(GRACE_S)
-    await asyncio.sleep(RESTART_DELAY_S)
-    agent.launch()
-    calls = []
-
-    def is_unanswered(path: str) -> bool:
-        calls.append(path)
-        number = calls.count("/api/hold")
-        return TROUBLE and path == "/api/hold" and number in UNANSWERED
-
-    runner.unanswered = is_unanswered
-    await asyncio.sleep(4.0)
-    rig.record.add(f"{runner.name} got {len(calls)} calls since the restart")
-    return rig.overlaps_of(JOB)
-
-
-main(case, entries=1, runners=2)
+    frozen = rig.entries[0]
+    to_start_s = await measure(rig, f"{1:016x}")
+    rig.record.add(f"a job starts {1000 * to_start_s:.1f} ms after it is sent")
+    broken = []
+    for number in range(ROUNDS):
+        await asyncio.sleep(CALM_S)
+        job_id = f"{0xD0 + number:016x}"
+        share = FIRST_SHARE + (LAST_SHARE - FIRST_SHARE) * number / (ROUNDS - 1)
+        posted = rig.spawn(submit(rig, job_id))
+        await asyncio.sleep(share * to_start_s)
+        if TROUBLE:
+            frozen.send(SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        if TROUBLE:
+            frozen.send(SIGCONT)
+        await posted
+        overlaps = rig.overlaps_of(job_id)
+        rig.record.add(f"{len(overlaps)} tasks of {job_id} ran twice at the same time")
+        broken += overlaps[:2]
+    return broken
+
+
+main(case, entries=2, runners=3)
--- a/review/rig3.py
+++ b/review/rig3.py
@@ -35,6 +35,7 @@
 # When a call that a runner leaves unanswered is carried out.
 APPLIED_LATE_S = 2.0
 READY_TIMEOUT_S = 15.0
+START_ATTEMPTS = 5
 # How long a case waits at most for its answers.
 CASE_TIMEOUT_S = 100.0
 STARTED_AT = time.monotonic()
@@ -744,8 +745,12 @@
         # Each entry knows all agents and the other entries by now.
         await asyncio.sleep(3.0)
         for number, entry in enumerate(self.entries):
-            status = await entry.submit(f"{number:016x}", [step()], 50, 5.0)
-            if status != 200:
+            for attempt in range(START_ATTEMPTS):
+                job_id = f"{number:08x}{attempt:08x}"
+                if await entry.submit(job_id, [step()], 50, 5.0) == 200:
+                    break
+                await asyncio.sleep(1.0)
+            else:
                 raise CannotRunError(f"{entry.name} does not serve")
 
     @property
