State the time of the facts in every message to an agent

Cause: a pass over the queue reads the clock at its start, but each start order stated anew when it was sent (`sent_ms`) and how long the caller waits (`max(1, ...)`), so that agents took the orders of an interrupted pass for fresh ones. The same held for renewals, stop orders and attaches.

Ruled out: a further look at the clock before each order. The pause may fall after it; the window only shrinks.

Change: `Scheduler.send` takes the time of the facts. Start orders, run numbers and the caller's time count from the begin of the pass, stop orders and renewals from the last time at which all that had happened was acted on (`Scheduler.facts_time`). The lease that an owner believes it has renewed counts from the stated time. The agent keeps the stated time itself, not an age that it adds to a second reading of its clock. A pass that has placed for 10 ms ends and is continued after pending events were read, so a long pass does not make orders old. A tick with a pause in it refuses nothing, and an entry that has just woken refuses no job because its connections are being replaced. The links use the scheduler's clock, which includes suspension.

Signatures of test doubles follow (`send`, ages became times); no check changed.

--- a/emulator/event_loop.py
+++ b/emulator/event_loop.py
@@ -51,7 +51,8 @@
         while self.events and self.events[0][0] <= when:
             self.now, _, action = heapq.heappop(self.events)
             action()
-        self.now = when
+        # An action that was paused may have run the events up to a later time.
+        self.now = max(self.now, when)
 
 
 class SimulatedConnection:
@@ -83,6 +84,7 @@
         self._transmit(content)
 
     def _transmit(self, content: Any) -> None:
+        self.owner.pass_point()
         self.loop.call_later(self.latency_s, lambda: self.other.arrive(content))
 
     def arrive(self, content: Any) -> None:
@@ -106,6 +108,7 @@
             self.closed = True
             self.listener.connection_closed(self)
             return
+        self.owner.pass_point()
         self.listener.message_received(self, content)
         self.listener.frame_processed(self)
 
@@ -130,6 +133,9 @@
     :ivar generation: How many times it was restarted.
     :ivar deferred: Actions to run once it is resumed.
     :ivar partitioned_from: Names of the processes that it cannot communicate with.
+    :ivar points: How many points at which a pause may fall it has passed: readings of
+        the clock, and messages sent or read.
+    :ivar pauses: How long it is paused at some of these points, by number.
     """
 
     def __init__(self, loop: EventLoop, name: str, domain: str):
@@ -142,6 +148,28 @@
         self.deferred: list[Callable[[], None]] = []
         self.partitioned_from: set[str] = set()
         self.connections: list[SimulatedConnection] = []
+        self.points = 0
+        self.pauses: dict[int, float] = {}
+
+    def pass_point(self) -> None:
+        """Pause the process here, within an action, if that is due.
+
+        Everything else goes on meanwhile. What arrives is handled after the action.
+        """
+        pause_s = self.pauses.pop(self.points, None)
+        self.points += 1
+        if pause_s is None or self.paused:
+            return
+        self.pause()
+        self.loop.run_until(self.loop.now + pause_s)
+        self.loop.call_later(0.0, self.resume)
+
+    def clock(self) -> float:
+        """Return the simulated time; the process may be paused before or after."""
+        self.pass_point()
+        now = self.loop.now
+        self.pass_point()
+        return now
 
     @property
     def member(self) -> Member:
--- a/emulator/simulations.py
+++ b/emulator/simulations.py
@@ -32,7 +32,7 @@
 from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.runs import CheckBootOrder, Phase, Run, StartOrder, StartOutcome
 from marigoldkeel.fleet.schedulers import Scheduler
-from marigoldkeel.fleet.supervisors import Supervisor
+from marigoldkeel.fleet.supervisors import MAX_ORDER_AGE_S, Supervisor
 from marigoldkeel.fleet.views import FleetView
 from marigoldkeel.fleet.work import (
     JobAnswer,
@@ -69,10 +69,8 @@
 
     def initialize(self) -> None:
         """Create the state of a new process and start its periodic tasks."""
-        self.supervisor = Supervisor(self.loop.clock, domain=self.domain)
-        self.links = AgentEndpoint(
-            self.supervisor, self.flush, self.loop.clock, self.name
-        )
+        self.supervisor = Supervisor(self.clock, domain=self.domain)
+        self.links = AgentEndpoint(self.supervisor, self.flush, self.clock, self.name)
         self.flush_scheduled = False
         self.polling = False
         self.last_poll_answered = False
@@ -134,10 +132,11 @@
         self.polling = True
         self.poll_number += 1
         number = self.poll_number
-        requested_at = self.loop.now
+        requested_at = self.clock()
         lease_ends_at = 0.0
         if self.last_poll_answered and not self.supervisor.has_unclaimed_runs:
             lease_ends_at = self.supervisor.grant_lease() or 0.0
+        self.pass_point()
         if self.worker.unresponsive:
             timeout_s = POLL_WAIT_S + POLL_TIMEOUT_S
             self.loop.call_later(timeout_s, lambda: self._poll_failed(number))
@@ -204,6 +203,11 @@
         if attempt == len(START_TIMEOUTS_S) or run.phase != Phase.STARTING:
             answer(StartOutcome.UNANSWERED)
             return
+        longest_age_s = MAX_ORDER_AGE_S + sum(START_TIMEOUTS_S[:attempt])
+        if supervisor.order_age_s(run) > longest_age_s:
+            answer(StartOutcome.REFUSED)
+            return
+        self.pass_point()
         if (
             self.worker.unresponsive
             or self.loop.random.random() < self.delayed_order_ratio
@@ -213,7 +217,9 @@
             )
             self.loop.call_later(
                 START_TIMEOUTS_S[attempt],
-                lambda: self._try_start(supervisor, run, lease_ends_at, attempt + 1),
+                lambda: self.run_when_resumed(
+                    lambda: self._try_start(supervisor, run, lease_ends_at, attempt + 1)
+                ),
             )
             return
 
@@ -274,19 +280,20 @@
         self.links = OwnerEndpoint(
             self.member,
             self.fleet,
-            loop.clock,
+            self.clock,
             lambda: sum(entry.alive for entry in self.simulation.entries),
         )
         self.scheduler = Scheduler(
             self.fleet,
             self.domain,
             self.links.send,
-            loop.clock,
+            self.clock,
             loop.wall_ms,
             seed=loop.random.randrange(1 << 30),
             entries_per_worker=self.links.entries_per_agent,
             connect_workers=self.links.connect_workers,
             finds_workers=self.links.finds_workers,
+            continue_soon=self.continue_soon,
             **self.simulation.options,
         )
         self.links.scheduler = self.scheduler
@@ -301,6 +308,11 @@
         self.links.add(agent.member)
         self.links.describe(agent.name, agent.worker.facts)
 
+    def continue_soon(self) -> None:
+        self.loop.call_later(
+            0.0, lambda: self.run_when_resumed(self.scheduler.schedule)
+        )
+
     def read_record(self, agent: SimulatedAgent, address: str) -> None:
         """Read a directory record with an address that may be another's."""
         self.links.add(replace(agent.member, address=address))
@@ -483,6 +495,7 @@
         caller_timeout_s: float = 30.0,
         always_fails: bool = False,
         job_id: str = "",
+        held: bool = False,
     ) -> SimulatedJob:
         """Submit a job of one step at the current time."""
         job_id = job_id or f"{len(self.jobs):016x}"
@@ -499,7 +512,7 @@
             submitted.answer = answer
             submitted.answered_at = self.loop.now
 
-        submitted.owned = entry.scheduler.submit(job, answered)
+        submitted.owned = entry.scheduler.submit(job, answered, held)
         return submitted
 
     def offer(self, load: Load) -> None:
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -239,7 +239,7 @@
         self.evacuations = EvacuatedDomains()
         self.fleet = FleetView(self.evacuations)
         self.links = OwnerEndpoint(
-            self.own_member, self.fleet, self.clock, self.count_entries
+            self.own_member, self.fleet, boot_time_s, self.count_entries
         )
         self.scheduler = Scheduler(
             self.fleet,
@@ -252,6 +252,7 @@
             connect_workers=self.links.connect_workers,
             look_ahead=settings.placement.look_ahead,
             finds_workers=self.links.finds_workers,
+            continue_soon=self.links.continue_scheduling,
             overload=settings.overload.policy,
             capacity=settings.overload.capacity,
         )
--- a/marigoldkeel/fleet/links.py
+++ b/marigoldkeel/fleet/links.py
@@ -5,6 +5,7 @@
 periodically.
 """
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -94,6 +95,8 @@
         has acknowledged, by sequence number.
     :ivar successor: The agent at another address, to which the link is to be moved.
     :ivar fallback: The agent at the address before a move, until the new one answers.
+    :ivar lease_sent_at: The latest time that a message has stated as the one from which
+        it renews the lease.
     :ivar failures: Attempts to connect since the link was created that failed.
     :ivar runs_expire_at: When the runs on the worker of an unreachable agent have ended
         at the latest; None while the agent is reachable or after that time.
@@ -118,6 +121,7 @@
     sequence: int = 0
     unacknowledged: dict[int, float] = field(default_factory=dict)
     last_sent_at: float = float("-inf")
+    lease_sent_at: float = float("-inf")
     retry_at: float = 0.0
     retry_delay_s: float = MIN_RETRY_DELAY_S
     runs_expire_at: float | None = None
@@ -126,20 +130,28 @@
     agent_clock_read_at: float = 0.0
     stated_revision: int = 0
 
-    def record_sent(self, now: float) -> None:
-        """Record that the message with the current sequence number has been sent."""
+    def record_sent(self, now: float, lease_sent_at: float) -> None:
+        """Record that the message with the current sequence number has been sent.
+
+        :param lease_sent_at: The time that the message states as its own.
+        """
         self.last_sent_at = now
+        self.lease_sent_at = max(self.lease_sent_at, lease_sent_at)
         self.unacknowledged[self.sequence] = now
 
-    def estimate_agent_clock_ms(self, now: float) -> int:
-        """Return a lower bound for the current reading of the agent's clock."""
-        return self.agent_clock_ms + int((now - self.agent_clock_read_at) * 1000)
+    def estimate_agent_clock_ms(self, when: float) -> int:
+        """Return a lower bound for the reading of the agent's clock at a time."""
+        elapsed_s = when - self.agent_clock_read_at
+        return max(1, self.agent_clock_ms + math.floor(elapsed_s * 1000))
+
+    def stated_time(self, facts_at: float) -> float:
+        """Return the time that a message states as its own.
 
-    def lease_sent_at(self, now: float) -> float:
-        """Return when the last message was sent from which the runs' expiry counts."""
+        Until the agent answers on a new connection, the runs expire as before it.
+        """
         if self.runs_expire_at is None:
-            return now
-        return self.runs_expire_at - LOST_AGENT_TIMEOUT_S
+            return facts_at
+        return min(facts_at, self.runs_expire_at - LOST_AGENT_TIMEOUT_S)
 
     def record_acknowledged(self, sequence: int) -> None:
         """Record that the agent has received all messages up to a sequence number."""
@@ -154,6 +166,7 @@
 class OwnerEndpoint(ConnectionListener):
     """An entry's links to its subset of the known agents.
 
+    :param clock: The clock of the scheduler.
     :param count_entries: Returns how many entries share the fleet.
     :ivar last_sequence: The highest sequence number sent on any link, from which new
         links continue, so that an agent can tell a late `Attach` from a newer one.
@@ -208,7 +221,7 @@
         link.successor = member
         if link.connection is not None:
             # Shows soon whether the agent still answers at its old address.
-            self.send(member.name, Renew())
+            self._renew(link, self.facts_time())
         self._follow_successor(link)
 
     def remove(self, name: str) -> None:
@@ -242,11 +255,12 @@
             # The next renewal tells the agents that the evacuations hold as of a later
             # revision, so that an entry that was cut off cannot replace them.
             return
+        facts_at = self.facts_time()
         self._find_evacuated()
         self.choose_at = float("-inf")
         for link in list(self.links.values()):
             if link.connection is not None:
-                self._renew(link)
+                self._renew(link, facts_at)
         self.scheduler.schedule()
 
     def _find_evacuated(self) -> None:
@@ -304,11 +318,19 @@
         """The number of connected agents."""
         return sum(link.connection is not None for link in self.links.values())
 
-    def send(self, name: str, message: StartRuns | StopRuns | Renew) -> int:
+    def facts_time(self) -> float:
+        """Return the time as of which this owner knows that its runs are wanted."""
+        return self.scheduler.facts_time(self.clock())
+
+    def send(
+        self, name: str, message: StartRuns | StopRuns | Renew, facts_at: float
+    ) -> int:
         """Send a message to an agent.
 
         A message that cannot be sent is dropped; the next `Attach` reconciles the runs.
 
+        :param facts_at: The time of the facts that the message is based on. The agent
+            takes it for the time of sending, however late the message goes out.
         :return: The sequence number of the message, or 0 without a connection.
         """
         link = self.links.get(name)
@@ -316,16 +338,15 @@
             return 0
         message.sequence = self._next_sequence(link)
         now = self.clock()
-        # Until the agent answers on this link, the runs expire as before it.
-        sent_at = link.lease_sent_at(now)
-        message.sent_ms = max(1, link.estimate_agent_clock_ms(sent_at))
+        sent_at = link.stated_time(facts_at)
+        message.sent_ms = link.estimate_agent_clock_ms(sent_at)
         try:
             link.connection.send(message)
         except PeerUnavailable as error:
             logger.info("could not send to agent {}: {}", name, error)
             link.stated_revision = 0
             return link.sequence
-        link.record_sent(now)
+        link.record_sent(now, sent_at)
         return link.sequence
 
     async def run_forever(self) -> None:
@@ -344,6 +365,7 @@
     def step_links(self) -> None:
         """Choose the subset, and connect, renew or drop links that are due."""
         now = self.clock()
+        facts_at = self.scheduler.facts_time(now)
         if now >= self.choose_at:
             self.choose_at = now + SUBSET_INTERVAL_S
             self.connected_racks.clear()
@@ -352,7 +374,7 @@
             if link.connection is None:
                 self._check_disconnected(link, now)
             else:
-                self._check_connected(link, now)
+                self._check_connected(link, now, facts_at)
 
     def _choose_links(self, now: float) -> None:
         """Create the links of the subset and discard those that it does not contain.
@@ -434,7 +456,7 @@
             link.connecting = True
             self.group.start_soon(run_guarded, "connect", self.connect, link)
 
-    def _check_connected(self, link: AgentLink, now: float) -> None:
+    def _check_connected(self, link: AgentLink, now: float, facts_at: float) -> None:
         if link.unacknowledged_s(now) > ACKNOWLEDGE_TIMEOUT_S:
             logger.bind(peer=link.member.address).info(
                 "link to agent {} dropped: no acknowledgement for {:.2f} s",
@@ -447,9 +469,9 @@
         has_runs = bool(self.fleet.view(link.member.name).placed)
         interval_s = RENEW_INTERVAL_S if has_runs else IDLE_RENEW_INTERVAL_S
         if now - link.last_sent_at >= interval_s:
-            self._renew(link)
+            self._renew(link, facts_at)
 
-    def _renew(self, link: AgentLink) -> None:
+    def _renew(self, link: AgentLink, facts_at: float) -> None:
         """Renew the lease; state the evacuations if the agent may not know them."""
         message = Renew()
         evacuations = self.fleet.evacuations
@@ -457,7 +479,7 @@
             message.evacuation_revision = evacuations.revision
             message.evacuated = evacuations.domains
             link.stated_revision = evacuations.revision
-        self.send(link.member.name, message)
+        self.send(link.member.name, message, facts_at)
 
     async def connect(self, link: AgentLink) -> None:
         """Connect to an agent and attach; a failed attempt is retried with backoff."""
@@ -473,6 +495,7 @@
     def attach(self, link: AgentLink, connection: Connection) -> None:
         """Adopt a new connection to an agent and send an `Attach` on it."""
         now = self.clock()
+        facts_at = self.scheduler.facts_time(now)
         is_current = self.links.get(link.member.name) is link
         if connection.closed or not is_current:
             self._delay_retry(link, now)
@@ -484,16 +507,16 @@
         self.links_by_address[link.member.address] = link
         link.connection = connection
         self._next_sequence(link)
-        link.record_sent(now)
         # An attach is no proof that the agent answers, so until a state has arrived,
         # the runs expire as before it.
-        sent_at = link.lease_sent_at(now) if link.agent_clock_ms else now
+        sent_at = link.stated_time(facts_at) if link.agent_clock_ms else facts_at
+        link.record_sent(now, sent_at)
         held = self.scheduler.held_on(link.member.name, sent_at)
         self.fleet.view(link.member.name).restore(held, link.sequence)
         facts = link.facts or WorkerFacts()
         sent_ms = 0
         if link.agent_clock_ms:
-            sent_ms = max(1, link.estimate_agent_clock_ms(sent_at))
+            sent_ms = link.estimate_agent_clock_ms(sent_at)
         evacuations = self.fleet.evacuations
         attach = Attach(
             link.sequence,
@@ -508,8 +531,8 @@
         link.stated_revision = evacuations.revision
         connection.send(attach)
         # The orders or the ends of these runs may have been lost with the last link.
-        for order in self.scheduler.stop_orders(link.member.name):
-            self.send(link.member.name, order)
+        for order in self.scheduler.stop_orders(link.member.name, facts_at):
+            self.send(link.member.name, order, facts_at)
 
     def _is_taken(self, link: AgentLink, connection: Connection) -> bool:
         """Return whether another agent's link uses a connection.
@@ -555,7 +578,17 @@
     def frame_processed(self, connection: Connection) -> None:
         self.scheduler.schedule()
 
+    def continue_scheduling(self) -> None:
+        """Continue a pass that has ended early, after what has arrived is read."""
+        self.group.start_soon(run_guarded, "schedule", self._continue_scheduling)
+
+    async def _continue_scheduling(self) -> None:
+        await read_pending_events()
+        if self.scheduler.is_interrupted:
+            self.scheduler.schedule()
+
     def _apply_state(self, link: AgentLink, state: WorkerState) -> None:
+        facts_at = self.facts_time()
         link.fallback = None
         is_reattached = link.runs_expire_at is not None
         link.runs_expire_at = None
@@ -571,7 +604,7 @@
         link.record_acknowledged(state.heard)
         if is_reattached and view.placed:
             # The attach has not renewed the lease.
-            self.send(link.member.name, Renew())
+            self.send(link.member.name, Renew(), facts_at)
 
     def connection_closed(self, connection: Connection) -> None:
         link = self.links_by_address.get(connection.peer)
@@ -590,7 +623,7 @@
         if now - link.agent_clock_read_at > MAX_LINK_SILENCE_S:
             link.facts = None
         if link.runs_expire_at is None:
-            link.runs_expire_at = link.last_sent_at + LOST_AGENT_TIMEOUT_S
+            link.runs_expire_at = link.lease_sent_at + LOST_AGENT_TIMEOUT_S
         self.fleet.view(link.member.name).disconnect()
         logger.bind(peer=link.member.address).info("agent {} lost", link.member.name)
 
@@ -655,9 +688,9 @@
         link = self.links_by_connection.get(id(connection))
         # Entries of earlier versions send stop orders without a time.
         has_time = content.sent_ms or not isinstance(content, StopRuns)
-        age_s = self._age_s(content.sent_ms) if has_time else 0.0
+        sent_at, age_s = self._sent_at(content.sent_ms if has_time else None)
         if link is None or not self.supervisor.renew_owner_lease(
-            link.owner.incarnation, age_s
+            link.owner.incarnation, sent_at
         ):
             # The lease has expired; the owner has to attach again.
             self._close(connection)
@@ -668,10 +701,10 @@
                 link.owner.incarnation, content, f"the order is {age_s:.2f} s old"
             )
         elif isinstance(content, StartRuns):
-            self.supervisor.start(link.owner.incarnation, content, age_s)
+            self.supervisor.start(link.owner.incarnation, content, sent_at)
         elif isinstance(content, StopRuns):
-            age_s += content.age_ms / 1000
-            self.supervisor.stop(link.owner.incarnation, content.runs, age_s)
+            due_at = sent_at - content.age_ms / 1000
+            self.supervisor.stop(link.owner.incarnation, content.runs, due_at)
         else:
             self._send_state(
                 link, self.supervisor.free_resources, self.supervisor.usable
@@ -765,8 +798,8 @@
         link = OwnerLink(connection, message.owner, message.sequence)
         self.links[message.owner.incarnation] = link
         self.links_by_connection[id(connection)] = link
-        age_s = self._age_s(message.sent_ms) if message.sent_ms else 0.0
-        self.supervisor.attach(message, age_s, self.links.keys())
+        sent_at, _ = self._sent_at(message.sent_ms or None)
+        self.supervisor.attach(message, sent_at, self.links.keys())
         self.closed_sequences = {
             owner: sequence
             for owner, sequence in self.closed_sequences.items()
@@ -784,9 +817,17 @@
             return link.last_sequence
         return self.closed_sequences.get(incarnation, 0)
 
-    def _age_s(self, sent_ms: int) -> float:
-        """Return the time since a moment on this agent's clock."""
-        return max(0.0, self.clock() - sent_ms / 1000)
+    def _sent_at(self, sent_ms: int | None) -> tuple[float, float]:
+        """Return when a message was sent, on the supervisor's clock, and its age.
+
+        :param sent_ms: The time on this agent's clock that the message states.
+        """
+        # Read first: a pause between the two readings makes a message older.
+        now = self.supervisor.suspended_clock()
+        if sent_ms is None:
+            return now, 0.0
+        age_s = max(0.0, self.clock() - sent_ms / 1000)
+        return now - age_s, age_s
 
     def _send_state(self, link: OwnerLink, free: Resources, usable: bool) -> None:
         supervisor = self.supervisor
--- a/marigoldkeel/fleet/messages.py
+++ b/marigoldkeel/fleet/messages.py
@@ -110,9 +110,10 @@
     :ivar expected_ms: The run time on this worker as estimated by the owner.
     :ivar spread_limit: Maximum number of tasks of the step on one worker; 0 for no
         limit.
-    :ivar sent_ms: The owner's estimate of the agent's clock at the time of sending.
-    :ivar caller_waits_ms: How much longer the caller waits at the time of sending; 0 if
-        it is not known.
+    :ivar sent_ms: The owner's estimate of the agent's clock at the time of the facts
+        that the order is based on; it may be sent later.
+    :ivar caller_waits_ms: How much longer the caller waits at that time; 0 if it is not
+        known.
     """
 
     sequence: int = 0
@@ -142,7 +143,7 @@
 class StopRuns(Struct):
     """Asks the agent to stop runs; ``sent_ms`` is as in `StartRuns`.
 
-    :ivar age_ms: How long before sending the owner may have had the reason to stop
+    :ivar age_ms: How long before that time the owner may have had the reason to stop
         them, for example that the caller has left.
     """
 
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -8,6 +8,8 @@
 - A task has at most one run whose end is not known to its owner.
 - No task starts once its caller has timed out. After a pause of this process, none
   starts before the messages and disconnects that arrived meanwhile have been read.
+- Each message to an agent carries the time of the facts that it is based on, so that
+  the agent can tell how old they are wherever this process was paused.
 - A job is answered exactly once. It is answered ``NOT_RUN`` only if none of its runs
   has started and none can start later.
 """
@@ -93,6 +95,9 @@
 # An interval between ticks above this is a pause of this process. A caller that left
 # during it has submitted its job elsewhere by now, 1.3 s after it left at the earliest.
 MAX_TICK_INTERVAL_S = 0.5
+# A pass that has been starting runs for this long ends, and another one follows once
+# the event loop has read what has arrived. Agents refuse the orders of a long pass.
+MAX_PASS_S = 0.01
 # Shortest retry delay given to a refused caller; longer if the forecast wait is longer.
 RETRY_AFTER_S = 1.0
 # Loads change within seconds, so forecasts that reach further are unreliable.
@@ -119,7 +124,8 @@
     """Schedules the jobs owned by one entry.
 
     :param send: Sends a message to the agent of a worker and returns the message's
-        sequence number.
+        sequence number. Takes the worker, the message, and the time on ``clock`` of the
+        facts that the message is based on.
     :param clock: Returns seconds of a clock that includes time in system suspend, which
         callers do not wait for.
     :param wall_ms: Returns the wall-clock time in milliseconds. Run numbers are derived
@@ -130,6 +136,8 @@
     :param look_ahead: Whether capacity is reserved for waiting jobs that do not fit.
     :param finds_workers: Returns whether workers that this entry knows of are still
         being connected.
+    :param continue_soon: Called when a pass has ended early; `schedule` is to be called
+        once the event loop has read what has arrived.
     :param overload: Name of the overload policy.
     :param capacity: Name of the share of the workers' capacity that is counted on.
     :ivar workers_ready_at: When each service was last found to have ready workers.
@@ -137,6 +145,8 @@
     :ivar previous_tick_at: When it was called before that. What had happened by then,
         for example that a caller had left, has been acted on.
     :ivar resuming: Whether the last interval between ticks was a pause.
+    :ivar resumed_at: When the last pause was noticed, or this entry started.
+    :ivar is_interrupted: Whether the last pass ended before it had seen all jobs.
     :ivar shutdown_at: When this entry shuts down; jobs that would end later are
         refused.
     :ivar requeued: How many runs were requeued, by cause.
@@ -149,7 +159,7 @@
         self,
         fleet: FleetView,
         domain: str,
-        send: Callable[[str, StartRuns | StopRuns], int],
+        send: Callable[[str, StartRuns | StopRuns, float], int],
         clock: Callable[[], float],
         wall_ms: Callable[[], int],
         seed: int | None = None,
@@ -160,6 +170,7 @@
         connect_workers: Callable[[RepeatableJob], bool] = lambda job: False,
         look_ahead: bool = False,
         finds_workers: Callable[[], bool] = lambda: False,
+        continue_soon: Callable[[], None] = lambda: None,
     ):
         self.fleet = fleet
         self.domain = domain
@@ -169,7 +180,8 @@
         self.entries_per_worker = entries_per_worker
         self.connect_workers = connect_workers
         self.finds_workers = finds_workers
-        self.started_at = clock()
+        self.continue_soon = continue_soon
+        self.started_at = self.resumed_at = clock()
         self.workers_ready_at: dict[str, float] = {}
         self.random = random.Random(seed)
         self.pack: PackingPolicy = find_packing(packing)
@@ -198,6 +210,7 @@
         self.refused: Counter[tuple[str, str]] = Counter()
         self.last_tick_at = self.previous_tick_at = self.started_at
         self.resuming = False
+        self.is_interrupted = False
         self.shutdown_at = float("inf")
         self.on_answer: Callable[[RepeatableJob, JobState, float], None] = (
             lambda job, state, waited_s: None
@@ -337,20 +350,22 @@
             if task.worker == worker
         ]
 
-    def stop_orders(self, worker: str) -> list[StopRuns]:
+    def stop_orders(self, worker: str, now: float) -> list[StopRuns]:
         """Return the orders to stop the runs on a worker that are to be stopped.
 
         Runs that were to stop at the same time share an order, which has that age.
+
+        :param now: The time as of which the orders are to be sent.
         """
         runs: dict[float, list[RunId]] = {}
         for owned in self.jobs.values():
             for task in owned.all_tasks():
                 if task.worker == worker and task.stopping:
                     runs.setdefault(task.stop_due_since, []).append(task.run)
-        return [self._stop_order(item, since) for since, item in runs.items()]
+        return [self._stop_order(item, since, now) for since, item in runs.items()]
 
-    def _stop_order(self, runs: list[RunId], since: float) -> StopRuns:
-        age_ms = math.ceil(1000 * (self.clock() - since))
+    def _stop_order(self, runs: list[RunId], since: float, now: float) -> StopRuns:
+        age_ms = max(0, math.ceil(1000 * (now - since)))
         return StopRuns(0, runs, age_ms=min(MAX_FIELD_MS, age_ms))
 
     # Decisions
@@ -371,28 +386,52 @@
                 self._finish(owned, JobAnswer(JobState.UNKNOWN, "out of time"))
         if not self.resuming:
             self.schedule()
-            self._shed_load()
+            # Jobs that an interrupted pass has not seen may still start in time.
+            if not self.is_interrupted:
+                self._shed_load(now)
 
     def _detect_pause(self, now: float) -> None:
         interval_s = now - self.last_tick_at
         self.previous_tick_at, self.last_tick_at = self.last_tick_at, now
         self.resuming = interval_s > MAX_TICK_INTERVAL_S
         if self.resuming:
+            self.resumed_at = now
             logger.bind(
                 paused_ms=round(1000 * interval_s), waiting=len(self.waiting)
             ).info("resumed after a pause; nothing starts until the next tick")
 
+    def facts_time(self, now: float) -> float:
+        """Return the time as of which all that had happened has been acted on.
+
+        It is ``now``, but after a pause it is the last tick before the pause, until
+        what arrived meanwhile has been read.
+        """
+        if self.resuming:
+            return min(now, self.previous_tick_at)
+        if now - self.last_tick_at > MAX_TICK_INTERVAL_S:
+            return self.last_tick_at
+        return now
+
     def schedule(self) -> None:
-        """Start as many waiting tasks as fit, in order of precedence."""
+        """Start as many waiting tasks as fit, in order of precedence.
+
+        The orders carry the time at which the pass begins, and so do the numbers of
+        their runs. A pass that takes long ends early and is continued.
+        """
+        self.is_interrupted = False
+        # Read before the clock, so that a pause in between shows.
+        wall_ms = self.wall_ms()
         now = self.clock()
-        if self.resuming or now - self.last_tick_at > MAX_TICK_INTERVAL_S:
+        if self.facts_time(now) < now:
             return
+        self.last_run_number = max(self.last_run_number, wall_ms - 1)
         if self.look_ahead is not None:
             self.look_ahead.begin_pass(self.waiting, self.jobs, now)
         if not self.waiting:
             return
         candidates_by_service: dict[str, list[Candidate]] = {}
         largest_free: dict[str, int] = {}
+        has_started = False
         for owned in self._waiting_in_order():
             if owned.held or now > owned.caller_deadline:
                 continue
@@ -413,14 +452,21 @@
                     # Most of a long queue is skipped here while the workers are full.
                     if step.demand.cpu_milli > largest_free[service]:
                         continue
+                    if has_started and self.clock() - now > MAX_PASS_S:
+                        self.is_interrupted = True
+                        break
                     candidates = candidates_by_service[service]
-                    if self._place_step(owned, number, candidates):
+                    if self._place_step(owned, number, candidates, now):
+                        has_started = True
                         largest_free[service] = largest_free_cpu_milli(candidates)
             except Exception as error:
                 self._drop_after_error(owned, error)
             if not owned.is_waiting:
                 self.waiting.pop(owned.job.job_id, None)
-            elif self.look_ahead is not None and not owned.answered:
+            if self.is_interrupted:
+                self.continue_soon()
+                return
+            if self.look_ahead is not None and owned.is_waiting and not owned.answered:
                 self.look_ahead.add_waiting(
                     owned,
                     candidates_by_service[service],
@@ -483,14 +529,19 @@
             return False
         now = self.clock()
         if not self.fleet.ready(service):
+            # Connections that a pause has cost are being replaced.
+            if self.facts_time(now) < now:
+                return False
             ready_at = self.workers_ready_at.get(service, self.started_at)
-            return now - ready_at > WORKER_DISCOVERY_S
+            return now - max(ready_at, self.resumed_at) > WORKER_DISCOVERY_S
         self.workers_ready_at[service] = now
         return True
 
-    def _shed_load(self) -> None:
-        """Refuse the jobs that have not started and cannot end in time."""
-        now = self.clock()
+    def _shed_load(self, now: float) -> None:
+        """Refuse the jobs that have not started and cannot end in time.
+
+        :param now: When the tick began; a pause since then is not counted as waiting.
+        """
         max_speed = self.forecaster.max_speed
         by_service: dict[str, list[OwnedJob]] = {}
         for owned in self._waiting_in_order():
@@ -533,16 +584,19 @@
         )
 
     def _place_step(
-        self, owned: OwnedJob, number: int, candidates: list[Candidate]
+        self, owned: OwnedJob, number: int, candidates: list[Candidate], now: float
     ) -> bool:
-        """Start as many waiting tasks of a step as fit; return whether any did."""
+        """Start as many waiting tasks of a step as fit; return whether any did.
+
+        :param now: When the pass began.
+        """
         step = owned.job.steps[number]
         if not any(step.demand.fits(item.free) for item in candidates):
             return False
         waiting = owned.waiting_tasks(number)
         if not waiting:
             return False
-        remaining_s = owned.objective_deadline - self.clock() - OVERHEAD_S
+        remaining_s = owned.objective_deadline - now - OVERHEAD_S
         allow_late = (
             owned.has_started
             or owned.critical_path_s / self.forecaster.max_speed > remaining_s
@@ -561,7 +615,7 @@
                 return False
         withheld = []
         if self.look_ahead is not None:
-            withheld = self.look_ahead.withhold(owned, number, candidates, self.clock())
+            withheld = self.look_ahead.withhold(owned, number, candidates, now)
         chosen = self.pack(
             request, eligible_workers(owned, number, candidates), self.random
         )
@@ -576,7 +630,7 @@
             inputs = {"backfilled": backfilled} if backfilled else {}
             self._log(owned, "placed", step=number, placed=placed, **inputs)
         for worker, tasks in by_worker.items():
-            self._start_runs(owned, step, worker, tasks, request.task_s)
+            self._start_runs(owned, step, worker, tasks, request.task_s, now)
         return bool(by_worker)
 
     def _keeps_reserve(self, owned: OwnedJob) -> bool:
@@ -597,11 +651,12 @@
         worker: str,
         tasks: list[TaskRecord],
         task_s: float,
+        now: float,
     ) -> None:
         expected_s = task_s / self.forecaster.speed(worker)
         for task in tasks:
             owned.place(task, worker, self._next_run_number())
-            task.placed_at, task.expected_s = self.clock(), expected_s
+            task.placed_at, task.expected_s = now, expected_s
         first = tasks[0].task_id
         message = StartRuns(
             0,
@@ -613,10 +668,10 @@
             round(expected_s * 1000),
             step.spread_limit,
             [RunNumber(task.task_id.index, task.run.number) for task in tasks],
-            caller_waits_ms=max(1, owned.caller_waits_ms(self.clock())),
+            caller_waits_ms=owned.caller_waits_ms(now),
         )
-        self.detector.record_start(worker, self.clock())
-        sequence = self.send(worker, message)
+        self.detector.record_start(worker, now)
+        sequence = self.send(worker, message, now)
         view = self.fleet.view(worker)
         for task in tasks:
             view.place(task.run, sequence, step.demand)
@@ -632,7 +687,7 @@
         return sorted(ends, key=lambda end: end[0])
 
     def _next_run_number(self) -> int:
-        self.last_run_number = max(self.last_run_number + 1, self.wall_ms())
+        self.last_run_number += 1
         return self.last_run_number
 
     # Outcomes
@@ -728,6 +783,7 @@
         self._finish(owned, JobAnswer(state, reason, RETRY_AFTER_S))
 
     def _stop_runs(self, owned: OwnedJob) -> None:
+        now = self.facts_time(self.clock())
         running: dict[str, list[RunId]] = {}
         for task in owned.all_tasks():
             if task.phase == TaskPhase.PLACED and not task.stopping:
@@ -735,7 +791,8 @@
                 task.stop_due_since = self.previous_tick_at
                 running.setdefault(task.worker, []).append(task.run)
         for worker, runs in running.items():
-            self.send(worker, self._stop_order(runs, self.previous_tick_at))
+            order = self._stop_order(runs, self.previous_tick_at, now)
+            self.send(worker, order, now)
 
     def _log_run(
         self, owned: OwnedJob, task: TaskRecord, outcome: str, reason: str, **inputs
--- a/marigoldkeel/fleet/status.py
+++ b/marigoldkeel/fleet/status.py
@@ -89,7 +89,7 @@
 
 def _agent_row(entry, link: AgentLink) -> dict[str, Any]:
     name, view = link.member.name, entry.fleet.view(link.member.name)
-    now = entry.clock()
+    now = entry.links.clock()
     return {
         "name": name,
         "domain": link.member.domain,
--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -298,7 +298,10 @@
     # Requests of owners
 
     def attach(
-        self, message: Attach, age_s: float = 0.0, connected: Collection[str] = ()
+        self,
+        message: Attach,
+        sent_at: float | None = None,
+        connected: Collection[str] = (),
     ) -> None:
         """Register an owner and reconcile its runs with the ones it lists.
 
@@ -306,7 +309,8 @@
         other incarnations of the same entry. Incarnations have no order, so one that
         is connected and holds its lease is not taken for an earlier one.
 
-        :param age_s: Time since the owner's last message that renews its lease.
+        :param sent_at: When the owner sent the last message that renews its lease, on
+            the clock that includes suspension; None for now.
         :param connected: The connected incarnations.
         """
         owner = message.owner.incarnation
@@ -316,7 +320,7 @@
             is_alive = other.incarnation in connected and other.has_lease(now)
             if is_other and not is_alive:
                 self._remove_owner(other)
-        renewed_at = now - age_s
+        sent_at = renewed_at = now if sent_at is None else sent_at
         if owner in self.owners:
             renewed_at = max(renewed_at, self.owners[owner].lease_renewed_at)
         self.owners[owner] = Owner(owner, message.owner.name, renewed_at, now)
@@ -325,27 +329,27 @@
             if run.owner == owner and run.run_id not in held:
                 self._stop(run, RunEnd.STOPPED)
         may_start = (
-            age_s <= MAX_START_DELAY_S
+            now - sent_at <= MAX_START_DELAY_S
             and self.clock() - self.created_at <= MAX_START_DELAY_S
         )
         for run_id, item in held.items():
             claim = PendingClaim(owner, item.demand, may_start)
             if item.caller_waits_ms:
-                claim.end_by = end_by_time_out(now - age_s, item.caller_waits_ms)
+                claim.end_by = end_by_time_out(sent_at, item.caller_waits_ms)
             self._claim(run_id, claim)
         self.adopt_facts(message.facts)
 
-    def renew_owner_lease(self, owner: str, age_s: float = 0.0) -> bool:
+    def renew_owner_lease(self, owner: str, sent_at: float | None = None) -> bool:
         """Renew an owner's lease on receipt of a message from it.
 
-        :param age_s: Time since the owner sent the message.
+        :param sent_at: When the owner sent the message, as in `attach`.
         :return: False if the owner is not attached.
         """
         owner_state = self.owners.get(owner)
         if owner_state is not None:
-            owner_state.lease_renewed_at = max(
-                owner_state.lease_renewed_at, self.suspended_clock() - age_s
-            )
+            if sent_at is None:
+                sent_at = self.suspended_clock()
+            owner_state.lease_renewed_at = max(owner_state.lease_renewed_at, sent_at)
         return owner_state is not None
 
     def refuse(self, owner: str, message: StartRuns, reason: str) -> None:
@@ -354,12 +358,15 @@
             if run_id not in self.runs:
                 self._notify_refused(owner, run_id, reason)
 
-    def start(self, owner: str, message: StartRuns, age_s: float = 0.0) -> None:
+    def start(
+        self, owner: str, message: StartRuns, sent_at: float | None = None
+    ) -> None:
         """Start the runs for which there is capacity now and refuse the others.
 
-        :param age_s: Time since the owner sent the message.
+        :param sent_at: When the owner sent the message, as in `attach`.
         """
-        sent_at = self.suspended_clock() - age_s
+        if sent_at is None:
+            sent_at = self.suspended_clock()
         for run_id in message.run_ids():
             if run_id in self.runs:
                 continue
@@ -383,12 +390,16 @@
             self.last_demand = message.demand
             self.orders.append(StartOrder(run))
 
-    def stop(self, owner: str, run_ids: list[RunId], age_s: float = 0.0) -> None:
+    def stop(
+        self, owner: str, run_ids: list[RunId], due_at: float | None = None
+    ) -> None:
         """Stop runs of an owner; report runs that do not exist as lapsed.
 
-        :param age_s: Time since the owner may have had the reason to stop them.
+        :param due_at: When the owner may have had the reason to stop them, as in
+            `attach`.
         """
-        due_at = self.suspended_clock() - age_s
+        if due_at is None:
+            due_at = self.suspended_clock()
         end_by = due_at + ORDERED_STOP_TIMEOUT_S - LEASE_MARGIN_S
         for run_id in run_ids:
             run = self.runs.get(run_id)
--- a/tests/fleet/test_overload.py
+++ b/tests/fleet/test_overload.py
@@ -147,7 +147,7 @@
     scheduler = Scheduler(
         fleet,
         "a",
-        lambda worker, message: 1,
+        lambda worker, message, facts_at: 1,
         lambda: now,
         lambda: 1,
         overload=overload,
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -21,6 +21,7 @@
 from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.runs import StartOutcome
 from marigoldkeel.fleet.schedulers import (
+    MAX_PASS_S,
     MAX_RETRY_AFTER_S,
     MAX_TICK_INTERVAL_S,
     RENUMBER_MS,
@@ -57,6 +58,9 @@
         self.wall_ms = 1_000_000
         self.sequence = 0
         self.sent: list[tuple[str, StartRuns | StopRuns]] = []
+        # The time of the facts behind each message, and how long sending one takes.
+        self.facts_at: list[float] = []
+        self.send_s = 0.0
         self.fleet = FleetView()
         self.scheduler = Scheduler(
             self.fleet,
@@ -81,7 +85,9 @@
     def held_on_worker(self, worker: str) -> list[RunId]:
         return [item.run for item in self.scheduler.held_on(worker, self.now)]
 
-    def send(self, worker, message) -> int:
+    def send(self, worker, message, facts_at) -> int:
+        self.facts_at.append(facts_at)
+        self.now += self.send_s
         self.sent.append((worker, message))
         self.sequence += 1
         return self.sequence
@@ -375,7 +381,9 @@
     entry.scheduler.abandon(entry.scheduler.jobs["j"], "left")
     assert entry.stops() == runs
     assert entry.held_on_worker("w") == runs
-    assert [order.runs for order in entry.scheduler.stop_orders("w")] == [runs]
+    assert [order.runs for order in entry.scheduler.stop_orders("w", entry.now)] == [
+        runs
+    ]
     for run in runs:
         entry.end("w", run, RunEnd.STOPPED)
     assert entry.scheduler.jobs == {}
@@ -406,7 +414,7 @@
     (_, first), (_, second) = entry.starts()
     entry.end("w", first)
     assert entry.held_on_worker("w") == [second]
-    assert entry.scheduler.stop_orders("w") == []
+    assert entry.scheduler.stop_orders("w", entry.now) == []
 
 
 def test_events_of_earlier_runs_change_nothing():
@@ -542,3 +550,92 @@
     assert entry.starts() == []
     entry.scheduler.release(owned)
     assert len(entry.starts()) == 1
+
+
+@pytest.mark.parametrize("steps", [1, 20])
+def test_orders_of_a_pass_with_a_pause_carry_the_time_before_it(steps):
+    # Guards against tasks that ran twice (review/11): an entry that was paused within a
+    # pass stated anew at each order when it was sent and how long its caller waits.
+    entry = Entry({f"w{number}": 8 for number in range(4)})
+    began_at, wall_ms = entry.now, entry.wall_ms
+    entry.send_s = 3.6
+    entry.submit(steps=[Step(20 // steps, CORE, 0.1)] * steps, caller_timeout_s=1.5)
+    orders = [message for _, message in entry.sent]
+    assert orders
+    assert set(entry.facts_at) == {began_at}
+    assert {order.caller_waits_ms for order in orders} == {1500}
+    numbers = [item.number for order in orders for item in order.runs]
+    assert numbers == list(range(wall_ms, wall_ms + len(numbers)))
+    # What is left waits until the entry has noticed the pause.
+    entry.send_s = 0.0
+    sent = len(entry.sent)
+    entry.scheduler.schedule()
+    entry.scheduler.tick()
+    assert [type(message) for _, message in entry.sent[sent:]].count(StartRuns) == 0
+
+
+def test_long_pass_ends_early_and_is_continued():
+    entry = Entry({f"w{number}": 64 for number in range(4)})
+    continued = []
+    entry.scheduler.continue_soon = lambda: continued.append(entry.now)
+    entry.send_s = MAX_PASS_S / 4
+    steps = [Step(1, CORE, 0.1) for _ in range(60)]
+    entry.submit(steps=steps)
+    began_at = entry.now
+    while entry.scheduler.is_interrupted:
+        assert len(continued) < len(steps)
+        entry.scheduler.schedule()
+    assert len(entry.starts()) == len(steps)
+    assert continued
+    # The orders of each pass carry the time at which it began.
+    assert len(set(entry.facts_at)) == len(continued) + 1
+    assert began_at <= max(entry.facts_at) <= entry.now
+    assert entry.answers == {}
+
+
+def test_jobs_that_an_interrupted_pass_has_not_seen_are_not_refused():
+    entry = Entry({"w": 1})
+    entry.submit("first")
+    for number in range(20):
+        entry.submit(f"job {number}", caller_timeout_s=60.0)
+    entry.state("w", 0)
+    entry.end("w", entry.starts()[0][1])
+    for number in range(4):
+        entry.add(f"new {number}", 8)
+    entry.send_s = 2 * MAX_PASS_S
+    entry.scheduler.tick()
+    assert entry.scheduler.is_interrupted
+    assert {answer.state for answer in entry.answers.values()} <= {JobState.DONE}
+
+
+def test_pause_within_a_tick_refuses_no_job():
+    entry = Entry({"w": 1})
+    entry.submit("first", steps=[Step(1, CORE, 1.0)])
+    entry.submit("second", steps=[Step(1, CORE, 1.0)])
+    readings = iter([entry.now + 0.05])
+
+    def clock() -> float:
+        entry.now = next(readings, began_at + 3.6)
+        return entry.now
+
+    began_at = entry.now
+    entry.scheduler.clock = clock
+    entry.scheduler.tick()
+    assert entry.answers == {}
+
+
+def test_entry_that_resumes_refuses_no_job_for_lack_of_connections():
+    # Its connections are replaced within tenths of a second; the caller can be served.
+    entry = Entry({"w": 1})
+    entry.submit("first")
+    entry.now += 3.6
+    entry.fleet.view("w").disconnect()
+    entry.submit("before the tick")
+    entry.scheduler.tick()
+    entry.submit("after the tick")
+    assert entry.answers == {}
+    for _ in range(ceil(WORKER_DISCOVERY_S / TICK_INTERVAL_S) + 1):
+        entry.now += TICK_INTERVAL_S
+        entry.scheduler.tick()
+    entry.submit("without workers")
+    assert entry.answers["without workers"].state == JobState.NOT_RUN
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -282,7 +282,7 @@
     agent.supervisor = Supervisor(agent.clock)
     agent.poll(run_id(0))
     message = Attach(1, OWNER, [HeldRun(run_id(0), CORE)])
-    agent.supervisor.attach(message, age_s=OWNER_LEASE_S + 0.4)
+    agent.supervisor.attach(message, agent.clock.now - OWNER_LEASE_S - 0.4)
     agent.supervisor.tick()
     assert agent.stops() == []
     assert agent.supervisor.has_unclaimed_runs
@@ -345,7 +345,7 @@
         agent = self.make(run_id(0))
         agent.supervisor.owners.clear()
         claim = Attach(1, OWNER, [HeldRun(run_id(0), CORE)])
-        agent.supervisor.attach(claim, silent_s)
+        agent.supervisor.attach(claim, agent.clock.now - silent_s)
         return agent
 
     def test_starts_no_run_while_the_demand_of_another_is_unknown(self):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -181,9 +181,9 @@
         placed = []
         send = entry.scheduler.send
 
-        def record(worker, message):
+        def record(worker, message, facts_at):
             placed.append(type(message))
-            return send(worker, message)
+            return send(worker, message, facts_at)
 
         entry.scheduler.send = record
         for _ in range(20):
