Place the tasks of a wide step in parts

Cause: a step was placed in one go: 3,000 tasks on 60 workers stopped the event loop for 151 ms, and since the orders of a pass carry the time at which it began, agents would have refused them as too old (0.15 s).

Change: at most 150 tasks of a step are placed at once, and the pass ends after 10 ms as for many steps.

--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -98,6 +98,8 @@
 # A pass that has been starting runs for this long ends, and another one follows once
 # the event loop has read what has arrived. Agents refuse the orders of a long pass.
 MAX_PASS_S = 0.01
+# Most tasks of a step that are placed at once, in some milliseconds.
+MAX_TASKS_AT_ONCE = 150
 # Shortest retry delay given to a refused caller; longer if the forecast wait is longer.
 RETRY_AFTER_S = 1.0
 # Loads change within seconds, so forecasts that reach further are unreliable.
@@ -449,16 +451,22 @@
                 )
             try:
                 for number, step in enumerate(owned.job.steps):
+                    started = MAX_TASKS_AT_ONCE
                     # Most of a long queue is skipped here while the workers are full.
-                    if step.demand.cpu_milli > largest_free[service]:
-                        continue
-                    if has_started and self.clock() - now > MAX_PASS_S:
-                        self.is_interrupted = True
+                    while (
+                        started == MAX_TASKS_AT_ONCE
+                        and step.demand.cpu_milli <= largest_free[service]
+                    ):
+                        if has_started and self.clock() - now > MAX_PASS_S:
+                            self.is_interrupted = True
+                            break
+                        candidates = candidates_by_service[service]
+                        started = self._place_step(owned, number, candidates, now)
+                        if started:
+                            has_started = True
+                            largest_free[service] = largest_free_cpu_milli(candidates)
+                    if self.is_interrupted:
                         break
-                    candidates = candidates_by_service[service]
-                    if self._place_step(owned, number, candidates, now):
-                        has_started = True
-                        largest_free[service] = largest_free_cpu_milli(candidates)
             except Exception as error:
                 self._drop_after_error(owned, error)
             if not owned.is_waiting:
@@ -585,17 +593,18 @@
 
     def _place_step(
         self, owned: OwnedJob, number: int, candidates: list[Candidate], now: float
-    ) -> bool:
-        """Start as many waiting tasks of a step as fit; return whether any did.
+    ) -> int:
+        """Start as many waiting tasks of a step as fit, up to ``MAX_TASKS_AT_ONCE``.
 
         :param now: When the pass began.
+        :return: How many were started.
         """
         step = owned.job.steps[number]
         if not any(step.demand.fits(item.free) for item in candidates):
-            return False
-        waiting = owned.waiting_tasks(number)
+            return 0
+        waiting = owned.waiting_tasks(number)[:MAX_TASKS_AT_ONCE]
         if not waiting:
-            return False
+            return 0
         remaining_s = owned.objective_deadline - now - OVERHEAD_S
         allow_late = (
             owned.has_started
@@ -612,7 +621,7 @@
         if not owned.has_started and self._keeps_reserve(owned):
             request.count = count_outside_reserve(request, candidates)
             if not request.count:
-                return False
+                return 0
         withheld = []
         if self.look_ahead is not None:
             withheld = self.look_ahead.withhold(owned, number, candidates, now)
@@ -631,7 +640,7 @@
             self._log(owned, "placed", step=number, placed=placed, **inputs)
         for worker, tasks in by_worker.items():
             self._start_runs(owned, step, worker, tasks, request.task_s, now)
-        return bool(by_worker)
+        return sum(map(len, by_worker.values()))
 
     def _keeps_reserve(self, owned: OwnedJob) -> bool:
         """Return whether a job must leave the reserve for urgent jobs free.
--- a/tests/fleet/test_schedulers.py
+++ b/tests/fleet/test_schedulers.py
@@ -1,5 +1,6 @@
 """Tests for the scheduler's decisions: placement, answers, refusals and time-outs."""
 
+from collections import Counter
 from math import ceil
 
 import pytest
@@ -9,6 +10,7 @@
     CANCELLED_MEMORY_S,
     MAX_REMEMBERED_CANCELLATIONS,
 )
+from marigoldkeel.fleet.leases import MAX_ORDER_AGE_S
 from marigoldkeel.fleet.links import TICK_INTERVAL_S
 from marigoldkeel.fleet.messages import (
     RunEvent,
@@ -23,6 +25,7 @@
 from marigoldkeel.fleet.schedulers import (
     MAX_PASS_S,
     MAX_RETRY_AFTER_S,
+    MAX_TASKS_AT_ONCE,
     MAX_TICK_INTERVAL_S,
     RENUMBER_MS,
     WORKER_DISCOVERY_S,
@@ -639,3 +642,19 @@
         entry.scheduler.tick()
     entry.submit("without workers")
     assert entry.answers["without workers"].state == JobState.NOT_RUN
+
+
+def test_wide_step_is_placed_in_several_passes_without_refused_orders():
+    # The orders of a pass carry the time at which it began: placing 3,000 tasks at once
+    # took longer than the age at which agents refuse an order.
+    entry = Entry({f"w{number}": 200 for number in range(4)})
+    entry.send_s = MAX_ORDER_AGE_S / 4
+    entry.submit(steps=[Step(600, Resources(1000, 1), 0.1)])
+    while entry.scheduler.is_interrupted:
+        entry.scheduler.schedule()
+    counts = Counter()
+    for facts_at, (_, message) in zip(entry.facts_at, entry.sent, strict=True):
+        counts[facts_at] += len(message.runs)
+    assert sum(counts.values()) == 600
+    assert max(counts.values()) <= MAX_TASKS_AT_ONCE
+    assert entry.answers == {}
