Tell all entries of a cancellation, whoever owns the job

Cause: `scheduler.cancel` at the owner was not followed by `cancel_on_other_entries`, so only the owner remembered the id.

Ruled out: the memory of ids and the forwarding; both work when the DELETE arrives at an entry that does not own the job.

Change: the cancellation goes to the other entries in both cases; the answer does not wait for them.

Test: test_request_that_arrives_after_its_jobs_cancellation_runs_nowhere failed before (the id never reached the other entries).

--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -206,10 +206,12 @@
         state = "running" if owned_job.has_started else "queued"
         return Response.from_json({"state": state})
     if request.method == "DELETE":
-        if entry.scheduler.cancel(job_id):
-            return Response.from_json({})
+        was_owned = entry.scheduler.cancel(job_id)
+        # The request may arrive once more at another entry, whoever owns the job.
         if not entry.cancel_on_other_entries(job_id):
             return Response.from_json({"error": "the entry has stopped"}, 503)
+        if was_owned:
+            return Response.from_json({})
         return Response.from_json({"error": "no such job here"}, 410)
     return Response.from_json({"error": "no such method"}, 405)
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -148,6 +148,32 @@
         await wait_for(lambda: not site.agents[0].supervisor.runs)
 
 
+@pytest.mark.parametrize("asked", [0, 1], ids=["owner", "other entry"])
+async def test_request_that_arrives_after_its_jobs_cancellation_runs_nowhere(asked):
+    # Guards against a cancelled job that runs (review/14): the entry that owned it told
+    # no other one, and the request arrived once more elsewhere.
+    async with Site.open(entries=3, workers=1) as site:
+        path, job = site.job_path(), site.job(work_ms=3000)
+        answers = []
+
+        async def submit() -> None:
+            answers.append(await site.request(site.entries[0], "POST", path, job))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit)
+            await wait_for(lambda: site.started())
+            answer = await site.request(site.entries[asked], "DELETE", path)
+            assert answer[0] == (200 if asked == 0 else 410)
+        assert answers[0][1] == {"state": "cancelled"}
+        started = list(site.started())
+        for entry in site.entries[1:]:
+            cancelled_ids = entry.scheduler.cancelled_ids.cancelled_at
+            await wait_for(lambda ids=cancelled_ids: path[-16:] in ids, 2.0)
+            answer = await site.request(entry, "POST", path, job)
+            assert answer[:2] == (200, {"state": "cancelled"})
+        assert site.started() == started
+
+
 async def test_runs_of_a_disconnected_caller_are_stopped():
     async with Site.open(entries=1, workers=1) as site:
         with anyio.move_on_after(0.5):
