Assume a predecessor's lease on the runs that a new agent finds

Cause: a new agent has granted no lease, so after a failed poll it took the runs that its first list had shown for lapsed at once.

Ruled out: owner and worker act as they should on that report.

Change: a first list with runs counts as a lease of the longest handover.

Test: test_successor_reports_no_run_as_lapsed_while_its_predecessors_lease_may_last failed before (reported at the second failure). An agent that finds no run assumes nothing.

--- a/marigoldkeel/fleet/supervisors.py
+++ b/marigoldkeel/fleet/supervisors.py
@@ -211,10 +211,14 @@
         """
         if not lease_s:
             return None
-        worker_lease_ends_at = now + lease_s * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_S
-        self.worker_lease_ends_at = max(self.worker_lease_ends_at, worker_lease_ends_at)
+        self._extend_worker_lease(now, lease_s)
         return now + lease_s
 
+    def _extend_worker_lease(self, now: float, lease_s: float) -> None:
+        """Record that the worker may have a lease that counts from ``now``."""
+        ends_at = now + lease_s * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_S
+        self.worker_lease_ends_at = max(self.worker_lease_ends_at, ends_at)
+
     def record_poll(self, poll: WorkerPoll, requested_at: float) -> None:
         """Apply the worker's response to a poll that was sent at ``requested_at``.
 
@@ -230,6 +234,9 @@
         now = self.clock()
         if self.polled_at == float("-inf"):
             self.first_polled_at = now
+            if poll.running:
+                # An earlier agent may have granted a lease just before it ended.
+                self._extend_worker_lease(now, MAX_HANDOVER_LEASE_S)
         self.polled_at = max(self.polled_at, requested_at)
         self.reachable = True
         listed = {row.run_id: row for row in poll.running}
--- a/tests/fleet/test_supervisors.py
+++ b/tests/fleet/test_supervisors.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from marigoldkeel.fleet.leases import CALLER_TIMEOUT_GRACE_S
+from marigoldkeel.fleet.leases import CALLER_TIMEOUT_GRACE_S, LEASE_MARGIN_S
 from marigoldkeel.fleet.messages import (
     Attach,
     HeldRun,
@@ -1006,3 +1006,31 @@
         if isinstance(notification.content, RunEvent)
     }
     assert notified == {OWNER.incarnation}
+
+
+@pytest.mark.parametrize("failures", [2, 5])
+def test_successor_reports_no_run_as_lapsed_while_its_predecessors_lease_may_last(
+    failures,
+):
+    # Guards against tasks that ran twice (review/12): after two polls without an answer
+    # a restarted agent took the runs of its predecessor for lapsed.
+    agent = Agent(facts=None)
+    agent.supervisor = Supervisor(agent.clock)
+    agent.poll(run_id(0))
+    agent.attach(HeldRun(run_id(0), CORE))
+    listed_at = agent.clock.now
+    while agent.clock.now < listed_at + MAX_HANDOVER_LEASE_S * (1 + MAX_CLOCK_DRIFT):
+        for _ in range(failures):
+            agent.supervisor.record_poll_failure()
+        assert agent.events() == []
+        agent.clock.now += 0.05
+    agent.clock.now += 2 * LEASE_MARGIN_S
+    agent.supervisor.record_poll_failure()
+    assert agent.events() == [ended(run_id(0), RunEnd.LAPSED)]
+
+
+def test_successor_that_found_no_run_grants_leases_of_its_own_length():
+    agent = Agent(facts=None)
+    agent.supervisor = Supervisor(agent.clock)
+    agent.poll()
+    assert agent.supervisor.worker_lease_ends_at == float("-inf")
