Hand cancellations over while a stopping entry still answers

Cause: the hand-over began after the last answer and ended with the grace period, so one long answer took all of its time.

Ruled out: the hand-over itself; another entry would have taken it.

Change: cancellations are handed over as they arrive during the stop, and the last ones within the exit margin. During a stop a DELETE is confirmed once another entry has taken it over; otherwise it is a 503 with Retry-After.

Tests: test_stopping_entry_confirms_only_what_another_has_taken_over failed before in both cases, put to `cancel_on_other_entries`, which confirmed then.

--- a/marigoldkeel/fleet/cancellations.py
+++ b/marigoldkeel/fleet/cancellations.py
@@ -25,6 +25,8 @@
 # An entry confirms within milliseconds; without an answer its connection may be silent.
 CONFIRM_TIMEOUT_S = 0.5
 RETRY_DELAY_S = 0.2
+# How often a stopping entry looks for cancellations that nobody has taken over.
+HAND_OVER_INTERVAL_S = 0.05
 # How many cancellations are sent at a time; to an entry that does not answer, only one.
 # The next ones follow when these are confirmed, so a wave of thousands neither fills
 # the connection's queue nor delays other messages by more than a few milliseconds.
@@ -114,6 +116,8 @@
 
     :ivar closed: Whether all cancellations have been handed over at a planned stop, so
         that no more may be confirmed.
+    :ivar taken: The positions of the cancellations that another entry has taken over.
+    :ivar taken_over: Set, and replaced, when an entry has taken some over.
 
     Usage::
 
@@ -130,6 +134,8 @@
         self.log = CancellationLog()
         self.known: dict[str, ForwardingPeer] = {}
         self.closed = False
+        self.taken: set[int] = set()
+        self.taken_over = anyio.Event()
 
     @property
     def unconfirmed(self) -> dict[str, list[str]]:
@@ -143,10 +149,12 @@
 
     def forward(
         self, job_id: str, addresses: Iterable[str], keep_s: float = CANCELLED_MEMORY_S
-    ) -> None:
+    ) -> int:
         """Send the cancellation of a job to the entries at some addresses.
 
         Entries that are discovered within ``keep_s`` receive it as well.
+
+        :return: Its position in the log.
         """
         self._prune()
         position = self.log.add(job_id, self.clock() + keep_s)
@@ -157,6 +165,7 @@
         for address in wanted:
             peer = self.known.setdefault(address, ForwardingPeer(address, position))
             self._start_sending(peer)
+        return position
 
     def keep(self, job_id: str, keep_s: float) -> None:
         """Keep a cancellation only for the entries that are discovered later.
@@ -179,37 +188,77 @@
         peer.discovered += 1
         self._start_sending(peer)
 
-    async def hand_over(self, addresses: Iterable[str], deadline: float) -> None:
-        """Hand all cancellations to one other entry, which goes on forwarding them.
+    async def hand_over_repeatedly(
+        self, get_addresses: Callable[[], list[str]], deadline: float
+    ) -> None:
+        """Hand cancellations over as they arrive, until cancelled."""
+        while True:
+            await self._hand_over_once(get_addresses(), deadline)
+            await anyio.sleep(HAND_OVER_INTERVAL_S)
+
+    async def hand_over(self, addresses: list[str], deadline: float) -> None:
+        """Hand over what no entry has taken over yet; nothing is confirmed after it."""
+        self.closed = True
+        with anyio.move_on_after(max(0.0, deadline - self.clock())):
+            while addresses and self._not_taken():
+                await self._hand_over_once(addresses, deadline)
+                if self._not_taken():
+                    await anyio.sleep(RETRY_DELAY_S)
+        waiting = self._not_taken()
+        if waiting:
+            logger.bind(cancellations=len(waiting)).warning(
+                "cancellations given up: no other entry has taken them over"
+            )
+
+    async def wait_until_taken_over(self, position: int, timeout_s: float) -> bool:
+        """Wait until another entry has taken a cancellation over.
+
+        :return: False if none has in time.
+        """
+        with anyio.move_on_after(timeout_s):
+            while position not in self.taken:
+                await self.taken_over.wait()
+        return position in self.taken
+
+    def _not_taken(self) -> list[Cancellation]:
+        return [
+            item
+            for item in self.log.after(0, self.clock())
+            if item.position not in self.taken
+        ]
+
+    async def _hand_over_once(self, addresses: list[str], deadline: float) -> None:
+        """Hand cancellations to one other entry, which goes on forwarding them.
 
         Those that an entry has not confirmed come first. Entries that have confirmed
         the most are asked first, as the others may not answer.
+
+        :param deadline: Nothing is sent after this time.
         """
-        self.closed = True
         self._prune()
         confirmed = min((peer.position for peer in self.known.values()), default=0)
-        waiting = list(self.log.after(0, self.clock()))
+        waiting = self._not_taken()
         waiting.sort(key=lambda item: item.position < confirmed)
         candidates = [
             self.known.get(address, ForwardingPeer(address, -1))
             for address in addresses
         ]
         candidates.sort(key=lambda peer: -peer.position)
-        while waiting and candidates and self.clock() < deadline:
-            for peer in candidates:
-                while waiting and self.clock() < deadline:
-                    batch = waiting[:MAX_BATCH]
-                    messages = [self._handed_over(item, confirmed) for item in batch]
-                    count = await self._send_batch(peer.address, messages)
-                    del waiting[:count]
-                    if count < len(batch):
-                        break
-            if waiting:
-                await anyio.sleep(RETRY_DELAY_S)
-        if waiting:
-            logger.bind(cancellations=len(waiting)).warning(
-                "cancellations given up: no other entry has taken them over"
-            )
+        for peer in candidates:
+            while waiting and self.clock() < deadline:
+                batch = waiting[:MAX_BATCH]
+                messages = [self._handed_over(item, confirmed) for item in batch]
+                count = await self._send_batch(peer.address, messages)
+                self._record_taken(batch[:count])
+                del waiting[:count]
+                if count < len(batch):
+                    break
+
+    def _record_taken(self, items: list[Cancellation]) -> None:
+        if items:
+            self.taken.update(item.position for item in items)
+            self.taken_over.set()
+            self.taken_over = anyio.Event()
 
     def _handed_over(self, item: Cancellation, confirmed: int) -> DropJob:
         keep_ms = max(1, round((item.until - self.clock()) * 1000))
@@ -271,6 +320,7 @@
 
     def _prune(self) -> None:
         for item in self.log.prune(self.clock()):
+            self.taken.discard(item.position)
             for peer in self.known.values():
                 if peer.position <= item.position:
                     logger.bind(job=item.job_id, peer=peer.address).warning(
--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -38,7 +38,7 @@
 from marigoldkeel.fleet.status import agent_report, entry_report
 from marigoldkeel.fleet.supervisors import Supervisor
 from marigoldkeel.fleet.views import FleetView
-from marigoldkeel.guards import repeat_guarded
+from marigoldkeel.guards import repeat_guarded, run_guarded
 from marigoldkeel.identifiers import mint_incarnation, wall_clock_ms
 from marigoldkeel.messages import Done, Pull
 from marigoldkeel.metrics import Metric, add_metrics_route
@@ -53,6 +53,10 @@
 BALANCER_DELAY_S = 2.4
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.5
+# Time for the last cancellations to be handed over, a part of the exit margin.
+LAST_HAND_OVER_S = 0.25
+# How long a cancellation that reaches a stopping entry waits until it is taken over.
+TAKE_OVER_TIMEOUT_S = 1.0
 # How much longer than forecast a job may take that is accepted during a planned stop.
 FORECAST_MARGIN_S = 0.3
 # Time for the last responses to be sent.
@@ -373,6 +377,20 @@
         self.cancellations.forward(job_id, self._entry_addresses())
         return True
 
+    async def confirm_cancellation(self, job_id: str) -> bool:
+        """Forward a cancellation and return whether it may be confirmed.
+
+        An entry that stops confirms only what another one has taken over.
+        """
+        if not self.cancel_on_other_entries(job_id):
+            return False
+        if not self.leaving or not self._entry_addresses():
+            return True
+        position = self.cancellations.log.positions[job_id]
+        return await self.cancellations.wait_until_taken_over(
+            position, TAKE_OVER_TIMEOUT_S
+        )
+
     def _entry_addresses(self) -> list[str]:
         return [daemon.member.address for daemon in self.directory.entries()]
 
@@ -390,7 +408,24 @@
             self.cancellations.keep(message.job_id, min(keep_s, CANCELLED_MEMORY_S))
 
     async def drain(self) -> None:
-        """Leave the balancer's rotation, then answer the requests in progress."""
+        """Leave the balancer's rotation, then answer the requests in progress.
+
+        Cancellations are handed over meanwhile, and the last ones before the exit.
+        """
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                run_guarded,
+                "hand over cancellations",
+                self.cancellations.hand_over_repeatedly,
+                self._entry_addresses,
+                self.stop_deadline,
+            )
+            await self._answer_requests()
+            group.cancel_scope.cancel()
+        deadline = max(self.stop_deadline, self.clock() + LAST_HAND_OVER_S)
+        await self.cancellations.hand_over(self._entry_addresses(), deadline)
+
+    async def _answer_requests(self) -> None:
         self.leaving = True
         self.controller.leaving = True
         remaining_s = self.stop_deadline - self.clock()
@@ -409,7 +444,6 @@
         for owned in list(self.scheduler.jobs.values()):
             self.scheduler.abandon(owned, "the entry stops")
         await anyio.sleep(RESPONSE_FLUSH_S)
-        await self.cancellations.hand_over(self._entry_addresses(), self.stop_deadline)
 
 
 class FleetAgent(FleetDaemon):
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -208,8 +208,10 @@
     if request.method == "DELETE":
         was_owned = entry.scheduler.cancel(job_id)
         # The request may arrive once more at another entry, whoever owns the job.
-        if not entry.cancel_on_other_entries(job_id):
-            return Response.from_json({"error": "the entry has stopped"}, 503)
+        if not await entry.confirm_cancellation(job_id):
+            response = Response.from_json({"error": "the entry stops"}, 503)
+            response.headers["retry-after"] = "1"
+            return response
         if was_owned:
             return Response.from_json({})
         return Response.from_json({"error": "no such job here"}, 410)
--- a/tests/fleet/test_cancellations.py
+++ b/tests/fleet/test_cancellations.py
@@ -248,3 +248,37 @@
     with pytest.raises(ProtocolError):
         await stopped.handle(DropJob("j", 1000, True), "peer")
     await stopped.handle(DropJob("j"), "peer")
+
+
+@pytest.mark.parametrize("is_reached", [True, False], ids=["reached", "cut off"])
+async def test_stopping_entry_confirms_only_what_another_has_taken_over(
+    network, is_reached
+):
+    # Guards against a cancelled job that runs on (review/15): an entry whose long
+    # answer took all of its grace ended without telling what it had confirmed.
+    stopping, other, owner = (network.start(number) for number in (1, 2, 3))
+    network.introduce(stopping, other, owner)
+    network.unreachable.add(owner.own_member.address)
+    if not is_reached:
+        network.unreachable.add(other.own_member.address)
+    stopping.stop()
+    stopping.stop_deadline = stopping.clock() + 0.3
+    stopping.in_progress = 1
+    async with anyio.create_task_group() as group:
+        group.start_soon(stopping.drain)
+        await wait_until(lambda: stopping.leaving)
+        assert await stopping.confirm_cancellation("j") == is_reached
+    del network.entries[stopping.own_member.address]
+    assert knows_cancelled(other, "j") == is_reached
+    network.unreachable.clear()
+    network.introduce(other, owner)
+    if is_reached:
+        with anyio.fail_after(2.0):
+            await wait_until(lambda: knows_cancelled(owner, "j"))
+
+
+async def test_stopping_entry_without_others_confirms_a_cancellation(network):
+    stopping = network.start(1)
+    stopping.leaving = True
+    with anyio.fail_after(0.5):
+        assert await stopping.confirm_cancellation("j")
