Send the other messages of a batch if one cannot be encoded

Change: after an error each message of the batch is encoded on its own.

Test: test_message_that_cannot_be_encoded_harms_no_other_of_its_batch failed before: all four requests ended with ProtocolError, now one does.

--- a/marigoldkeel/transports.py
+++ b/marigoldkeel/transports.py
@@ -7,7 +7,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -353,18 +353,26 @@
                 await anyio.aclose_forcefully(self.stream)
                 return
             while self.outgoing:
-                batch = self._next_batch()
-                try:
-                    frame = encode_frame(batch)
-                except Exception as error:
-                    self._fail_batch(batch, error)
-                    continue
-                self._record_sent(batch, len(frame))
-                try:
-                    await self.stream.send(FRAME_LENGTH.pack(len(frame)) + frame)
-                except STREAM_ERRORS:
-                    await anyio.aclose_forcefully(self.stream)
-                    return
+                for batch, frame in self._encode(self._next_batch()):
+                    self._record_sent(batch, len(frame))
+                    try:
+                        await self.stream.send(FRAME_LENGTH.pack(len(frame)) + frame)
+                    except STREAM_ERRORS:
+                        await anyio.aclose_forcefully(self.stream)
+                        return
+
+    def _encode(self, batch: list[Envelope]) -> Iterator[tuple[list[Envelope], bytes]]:
+        """Return the frames of a batch: one, or one a message if that fails."""
+        try:
+            frame = encode_frame(batch)
+        except Exception as error:
+            if len(batch) == 1:
+                self._fail(batch[0], error)
+                return
+            for envelope in batch:
+                yield from self._encode([envelope])
+            return
+        yield batch, frame
 
     def _next_batch(self) -> list[Envelope]:
         size = 0
@@ -394,13 +402,12 @@
         for name in names:
             frames_by_type[name] = frames_by_type.get(name, 0) + 1
 
-    def _fail_batch(self, batch: list[Envelope], error: Exception) -> None:
-        logger.error("cannot encode messages for {}: {}", self.peer, error)
-        for envelope in batch:
-            pending = self.pending.get(envelope.request_id)
-            if pending is not None and not envelope.is_reply:
-                pending.error = ProtocolError(str(error), "encode", self.peer)
-                pending.event.set()
+    def _fail(self, envelope: Envelope, error: Exception) -> None:
+        logger.error("cannot encode a message for {}: {}", self.peer, error)
+        pending = self.pending.get(envelope.request_id)
+        if pending is not None and not envelope.is_reply:
+            pending.error = ProtocolError(str(error), "encode", self.peer)
+            pending.event.set()
 
     async def _read(self, group: TaskGroup) -> None:
         buffer = bytearray()
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -140,6 +140,32 @@
         group.cancel_scope.cancel()
 
 
+@pytest.mark.anyio
+async def test_message_that_cannot_be_encoded_harms_no_other_of_its_batch():
+    # Guards against jobs that wait in vain: a start order with a number out of range
+    # took those sent with it along.
+    outcomes = {}
+
+    async def ask(peers, address, generation):
+        try:
+            reply = await peers.request(address, Claim(generation=generation), 2)
+            outcomes[generation] = reply.generation
+        except MarigoldkeelError as error:
+            outcomes[generation] = type(error)
+
+    async with anyio.create_task_group() as group:
+        address = await group.start(
+            serve_peers, "127.0.0.1:0", echo_generation, Counters()
+        )
+        async with PeerPool.open() as peers:
+            await peers.connect(address)
+            async with anyio.create_task_group() as requests:
+                for generation in (1, -1, 2, 3):
+                    requests.start_soon(ask, peers, address, generation)
+        group.cancel_scope.cancel()
+    assert outcomes == {1: 1, -1: ProtocolError, 2: 2, 3: 3}
+
+
 @pytest.mark.anyio
 async def test_bad_frame_closes_one_connection_and_the_server_keeps_serving():
     async with anyio.create_task_group() as group:
