Refuse jobs whose numbers no start order can state

Cause: an estimate of 50 days, a negative one, a negative `anti_affinity` and a demand above 32 bits were accepted; the start orders could not be encoded. A deadline header of `nan` or `inf` failed in the same place.

Change: 400 at the door with the step and the field; a header that is no finite number counts as missing, as other invalid ones do. The run time that an order states is capped, as a slow worker multiplies the estimate.

Test: four rows of test_invalid_requests_get_an_error, of which the two of `anti_affinity` and the like failed before.

--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -674,7 +674,7 @@
             first.step,
             step.demand,
             owned.job.payload,
-            round(expected_s * 1000),
+            min(MAX_FIELD_MS, round(expected_s * 1000)),
             step.spread_limit,
             [RunNumber(task.task_id.index, task.run.number) for task in tasks],
             caller_waits_ms=owned.caller_waits_ms(now),
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -6,6 +6,7 @@
 import re
 from collections.abc import Iterator
 from contextlib import contextmanager
+from math import isfinite
 
 import anyio
 import msgspec
@@ -13,6 +14,7 @@
 from marigoldkeel.client_limits import Holding
 from marigoldkeel.exceptions import InvalidInput
 from marigoldkeel.fleet.daemons import FleetEntry
+from marigoldkeel.fleet.messages import MAX_FIELD_MS
 from marigoldkeel.fleet.plans import Queue
 from marigoldkeel.fleet.work import (
     JobAnswer,
@@ -36,6 +38,8 @@
 # Used when a request does not contain the deadline header.
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 MAX_PAYLOAD_BYTES = 4000
+# Largest value of a step's numbers that a start order can state.
+MAX_FIELD = 2**32 - 1
 MAX_TASKS = 10_000
 # Each step has at least one task, and a payload may contain braces. The objects of more
 # steps would be created before their tasks can be counted.
@@ -92,8 +96,12 @@
     fills: bool = False
 
     def to_step(self, number: int) -> Step:
-        if self.count < 1 or min(self.cpu, self.mem_mb, self.gpus) < 0:
-            raise InvalidInput(f"step {number}: count or demand out of range")
+        fields = (self.cpu, self.mem_mb, self.gpus, self.anti_affinity)
+        is_in_range = all(0 <= value <= MAX_FIELD for value in fields)
+        if self.count < 1 or not is_in_range:
+            raise InvalidInput(f"step {number}: count, demand or limit out of range")
+        if not 0 <= self.estimate_ms <= MAX_FIELD_MS:
+            raise InvalidInput(f"step {number}: estimate out of range")
         if any(not 0 <= index < number for index in self.after):
             raise InvalidInput(f"step {number}: waits for a step that is not earlier")
         unsupported = [
@@ -290,9 +298,10 @@
 
 def _caller_timeout_s(request: Request) -> float:
     try:
-        return float(request.headers[DEADLINE_HEADER]) / 1000
+        timeout_s = float(request.headers[DEADLINE_HEADER]) / 1000
     except (KeyError, ValueError):
         return DEFAULT_CALLER_TIMEOUT_S
+    return timeout_s if isfinite(timeout_s) else DEFAULT_CALLER_TIMEOUT_S
 
 
 def _to_response(answer: JobAnswer) -> Response:
