Run two cases of the third review's rig with the tests

Its rig was not among those that tests/test_review.py keeps runnable: case 12 calm, case 14 with its disruption.

--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -20,6 +20,7 @@
 RECORDS = {
     "standins": (r" start \w+\.0\.0\.0 run ", r" client got for \w+: 200 "),
     "installation": (r" begins \w+\.0\.0\.0 run ", r" answer \w+ 200 "),
+    "rig3": (r" begins \w+\.0\.0\.0 run ", r" client gets 200 .* for POST "),
 }
 
 
@@ -56,7 +57,7 @@
     return subprocess.CompletedProcess(process.args, process.returncode, output)
 
 
-@pytest.mark.parametrize("name", ["build.sh", "build-2.sh"])
+@pytest.mark.parametrize("name", ["build.sh", "build-2.sh", "build-3.sh"])
 def test_rigs_build(checkout, name):
     built = run(checkout / "review" / name)
     assert built.returncode == 0, built.stdout
@@ -71,6 +72,8 @@
         ("standins", "5", False),
         ("installation", "8", False),
         ("installation", "10", True),
+        ("rig3", "12", False),
+        ("rig3", "14", True),
     ],
 )
 def test_case_runs_to_its_end_and_holds(checkout, rig, case, trouble):
