Confirm a cancellation if only the other entries are silent

Change: after 1.55 s without a confirmation the entry looks whether agents answer it. If so, the others are at fault and are told when they answer again, as before; if not, it is cut off itself and answers 503. The wait is longer than the time in which silent links are noticed (1.45 s).

--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -24,7 +24,11 @@
 from marigoldkeel.fleet.drivers import WorkerClient, WorkerDriver
 from marigoldkeel.fleet.evacuations import EvacuatedDomains
 from marigoldkeel.fleet.following import EVACUATION_DELAY_S, PlanFollower
-from marigoldkeel.fleet.links import AgentEndpoint, OwnerEndpoint
+from marigoldkeel.fleet.links import (
+    MAX_LINK_SILENCE_S,
+    AgentEndpoint,
+    OwnerEndpoint,
+)
 from marigoldkeel.fleet.messages import Announce, DropJob
 from marigoldkeel.fleet.metrics import (
     AGENT_METRICS,
@@ -56,8 +60,9 @@
 # Time for the last cancellations to be handed over, a part of the exit margin.
 LAST_HAND_OVER_S = 0.25
 # How long a cancellation waits until another entry has confirmed it, and for how long
-# for all of them: entries that end now, or cannot be reached, do not answer.
-CONFIRM_CANCELLATION_S = 1.0
+# for all of them: entries that end now, or cannot be reached, do not answer. By the end
+# of the longer time an entry that is cut off has noticed that its links are silent.
+CONFIRM_CANCELLATION_S = MAX_LINK_SILENCE_S + 0.1
 ALL_CONFIRM_CANCELLATION_S = 0.25
 # How much longer than forecast a job may take that is accepted during a planned stop.
 FORECAST_MARGIN_S = 0.3
@@ -382,9 +387,10 @@
     async def confirm_cancellation(self, job_id: str) -> bool:
         """Cancel a job here and elsewhere; return whether that may be confirmed.
 
-        Its owner confirms at once. Any other entry waits until others have confirmed,
-        and one that stops until another has taken the cancellation over. An entry that
-        knows no other confirms at once.
+        Its owner confirms at once, and so does an entry that knows no other. Any other
+        entry waits until others have confirmed. If none does, the fault is with them as
+        long as agents answer this entry, and they are told once they answer again. An
+        entry that stops waits until another one has taken the cancellation over.
         """
         is_owner = self.scheduler.cancel(job_id)
         addresses = self._entry_addresses()
@@ -397,9 +403,11 @@
             return await self.cancellations.wait_until_taken_over(
                 position, CONFIRM_CANCELLATION_S
             )
-        return is_owner or await self.cancellations.wait_until_confirmed(
+        if is_owner or await self.cancellations.wait_until_confirmed(
             position, addresses, ALL_CONFIRM_CANCELLATION_S, CONFIRM_CANCELLATION_S
-        )
+        ):
+            return True
+        return any(view.connected for view in self.fleet.workers.values())
 
     def _entry_addresses(self) -> list[str]:
         return [daemon.member.address for daemon in self.directory.entries()]
--- a/tests/fleet/test_cancellations.py
+++ b/tests/fleet/test_cancellations.py
@@ -316,3 +316,21 @@
             group.start_soon(confirm, f"j{number}")
     assert results == [True] * 500
     assert asked.cancellations.waiters == {}
+
+
+@pytest.mark.parametrize("is_answered", [True, False])
+async def test_entry_whose_agents_answer_confirms_while_all_others_are_silent(
+    network, monkeypatch, is_answered
+):
+    # The only other entry is frozen (review/5): it is told when it answers again. An
+    # entry that nobody answers is cut off itself (review/13).
+    monkeypatch.setattr(daemons, "ALL_CONFIRM_CANCELLATION_S", 0.05)
+    monkeypatch.setattr(daemons, "CONFIRM_CANCELLATION_S", 0.1)
+    asked, frozen = network.start(1), network.start(2)
+    network.introduce(asked, frozen)
+    network.unreachable.add(frozen.own_member.address)
+    asked.fleet.view("agent-1").connected = is_answered
+    assert await asked.confirm_cancellation("j") == is_answered
+    network.unreachable.clear()
+    with anyio.fail_after(2.0):
+        await wait_until(lambda: knows_cancelled(frozen, "j"))
