Log how old the plan in force can be, and how late the event loop runs

Callers were served under a plan that had been replaced longer ago than allowed. No log line or metric said how old a plan was, whether the store had answered, or whether the entry was late in reading the answer.

Each line of a request, each change of the plan and each loss of the store now states the time since the store last named the newest plan, and the last two the worst lateness of the event loop. Requests without a queue have a line too. Both figures are gauges and part of the status.

--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -24,6 +24,7 @@
 from marigoldkeel.fleet.drivers import WorkerClient, WorkerDriver
 from marigoldkeel.fleet.evacuations import EvacuatedDomains
 from marigoldkeel.fleet.following import EVACUATION_DELAY_S, PlanFollower
+from marigoldkeel.fleet.lateness import LoopLateness
 from marigoldkeel.fleet.links import (
     MAX_LINK_SILENCE_S,
     AgentEndpoint,
@@ -55,6 +56,8 @@
 DRAIN_POLL_INTERVAL_S = 0.02
 # The balancer checks readiness once a second and removes an entry after two failures.
 BALANCER_DELAY_S = 2.4
+# Interval at which the lateness of the event loop is looked at.
+LATENESS_INTERVAL_S = 0.25
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.5
 # Time for the last cancellations to be handed over, a part of the exit margin.
@@ -272,6 +275,7 @@
         self.job_durations = JobDurations()
         self.scheduler.on_answer = self.job_durations.observe
         self.serve_metrics(ENTRY_METRICS, self.job_durations.histogram)
+        self.lateness = LoopLateness()
         self.leaving = False
         self.closing = False
         self.in_progress = 0
@@ -315,6 +319,7 @@
             self.decode_plan,
             self.evacuations if self.settings.evacuation is not None else None,
             self.evacuation_prefix,
+            self.lateness,
         )
         self.directory = Directory(
             self.own_member,
@@ -335,6 +340,7 @@
         for step, loop in (
             ("schedule", self.links.run_forever),
             ("follow plan", self.follower.run_forever),
+            ("record lateness", self._record_lateness),
         ):
             group.start_soon(repeat_guarded, step, loop)
         group.start_soon(self.controller.run_forever)
@@ -345,6 +351,12 @@
                 EVACUATION_DELAY_S,
             )
 
+    async def _record_lateness(self) -> None:
+        while True:
+            due_at = self.clock() + LATENESS_INTERVAL_S
+            await anyio.sleep(LATENESS_INTERVAL_S)
+            self.lateness.record(due_at, self.clock())
+
     def count_entries(self) -> int:
         """Return the number of known entries, including this one."""
         others = self.directory.entries() if self.directory is not None else []
--- a/marigoldkeel/fleet/following.py
+++ b/marigoldkeel/fleet/following.py
@@ -4,6 +4,7 @@
 One watch covers both.
 """
 
+import time
 from collections.abc import Callable
 from os.path import commonprefix
 
@@ -17,6 +18,7 @@
     domain_of_key,
     evacuated_by,
 )
+from marigoldkeel.fleet.lateness import LoopLateness
 from marigoldkeel.fleet.plans import Plan
 from marigoldkeel.messages import Pull, Pulled
 from marigoldkeel.revisions import RevisionRegister
@@ -47,6 +49,7 @@
     :param decode: Decodes the stored plan; raises `InvalidInput` if it is malformed.
     :param evacuations: Follows the evacuated domains too; None to read the plan only.
     :param evacuation_prefix: Prefix of the keys that name an evacuated domain each.
+    :param lateness: That of the event loop, for the log.
     :ivar prefix: What is read and watched. A prefix that covers the plan and the
         evacuations saves the calls of a second watch; other keys below it are ignored.
     :ivar set_back: Whether the store was last read with a revision below the known one.
@@ -60,6 +63,7 @@
         decode: Callable[[bytes], Plan],
         evacuations: EvacuatedDomains | None = None,
         evacuation_prefix: str = "",
+        lateness: LoopLateness | None = None,
     ):
         self.store = store
         self.peers = peers
@@ -70,6 +74,8 @@
         self.prefix = (
             key if evacuations is None else commonprefix([key, evacuation_prefix])
         )
+        self.lateness = lateness or LoopLateness()
+        self.started_at = time.monotonic()
         self.set_back = False
         self.register = RevisionRegister()
         self.data = b""
@@ -91,11 +97,21 @@
         """The version of the plan in force, 0 before the first one was received."""
         return self.register.revision
 
+    @property
+    def unconfirmed_s(self) -> float:
+        """Seconds since the store last stated what the newest plan is.
+
+        A plan that this entry does not know yet has been in the store for less.
+        """
+        confirmed_at = self.store.confirmed_at.get(self.prefix, self.started_at)
+        return time.monotonic() - confirmed_at
+
     def apply_if_newer(self, data: bytes, source: str) -> None:
         """Put a plan into force if it is newer than the current one.
 
         :param source: Where the plan comes from, for the log.
         """
+        unconfirmed_s = self.unconfirmed_s
         try:
             plan = self.decode(data)
         except InvalidInput as error:
@@ -103,7 +119,11 @@
             return
         if self.register.offer(plan.version, plan):
             self.data = data
-            logger.info(
+            logger.bind(
+                bytes=len(data),
+                unconfirmed_ms=round(1000 * unconfirmed_s),
+                loop_late_ms=round(1000 * self.lateness.worst_s),
+            ).info(
                 "plan {} from {} in force: {} queues",
                 plan.version,
                 source,
@@ -248,6 +268,8 @@
     ) -> None:
         if is_reachable != self.store_reachable:
             self.store_reachable = is_reachable
-            logger.info(
-                "plan {} {}", "followed" if is_reachable else "not followed", error
-            )
+            logger.bind(
+                version=self.version,
+                unconfirmed_ms=round(1000 * self.unconfirmed_s),
+                loop_late_ms=round(1000 * self.lateness.worst_s),
+            ).info("plan {} {}", "followed" if is_reachable else "not followed", error)
--- a/marigoldkeel/fleet/metrics.py
+++ b/marigoldkeel/fleet/metrics.py
@@ -175,6 +175,18 @@
         "Version of the operators' plan in force; 0 before the first.",
         lambda entry: entry.follower.version,
     ),
+    Metric(
+        Gauge,
+        "marigoldkeel_plan_unconfirmed_seconds",
+        "Time since the store last stated what the newest plan is.",
+        lambda entry: round(entry.follower.unconfirmed_s, 3),
+    ),
+    Metric(
+        Gauge,
+        "marigoldkeel_loop_late_seconds",
+        "Worst lateness of the event loop in the last five to ten seconds.",
+        lambda entry: round(entry.lateness.worst_s, 3),
+    ),
     Metric(
         Gauge,
         "marigoldkeel_ready",
--- a/marigoldkeel/fleet/schedulers.py
+++ b/marigoldkeel/fleet/schedulers.py
@@ -836,6 +836,7 @@
             job=job.job_id,
             queue=job.queue.name,
             plan=job.plan_version,
+            plan_unconfirmed_ms=round(1000 * job.plan_unconfirmed_s),
             waited_ms=round((self.clock() - job.received_at) * 1000),
             forecast_ms=round(owned.critical_path_s * 1000),
             objective_ms=round(owned.objective_s * 1000),
--- a/marigoldkeel/fleet/status.py
+++ b/marigoldkeel/fleet/status.py
@@ -22,6 +22,8 @@
         "ready": entry.ready,
         "leaving": entry.leaving,
         "plan_version": entry.follower.version,
+        "plan_unconfirmed_s": round(entry.follower.unconfirmed_s, 3),
+        "loop_late_s": round(entry.lateness.worst_s, 3),
         "store_reached": entry.controller.store_reachable,
         "requests_in_progress": entry.in_progress,
         "jobs": len(scheduler.jobs),
--- a/marigoldkeel/fleet/work.py
+++ b/marigoldkeel/fleet/work.py
@@ -129,6 +129,8 @@
         system suspend.
     :ivar caller_timeout_s: How long the caller waits for the answer, in seconds.
     :ivar plan_version: Version of the operators' plan under which it was accepted.
+    :ivar plan_unconfirmed_s: How long before that the store had last stated what the
+        newest plan is.
     """
 
     job_id: str
@@ -138,6 +140,7 @@
     received_at: float
     caller_timeout_s: float
     plan_version: int = 0
+    plan_unconfirmed_s: float = 0.0
 
 
 class JobState(IntEnum):
--- a/marigoldkeel/platform/callers.py
+++ b/marigoldkeel/platform/callers.py
@@ -10,6 +10,7 @@
 
 import anyio
 import msgspec
+from loguru import logger
 
 from marigoldkeel.client_limits import Holding
 from marigoldkeel.exceptions import InvalidInput
@@ -56,6 +57,8 @@
 # Jobs of fewer tasks are contained in what is accounted for each connection.
 UNACCOUNTED_TASKS = 32
 MEMORY_RETRY_S = 1.0
+# Of the host and the path of a request for which there is no queue.
+MAX_LOGGED_CHARACTERS = 100
 STATUS_CODES = {
     JobState.DONE: 200,
     JobState.FAILED: 200,
@@ -199,6 +202,12 @@
     host = request.headers.get("host", "").partition(":")[0]
     queue = entry.plan.find(host, request.path)
     if queue is None:
+        logger.bind(
+            host=host[:MAX_LOGGED_CHARACTERS],
+            path=request.path[:MAX_LOGGED_CHARACTERS],
+            plan=entry.plan.version,
+            plan_unconfirmed_ms=round(1000 * entry.follower.unconfirmed_s),
+        ).info("no such queue")
         return Response.from_json({"error": "no such queue"}, 404)
     job_id = request.path[len(queue.prefix) :]
     if not job_id and request.method == "GET":
@@ -238,6 +247,7 @@
         )
     except InvalidInput as error:
         return Response.from_json({"error": error.message}, 400)
+    job.plan_unconfirmed_s = entry.follower.unconfirmed_s
     if unsupported:
         return _not_run_response(f"not carried out here: {unsupported}", 30.0)
     request.body = b""
--- a/marigoldkeel/platform/stores.py
+++ b/marigoldkeel/platform/stores.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store."""
 
+import time
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
 from collections.abc import AsyncIterator
@@ -89,6 +90,7 @@
         """
         values: list[StoredValue] = []
         revision, after = 0, ""
+        sent_at = time.monotonic()
         while True:
             target = f"/api/kv-range?prefix={quote(prefix)}"
             if after:
@@ -101,6 +103,7 @@
                 for item in page.items
             ]
             if not page.more_pages or not page.items:
+                self.confirmed_at[prefix] = sent_at
                 return Snapshot(values, revision)
             after = page.items[-1].key
 
@@ -146,10 +149,12 @@
                 f"/api/kv-watch?prefix={quote(prefix)}"
                 f"&after={after_revision}&wait_ms={wait_ms}"
             )
+            sent_at = time.monotonic()
             reply = await self._call(
                 "watch", "GET", target, timeout_s=idle_timeout_s + WATCH_MARGIN_S
             )
             answer = self._decode(reply, _WatchResponse, "watch")
+            self.confirmed_at[prefix] = sent_at
             if answer.current_rev < after_revision:
                 # Restored from an older state; what it has now must be read again.
                 raise self._unavailable(
--- a/marigoldkeel/stores.py
+++ b/marigoldkeel/stores.py
@@ -121,8 +121,15 @@
 
         lease = await store.grant_lease(10)
         await store.put_with_lease("daemons/agent-1", record, lease)
+
+    :ivar confirmed_at: By prefix, when the last read or watch was sent that has been
+        answered, as ``time.monotonic()``. What it returned was current at that time.
     """
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.confirmed_at: dict[str, float] = {}
+
     @abstractmethod
     async def grant_lease(self, ttl_s: float) -> int:
         """Return a new lease that expires ``ttl_s`` seconds after its last renewal.
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -32,6 +32,7 @@
         self.reads, self.changes = list(reads), changes
         self.documents = documents
         self.prefixes, self.asked = set(), []
+        self.confirmed_at = {}
 
     async def get_prefix(self, prefix: str) -> Snapshot:
         self.prefixes.add(prefix)
