Follow the plan in a thread, which the callers' work does not delay

Callers were served under a plan that had been replaced longer ago than allowed, by entries that reached the store.

Cause: each step of reading a change (the watch's answer, the end of its time limit, a connection, a read) waited for a turn of the event loop, and under load a turn takes as long as the requests that have arrived. Time limits ran out before an answer in the socket was read, and each repetition cost further turns.

The store is now read and watched in a thread with an event loop of its own. What it has read is applied on the entry's loop, ahead of all requests that are read later, so it takes at most one turn.

Ruled out: longer time limits alone, which save the repetitions but not the turns.

--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
 from typing import Any
@@ -118,6 +119,11 @@
 
             self.servers.append((self.settings.metrics, application))
 
+    @property
+    def store_calls(self) -> Counter[str]:
+        """The number of calls to the store, by kind."""
+        return self.store.counts
+
     def report(self) -> dict[str, Any]:
         """Return the status report of this daemon."""
         raise NotImplementedError
@@ -235,6 +241,7 @@
     :param plan_key: Key of the operators' plan in the store.
     :param decode_plan: Decodes the stored plan.
     :param evacuation_prefix: Prefix of the keys of evacuated domains in the store.
+    :param plan_store: Client with which the plan is followed, in a thread of its own.
     """
 
     def __init__(
@@ -245,8 +252,10 @@
         decode_plan: Callable[[bytes], Plan],
         settings_path: str = "",
         evacuation_prefix: str = "",
+        plan_store: LeasedStore | None = None,
     ):
         super().__init__(settings, store, settings_path)
+        self.plan_store = plan_store
         self.plan_key = plan_key
         self.decode_plan = decode_plan
         self.evacuation_prefix = evacuation_prefix
@@ -285,6 +294,10 @@
         """The operators' plan in force."""
         return self.follower.plan
 
+    @property
+    def store_calls(self) -> Counter[str]:
+        return Counter(self.store.counts) + Counter(self.plan_store.counts)
+
     @property
     def client_limits(self) -> ClientLimits:
         """The limits on requests of callers."""
@@ -313,7 +326,7 @@
         self.links.group = group
         self.cancellations = CancellationForwarder(self.peers, group, self.clock)
         self.follower = PlanFollower(
-            self.store,
+            self.plan_store,
             self.peers,
             self.plan_key,
             self.decode_plan,
--- a/marigoldkeel/fleet/following.py
+++ b/marigoldkeel/fleet/following.py
@@ -1,12 +1,14 @@
 """Keeps an entry's copy of the operators' orders current, from the store and peers.
 
 The orders are the plan and, if the settings enable it, the evacuated failure domains.
-One watch covers both.
+One watch covers both. The store is read and watched in a thread, since the event loop
+of the entry is late while callers keep it busy; what was read is applied on that loop.
 """
 
 import time
 from collections.abc import Callable
 from os.path import commonprefix
+from typing import Any
 
 import anyio
 from loguru import logger
@@ -22,7 +24,8 @@
 from marigoldkeel.fleet.plans import Plan
 from marigoldkeel.messages import Pull, Pulled
 from marigoldkeel.revisions import RevisionRegister
-from marigoldkeel.stores import Change, LeasedStore
+from marigoldkeel.stores import Change, LeasedStore, Snapshot
+from marigoldkeel.threads import LoopThread
 from marigoldkeel.transports import PeerPool
 
 
@@ -42,9 +45,14 @@
 SET_BACK_READ_INTERVAL_S = 2.0
 
 
+def _call(action: Callable[..., None], *arguments: Any) -> None:
+    action(*arguments)
+
+
 class PlanFollower:
     """Watches the plan in the store and fetches newer versions from peers.
 
+    :param store: Only used by this follower.
     :param key: The key of the plan in the store.
     :param decode: Decodes the stored plan; raises `InvalidInput` if it is malformed.
     :param evacuations: Follows the evacuated domains too; None to read the plan only.
@@ -53,6 +61,8 @@
     :ivar prefix: What is read and watched. A prefix that covers the plan and the
         evacuations saves the calls of a second watch; other keys below it are ignored.
     :ivar set_back: Whether the store was last read with a revision below the known one.
+    :ivar read_revision: The highest revision of the evacuations that was read.
+    :ivar hand_over: Calls a function on the event loop of the entry.
     """
 
     def __init__(
@@ -76,6 +86,8 @@
         )
         self.lateness = lateness or LoopLateness()
         self.started_at = time.monotonic()
+        self.read_revision = 0
+        self.hand_over: Callable[..., None] = _call
         self.set_back = False
         self.register = RevisionRegister()
         self.data = b""
@@ -103,15 +115,19 @@
 
         A plan that this entry does not know yet has been in the store for less.
         """
-        confirmed_at = self.store.confirmed_at.get(self.prefix, self.started_at)
-        return time.monotonic() - confirmed_at
+        return time.monotonic() - self._asked_at()
 
-    def apply_if_newer(self, data: bytes, source: str) -> None:
+    def apply_if_newer(
+        self, data: bytes, source: str, asked_at: float | None = None
+    ) -> None:
         """Put a plan into force if it is newer than the current one.
 
         :param source: Where the plan comes from, for the log.
+        :param asked_at: When the store was asked for it; if it comes from elsewhere,
+            the last time that the store was asked and has answered.
         """
-        unconfirmed_s = self.unconfirmed_s
+        asked_at = self._asked_at() if asked_at is None else asked_at
+        unconfirmed_s = time.monotonic() - asked_at
         try:
             plan = self.decode(data)
         except InvalidInput as error:
@@ -131,21 +147,51 @@
             )
 
     async def run_forever(self) -> None:
+        """Follow the store in a thread until cancelled."""
+        thread = LoopThread("follow plan", self._follow_forever)
+        self.hand_over = thread.call_owner
+        await thread.run()
+
+    async def _follow_forever(self) -> None:
         """Read and watch the plan; restart whenever the watch ends."""
-        while True:
-            try:
-                await self._follow()
-            except MarigoldkeelError as error:
-                self._set_store_reachable(False, error)
-                await anyio.sleep(STORE_RETRY_DELAY_S)
+        async with self.store:
+            while True:
+                try:
+                    await self._follow()
+                except MarigoldkeelError as error:
+                    self.hand_over(self._set_store_reachable, False, error)
+                    await anyio.sleep(STORE_RETRY_DELAY_S)
 
     async def _follow(self) -> None:
-        known_revision = self.evacuation_revision
+        known_revision = max(self.evacuation_revision, self.read_revision)
         snapshot = await self.store.get_prefix(self.prefix)
-        self._set_store_reachable(True)
+        self.hand_over(self._set_store_reachable, True)
         if self.evacuations is not None:
             was_set_back = self.set_back and snapshot.revision == known_revision
             self.set_back = snapshot.revision < known_revision or was_set_back
+            self.read_revision = max(self.read_revision, snapshot.revision)
+        self.hand_over(self._apply_snapshot, snapshot, known_revision, self._asked_at())
+        changes = self.store.watch_changes(
+            self.prefix, snapshot.revision, WATCH_IDLE_TIMEOUT_S
+        )
+        with anyio.move_on_after(
+            SET_BACK_READ_INTERVAL_S if self.set_back else float("inf")
+        ):
+            async for change in changes:
+                if self.evacuations is not None and change.key != self.key:
+                    self.read_revision = max(self.read_revision, change.revision)
+                self.hand_over(
+                    self._apply_change, change, self.set_back, self._asked_at()
+                )
+
+    def _asked_at(self) -> float:
+        """Return when the store was asked for what it has just answered."""
+        return self.store.confirmed_at.get(self.prefix, self.started_at)
+
+    def _apply_snapshot(
+        self, snapshot: Snapshot, known_revision: int, asked_at: float
+    ) -> None:
+        if self.evacuations is not None:
             keys = [value.key for value in snapshot.values]
             self.evacuations.record_read(
                 snapshot.revision,
@@ -154,24 +200,16 @@
             )
         for value in snapshot.values:
             if value.key == self.key:
-                self.apply_if_newer(value.data, "store")
-        changes = self.store.watch_changes(
-            self.prefix, snapshot.revision, WATCH_IDLE_TIMEOUT_S
-        )
-        with anyio.move_on_after(
-            SET_BACK_READ_INTERVAL_S if self.set_back else float("inf")
-        ):
-            async for change in changes:
-                self._apply_change(change)
+                self.apply_if_newer(value.data, "store", asked_at)
 
-    def _apply_change(self, change: Change) -> None:
+    def _apply_change(self, change: Change, set_back: bool, asked_at: float) -> None:
         if change.key == self.key:
             if change.data is not None:
-                self.apply_if_newer(change.data, "store")
+                self.apply_if_newer(change.data, "store", asked_at)
         elif self.evacuations is not None:
-            self._apply_evacuation(change)
+            self._apply_evacuation(change, set_back)
 
-    def _apply_evacuation(self, change: Change) -> None:
+    def _apply_evacuation(self, change: Change, set_back: bool) -> None:
         """Apply a change of a key below the evacuation prefix; ignore other keys."""
         if not change.key.startswith(self.evacuation_prefix):
             return
@@ -179,7 +217,7 @@
         is_evacuated = change.data is not None
         if not domain:
             return
-        if not self.set_back or change.revision >= self.evacuations.revision:
+        if not set_back or change.revision >= self.evacuations.revision:
             self.evacuations.record_change(domain, is_evacuated, change.revision)
         elif is_evacuated:
             self.evacuations.add_restored([domain])
--- a/marigoldkeel/fleet/metrics.py
+++ b/marigoldkeel/fleet/metrics.py
@@ -158,7 +158,7 @@
         Counter,
         "marigoldkeel_store_calls",
         "Calls to the store, by kind.",
-        lambda daemon: labelled_samples("kind", daemon.store.counts),
+        lambda daemon: labelled_samples("kind", daemon.store_calls),
     ),
     Metric(
         Gauge,
--- a/marigoldkeel/platform/daemons.py
+++ b/marigoldkeel/platform/daemons.py
@@ -17,8 +17,15 @@
     """
     store = PlatformStore(settings.store.url, settings.store.timeout_s)
     if settings.callers is not None:
+        plan_store = PlatformStore(settings.store.url, settings.store.timeout_s)
         entry = FleetEntry(
-            settings, store, PLAN_KEY, decode_plan, settings_path, EVACUATION_PREFIX
+            settings,
+            store,
+            PLAN_KEY,
+            decode_plan,
+            settings_path,
+            EVACUATION_PREFIX,
+            plan_store,
         )
         entry.servers += [
             (settings.callers.address, callers_application(entry)),
--- a/marigoldkeel/platform/stores.py
+++ b/marigoldkeel/platform/stores.py
@@ -24,7 +24,7 @@
 )
 
 
-# Concurrent calls, including pending watches: the plan, the directory and the lease.
+# Concurrent calls, including pending watches: the directory and the lease, or the plan.
 MAX_CONNECTIONS = 4
 # Added to the requested wait time of a watch to obtain its timeout.
 WATCH_MARGIN_S = 0.4
--- a/marigoldkeel/stores.py
+++ b/marigoldkeel/stores.py
@@ -56,7 +56,7 @@
     """
 
     def __init__(self) -> None:
-        self.counts: dict[str, int] = Counter()
+        self.counts: Counter[str] = Counter()
 
     @abstractmethod
     async def get(self, key: str) -> StoredValue | None:
