Ask again for events that a watch was not told of

A change of the plan could be lost to all entries until the next one.

Cause: a store may state a revision before its watches deliver the events up to it, as it does for about a second before it drops its history. The watch went on from the stated revision, and nothing was read again until a call failed. The class: an answer without events was taken as proof that there were none.

An answer without events now moves the watch only after 10 s. Until then the next watches ask for the same events again, which costs no calls; if the history is gone by then, the store says so and the key is read again. The directory of daemons uses the same watch. A restored store is still noticed by the highest revision that it has stated.

--- a/emulator/stores.py
+++ b/emulator/stores.py
@@ -57,6 +57,8 @@
     :ivar error_status: Status of the response to every call; 0 to serve calls normally.
     :ivar silent: Whether calls get no response at all.
     :ivar delay_s: Delay of each response.
+    :ivar withholds_events: Whether watches get no events, though the revision that they
+        are told includes them.
     :ivar write_responses_to_drop: Number of next writes that are executed without a
         response.
     """
@@ -71,6 +73,7 @@
     error_status: int = 0
     silent: bool = False
     delay_s: float = 0.0
+    withholds_events: bool = False
     write_responses_to_drop: int = 0
 
     def __post_init__(self):
@@ -96,6 +99,7 @@
     def restore(self) -> None:
         """Remove all faults."""
         self.error_status, self.silent = 0, False
+        self.withholds_events = False
         self.delay_s, self.write_responses_to_drop = 0.0, 0
 
     def compact(self) -> None:
@@ -184,6 +188,8 @@
         return Response.from_json({"events": events, "current_rev": self.rev})
 
     def _events(self, prefix: str, after: int) -> list[dict]:
+        if self.withholds_events:
+            return []
         return [
             event
             for event in self.history
--- a/marigoldkeel/platform/stores.py
+++ b/marigoldkeel/platform/stores.py
@@ -22,6 +22,7 @@
     register_store,
     validate_writes,
 )
+from marigoldkeel.watches import WatchPosition
 
 
 # Concurrent calls, including pending watches: the directory and the lease, or the plan.
@@ -144,28 +145,31 @@
         self, prefix: str, after_revision: int, idle_timeout_s: float
     ) -> AsyncIterator[Change]:
         wait_ms = round(idle_timeout_s * 1000)
+        position = WatchPosition(after_revision)
         while True:
             target = (
                 f"/api/kv-watch?prefix={quote(prefix)}"
-                f"&after={after_revision}&wait_ms={wait_ms}"
+                f"&after={position.after}&wait_ms={wait_ms}"
             )
             sent_at = time.monotonic()
             reply = await self._call(
                 "watch", "GET", target, timeout_s=idle_timeout_s + WATCH_MARGIN_S
             )
             answer = self._decode(reply, _WatchResponse, "watch")
-            self.confirmed_at[prefix] = sent_at
-            if answer.current_rev < after_revision:
-                # Restored from an older state; what it has now must be read again.
-                raise self._unavailable(
-                    "watch", f"revision {answer.current_rev} is below {after_revision}"
+            try:
+                position.record(
+                    answer.current_rev,
+                    [event.rev for event in answer.events],
+                    time.monotonic(),
                 )
+            except StoreUnavailable as error:
+                raise self._unavailable("watch", error.message) from None
+            self.confirmed_at[prefix] = sent_at
             for event in answer.events:
                 data = (
                     None if event.removed else self._decode_value(event.value, "watch")
                 )
                 yield Change(event.key, data, event.rev)
-            after_revision = answer.current_rev
 
     async def watch_prefix(
         self, prefix: str, after_revision: int
--- a/tests/platform/test_stores.py
+++ b/tests/platform/test_stores.py
@@ -1,6 +1,6 @@
 """Tests of the client of the platform's store against an emulator with faults."""
 
-from contextlib import aclosing, asynccontextmanager
+from contextlib import aclosing, asynccontextmanager, suppress
 
 import anyio
 import pytest
@@ -26,6 +26,12 @@
         group.cancel_scope.cancel()
 
 
+async def wait_for(condition) -> None:
+    with anyio.fail_after(10):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
 async def test_values_are_read_as_they_were_written():
     async with open_store() as (emulator, store):
         emulator.put("op/config", b"\x00\xffplan")
@@ -89,6 +95,40 @@
         assert emulator.counts["kv-watch"] > 2
 
 
+@pytest.mark.parametrize("drops_history", [False, True])
+async def test_event_that_a_watch_was_not_told_of_is_delivered_or_the_watch_fails(
+    drops_history,
+):
+    # Guards against a change that is skipped with the revision of an empty answer.
+    async with open_store() as (emulator, store):
+        changed = []
+
+        async def follow() -> None:
+            with suppress(StoreUnavailable):
+                async for change in store.watch_changes("d/", emulator.rev, 0.05):
+                    changed.append(change.data)
+                    return
+            snapshot = await store.get_prefix("d/")
+            changed.extend(value.data for value in snapshot.values)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(follow)
+            await wait_for(lambda: emulator.counts["kv-watch"] > 1)
+            emulator.withholds_events = True
+            emulator.put("d/1", b"x")
+            answered = emulator.counts["kv-watch"]
+            await wait_for(lambda: emulator.counts["kv-watch"] > answered + 2)
+            if drops_history:
+                emulator.compact()
+            emulator.withholds_events = False
+            answered = emulator.counts["kv-watch"]
+            await wait_for(
+                lambda: changed or emulator.counts["kv-watch"] > answered + 10
+            )
+            group.cancel_scope.cancel()
+        assert changed == [b"x"]
+
+
 async def test_watch_from_a_compacted_revision_fails():
     async with open_store() as (emulator, store):
         emulator.put("d/1", b"x")
