Ask entries for a newer plan until it is known

An entry that the store turned away could keep an older plan for as long as that lasted.

Cause: a newer version was announced to all entries once and asked for once. If that announcement or that request was lost, or if the asked entry was busy for longer than the limit of 0.5 s, nothing followed until the next announcement in turn, and one request in progress suppressed all others. The class: news whose delivery is tried once per hop, with no one who looks at the whole way against its bound.

Entries now remember who has announced more than they know and ask, two at a time and in the order in which they were asked least recently, until they have it. A reply may take 2 s, and an entry without a reply does not keep others from being asked. In calm no message is added, and none goes to the store. A reply no longer repeats a plan that the asking entry has.

--- a/marigoldkeel/fleet/daemons.py
+++ b/marigoldkeel/fleet/daemons.py
@@ -39,6 +39,7 @@
     RunDurations,
 )
 from marigoldkeel.fleet.plans import Plan
+from marigoldkeel.fleet.pulls import News
 from marigoldkeel.fleet.schedulers import Scheduler
 from marigoldkeel.fleet.settings import FleetSettings
 from marigoldkeel.fleet.status import agent_report, entry_report
@@ -354,6 +355,7 @@
             ("schedule", self.links.run_forever),
             ("follow plan", self.follower.run_forever),
             ("record lateness", self._record_lateness),
+            ("ask other entries", self._ask_entries),
         ):
             group.start_soon(repeat_guarded, step, loop)
         group.start_soon(self.controller.run_forever)
@@ -364,6 +366,9 @@
                 EVACUATION_DELAY_S,
             )
 
+    async def _ask_entries(self) -> None:
+        await self.follower.ask_peers_forever(self.controller.announce_addresses)
+
     async def _record_lateness(self) -> None:
         while True:
             due_at = self.clock() + LATENESS_INTERVAL_S
@@ -386,10 +391,9 @@
         if isinstance(message, Announce):
             self.controller.receive(message)
             if not message.is_agent:
-                await self.follower.pull(
+                await self.follower.receive_news(
                     message.member.address,
-                    message.plan_version,
-                    message.evacuation_revision,
+                    News(message.plan_version, message.evacuation_revision),
                 )
             return None
         if isinstance(message, Pull):
--- a/marigoldkeel/fleet/directory.py
+++ b/marigoldkeel/fleet/directory.py
@@ -454,7 +454,7 @@
         while True:
             if not self.leaving:
                 addresses = self.rounds.next_round(
-                    self._announce_addresses(),
+                    self.announce_addresses(),
                     self.plan_version(),
                     self.evacuation_changes(),
                     self._is_starting(),
@@ -467,7 +467,7 @@
     def _is_starting(self) -> bool:
         return self.clock() - self.started_at < START_S
 
-    def _announce_addresses(self) -> set[str]:
+    def announce_addresses(self) -> set[str]:
         """Return the addresses to which this daemon announces itself in turn.
 
         An agent with connected entries does not announce itself, unless it has just
--- a/marigoldkeel/fleet/following.py
+++ b/marigoldkeel/fleet/following.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from os.path import commonprefix
 from typing import Any
 
@@ -22,6 +22,8 @@
 )
 from marigoldkeel.fleet.lateness import LoopLateness
 from marigoldkeel.fleet.plans import Plan
+from marigoldkeel.fleet.pulls import NO_NEWS, News, PullSchedule
+from marigoldkeel.guards import run_guarded
 from marigoldkeel.messages import Pull, Pulled
 from marigoldkeel.revisions import RevisionRegister
 from marigoldkeel.stores import Change, LeasedStore, Snapshot
@@ -35,10 +37,14 @@
 # stopped delivering events without an error.
 WATCH_IDLE_TIMEOUT_S = 0.8
 STORE_RETRY_DELAY_S = 0.3
-PULL_TIMEOUT_S = 0.5
+# A reply may contain a whole plan and come from an entry that callers keep busy.
+PULL_TIMEOUT_S = 2.0
+# Interval at which requests to peers that are due are sent.
+PULL_INTERVAL_S = 0.25
 # Time after which an evacuation is known to all entries, also to those that the store
 # rejects: a silent watch ends (1.2 s), is started again (0.3 s) after a read (0.5 s) at
-# one entry; the next round of announcements (0.5 s) and a pull (0.5 s) follow.
+# one entry; the next round of announcements (0.5 s) and a pull (0.5 s) follow. Entries
+# that callers keep busy, and lost messages, add to it.
 EVACUATION_DELAY_S = 3.0
 # Interval between complete reads while the store's revision is below the known one. Its
 # changes then tell nothing, as they are compared with that revision.
@@ -58,6 +64,7 @@
     :param evacuations: Follows the evacuated domains too; None to read the plan only.
     :param evacuation_prefix: Prefix of the keys that name an evacuated domain each.
     :param lateness: That of the event loop, for the log.
+    :param clock: The clock of the store's client.
     :ivar prefix: What is read and watched. A prefix that covers the plan and the
         evacuations saves the calls of a second watch; other keys below it are ignored.
     :ivar set_back: Whether the store was last read with a revision below the known one.
@@ -74,6 +81,7 @@
         evacuations: EvacuatedDomains | None = None,
         evacuation_prefix: str = "",
         lateness: LoopLateness | None = None,
+        clock: Callable[[], float] = time.monotonic,
     ):
         self.store = store
         self.peers = peers
@@ -85,13 +93,14 @@
             key if evacuations is None else commonprefix([key, evacuation_prefix])
         )
         self.lateness = lateness or LoopLateness()
-        self.started_at = time.monotonic()
+        self.clock = clock
+        self.started_at = clock()
         self.read_revision = 0
         self.hand_over: Callable[..., None] = _call
         self.set_back = False
         self.register = RevisionRegister()
         self.data = b""
-        self.pulling: set[str] = set()
+        self.pulls = PullSchedule()
         self.store_reachable: bool | None = None
 
     @property
@@ -115,7 +124,7 @@
 
         A plan that this entry does not know yet has been in the store for less.
         """
-        return time.monotonic() - self._asked_at()
+        return self.clock() - self._asked_at()
 
     def apply_if_newer(
         self, data: bytes, source: str, asked_at: float | None = None
@@ -127,7 +136,7 @@
             the last time that the store was asked and has answered.
         """
         asked_at = self._asked_at() if asked_at is None else asked_at
-        unconfirmed_s = time.monotonic() - asked_at
+        unconfirmed_s = self.clock() - asked_at
         try:
             plan = self.decode(data)
         except InvalidInput as error:
@@ -243,7 +252,56 @@
             )
         if message.what != PLAN_DOCUMENT:
             raise StoreUnavailable(f"no document {message.what!r}", step="pull")
-        return Pulled(message.above, self.version, self.data)
+        is_newer = self.version > message.above
+        return Pulled(message.above, self.version, self.data if is_newer else b"")
+
+    async def receive_news(self, address: str, news: News) -> None:
+        """Record an announcement of a peer and fetch what is newer.
+
+        What cannot be fetched now is fetched by `ask_peers_forever`.
+        """
+        self.pulls.record(address, news)
+        for chosen in self.pulls.choose_newer(self.clock(), self.known_news, [address]):
+            await self._pull_news(chosen)
+
+    async def ask_peers_forever(self, addresses: Callable[[], Iterable[str]]) -> None:
+        """Ask peers for what they have announced, or because the store is silent.
+
+        :param addresses: Returns the addresses of the other entries.
+        """
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.sleep(PULL_INTERVAL_S)
+                known, now = list(addresses()), self.clock()
+                self.pulls.forget_others(known)
+                for address in self.pulls.choose_newer(now, self.known_news, known):
+                    group.start_soon(run_guarded, "pull", self._pull_news, address)
+                for address in self.pulls.choose_in_turn(
+                    now, self.unconfirmed_s, known
+                ):
+                    group.start_soon(run_guarded, "pull", self._pull_all, address)
+
+    @property
+    def known_news(self) -> News:
+        """What this entry can tell others."""
+        return News(self.version, self.evacuation_revision)
+
+    async def _pull_news(self, address: str) -> None:
+        """Fetch what a peer has announced."""
+        try:
+            news = self.pulls.announced.get(address, NO_NEWS)
+            await self.pull(address, news.version, news.evacuation_revision)
+        finally:
+            self.pulls.end(address)
+
+    async def _pull_all(self, address: str) -> None:
+        """Fetch what a peer knows, whether or not it has announced it."""
+        try:
+            await self._pull_evacuations(address)
+            if self.evacuations is None or self.evacuations.known:
+                await self._pull_plan(address)
+        finally:
+            self.pulls.end(address)
 
     async def pull(
         self, address: str, version: int, evacuation_revision: int = 0
@@ -287,10 +345,7 @@
         self.evacuations.offer(reply.version, domains, address)
 
     async def _request(self, address: str, document: str, above: int) -> Pulled | None:
-        """Ask a peer for a document; return None if that fails or is in progress."""
-        if document in self.pulling:
-            return None
-        self.pulling.add(document)
+        """Ask a peer for a document; return None if that fails."""
         try:
             return await self.peers.request(
                 address, Pull(document, above), PULL_TIMEOUT_S
@@ -298,8 +353,6 @@
         except MarigoldkeelError as error:
             logger.info("could not fetch the {} from a peer: {}", document, error)
             return None
-        finally:
-            self.pulling.discard(document)
 
     def _set_store_reachable(
         self, is_reachable: bool, error: Exception | str = ""
--- a/marigoldkeel/platform/stores.py
+++ b/marigoldkeel/platform/stores.py
@@ -3,7 +3,7 @@
 import time
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 from urllib.parse import quote
 
@@ -72,8 +72,14 @@
     :param timeout_s: How long a call may go on without anything of its response.
     """
 
-    def __init__(self, url: str, timeout_s: float = CALL_TIMEOUT_S):
+    def __init__(
+        self,
+        url: str,
+        timeout_s: float = CALL_TIMEOUT_S,
+        clock: Callable[[], float] = time.monotonic,
+    ):
         super().__init__()
+        self.clock = clock
         self.client = PlatformClient(url, MAX_CONNECTIONS, fail_without_progress)
         self.timeout_s = timeout_s
 
@@ -93,7 +99,7 @@
         """
         values: list[StoredValue] = []
         revision, after = 0, ""
-        sent_at = time.monotonic()
+        sent_at = self.clock()
         while True:
             target = f"/api/kv-range?prefix={quote(prefix)}"
             if after:
@@ -153,7 +159,7 @@
                 f"/api/kv-watch?prefix={quote(prefix)}"
                 f"&after={position.after}&wait_ms={wait_ms}"
             )
-            sent_at = time.monotonic()
+            sent_at = self.clock()
             reply = await self._call(
                 "watch", "GET", target, timeout_s=idle_timeout_s + WATCH_MARGIN_S
             )
@@ -162,7 +168,7 @@
                 position.record(
                     answer.current_rev,
                     [event.rev for event in answer.events],
-                    time.monotonic(),
+                    self.clock(),
                 )
             except StoreUnavailable as error:
                 raise self._unavailable("watch", error.message) from None
--- a/marigoldkeel/stores.py
+++ b/marigoldkeel/stores.py
@@ -123,7 +123,7 @@
         await store.put_with_lease("daemons/agent-1", record, lease)
 
     :ivar confirmed_at: By prefix, when the last read or watch was sent that has been
-        answered, as ``time.monotonic()``. What it returned was current at that time.
+        answered, on the client's clock. What it returned was current at that time.
     """
 
     def __init__(self) -> None:
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -156,7 +156,7 @@
                 if since_start >= 0 and since_start % 50 == 0:
                     controller = self.controllers[name]
                     for address in controller.rounds.next_round(
-                        controller._announce_addresses(),
+                        controller.announce_addresses(),
                         0,
                         is_starting=controller._is_starting(),
                     ):
