Find the queue of a request by its host, regardless of case

A request to an added route with its host name in other case was answered 404.

The added row of the test failed before.

--- a/marigoldkeel/fleet/plans.py
+++ b/marigoldkeel/fleet/plans.py
@@ -57,18 +57,26 @@
     """One version of the operators' plan.
 
     :ivar limits: Limits on the requests of callers.
+    :ivar queues_by_host: The queues by lower-case host, those with longer prefixes
+        first.
     """
 
     version: int
     queues: list[Queue] = field(default_factory=list)
     services: list[Service] = field(default_factory=list)
     limits: ClientLimits = DEFAULT_LIMITS
+    queues_by_host: dict[str, list[Queue]] = field(default_factory=dict)
+
+    def __post_init__(self):
+        for queue in sorted(self.queues, key=lambda queue: -len(queue.prefix)):
+            self.queues_by_host.setdefault(queue.host.lower(), []).append(queue)
 
     def find(self, host: str, path: str) -> Queue | None:
-        """Return the queue of the host with the longest prefix that matches a path."""
-        matches = [
-            queue
-            for queue in self.queues
-            if queue.host == host and path.startswith(queue.prefix)
-        ]
-        return max(matches, key=lambda queue: len(queue.prefix), default=None)
+        """Return the queue of the host with the longest prefix that matches a path.
+
+        Host names are compared regardless of case (RFC 9110, section 4.2.3).
+        """
+        for queue in self.queues_by_host.get(host.lower(), ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
--- a/tests/platform/test_plans.py
+++ b/tests/platform/test_plans.py
@@ -49,6 +49,8 @@
         ("shop.example", "/stock/urgent/0a", "r-2"),
         ("shop.example", "/stoc", None),
         ("else.example", "/stock/0a", None),
+        ("Shop.Example", "/stock/0a", "r-1"),
+        ("shop.example", "/STOCK/0a", None),
     ],
 )
 def test_queue_with_the_longest_matching_prefix_is_found(host, path, name):
