Parse what clients send in bounded turns, addresses in turn

Ordinary callers got no answer for 14.6 s after a crowd of 150 returning connections with bodies as chunks of one byte had gone.

Cause: all that had arrived on all connections was parsed in one turn of the event loop, up to 256 KB of each. Chunks of one byte cost a few microseconds each, so a turn took seconds. Memory was bounded, processor time was not.

A turn now parses 32 KB. What exceeds it waits, accounted like other bytes, while its connection is not read; the addresses take turns, and data of an address without waiting data is parsed at once while there is room. A stopping server waits for it as for requests that it has not read.

--- a/marigoldkeel/client_guard.py
+++ b/marigoldkeel/client_guard.py
@@ -20,6 +20,7 @@
     ByteBudget,
     Holding,
 )
+from marigoldkeel.fair_queue import FairQueue
 
 
 CGROUP_PATH = Path("/proc/self/cgroup")
@@ -41,6 +42,8 @@
 # length, however late the event loop is, since data may wait to be read after a pause.
 CHECK_INTERVAL_S = 0.5
 LOG_INTERVAL_S = 5.0
+# Data of clients that is parsed in one turn of the event loop.
+TURN_BYTES = 32 * 1024
 
 # In which order connections are closed when there are too many.
 RANK_UNUSED = 0
@@ -76,6 +79,67 @@
     return MAX_DESCRIPTORS if limit == resource.RLIM_INFINITY else limit
 
 
+class ParsingConnection(Protocol):
+    """A connection that keeps data which has not been parsed.
+
+    :ivar address: The IP address of the client.
+    :ivar unparsed: The data.
+    """
+
+    address: str
+    unparsed: bytearray
+
+    def parse_piece(self) -> int:
+        """Parse the first part of the data and return its size."""
+
+
+class ParsingTurns:
+    """Limits how much is parsed in one turn of the event loop.
+
+    Parsing may cost far more than receiving, as with chunks of one byte. What exceeds a
+    turn waits, while the addresses take turns; an address without waiting data is
+    served at once as long as the turn has room for it.
+
+    :ivar left: How many bytes may still be parsed in this turn.
+    """
+
+    def __init__(self):
+        self.left = TURN_BYTES
+        self.queue = FairQueue()
+        self.next_turn: asyncio.Handle | None = None
+        self.loop: asyncio.AbstractEventLoop | None = None
+
+    def take(self, address: str, size: int) -> bool:
+        """Return whether data that has just arrived may be parsed now."""
+        if size > self.left or address in self.queue:
+            return False
+        self.left -= size
+        self._schedule()
+        return True
+
+    def defer(self, connection: ParsingConnection) -> None:
+        """Let a connection parse its data in turn."""
+        self.queue.add(connection.address, connection)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        # The default guard outlives an event loop.
+        if self.next_turn is None or self.loop is not asyncio.get_running_loop():
+            self.loop = asyncio.get_running_loop()
+            self.next_turn = self.loop.call_soon(self._begin_turn)
+
+    def _begin_turn(self) -> None:
+        self.next_turn = None
+        self.left = TURN_BYTES
+        while self.queue and self.left > 0:
+            connection = self.queue.pop()
+            self.left -= connection.parse_piece()
+            if connection.unparsed:
+                self.queue.put_back(connection.address, connection)
+        if self.queue:
+            self._schedule()
+
+
 class GuardedConnection(Protocol):
     """A connection that a client has opened.
 
@@ -122,6 +186,7 @@
         self.unfinished: dict[GuardedConnection, None] = {}
         self.check: asyncio.TimerHandle | None = None
         self.check_loop: asyncio.AbstractEventLoop | None = None
+        self.parsing = ParsingTurns()
         self.counts: Counter[str] = Counter()
         self.logged_at = float("-inf")
         self.logged_counts: Counter[str] = Counter()
--- a/marigoldkeel/http_limits.py
+++ b/marigoldkeel/http_limits.py
@@ -77,6 +77,7 @@
     :ivar kept: Bytes of the request that is being answered.
     :ivar completed: Whether the data being parsed has completed a message.
     :ivar active: The request that is being answered, or was answered last.
+    :ivar unparsed: What has arrived and waits for its turn to be parsed.
     :ivar holding: What is accounted for the connection; None for ordinary requests.
     """
 
@@ -98,6 +99,7 @@
         self.completed = False
         self.kept = 0
         self.active: RequestResponseCycle | None = None
+        self.unparsed = bytearray()
         self.holding: Holding | None = None
         self.refused = False
         self.quiet_checks = 0
@@ -129,6 +131,7 @@
         if self.abort_task is not None:
             self.abort_task.cancel()
         self.pipeline.clear()
+        self.unparsed.clear()
         # uvicorn notifies the request that was received last, which may be a later one.
         self._disconnect(self.active)
         super().connection_lost(exc)
@@ -168,6 +171,8 @@
             if self.quiet_checks * CHECK_INTERVAL_S >= UNREAD_RESPONSE_S:
                 self.guard.count("response not read")
                 self.transport.abort()
+        elif self.unparsed:
+            self.quiet_checks = 0
         elif not self._is_unfinished:
             self.guard.unwatch(self)
         elif not self.in_body and not self._has_begun:
@@ -190,8 +195,8 @@
 
     @property
     def _is_unfinished(self) -> bool:
-        """Whether a part of a request has arrived, but not its end."""
-        return self.in_body or self.framing > 0
+        """Whether a part of a request has arrived, but its end has not been parsed."""
+        return self.in_body or self.framing > 0 or bool(self.unparsed)
 
     @property
     def _has_begun(self) -> bool:
@@ -210,13 +215,37 @@
         if self.refused:
             return
         self._unset_keepalive_if_required()
-        if len(data) <= PIECE_BYTES:
+        if self.unparsed or not self.guard.parsing.take(self.address, len(data)):
+            self._defer(data)
+        elif len(data) <= PIECE_BYTES:
             self._parse(data)
-            return
-        for start in range(0, len(data), PIECE_BYTES):
-            self._parse(data[start : start + PIECE_BYTES])
-            if self.refused or self.transport.is_closing():
-                return
+        else:
+            for start in range(0, len(data), PIECE_BYTES):
+                self._parse(data[start : start + PIECE_BYTES])
+                if self.refused or self.transport.is_closing():
+                    return
+
+    def _defer(self, data: bytes) -> None:
+        """Keep data until it is the turn of this connection; read nothing meanwhile."""
+        if not self.unparsed:
+            self.guard.parsing.defer(self)
+        self.unparsed += data
+        self.transport.pause_reading()
+        self._account()
+
+    def parse_piece(self) -> int:
+        """Parse the first part of what waits, and return its size."""
+        if self.transport.is_closing():
+            self.unparsed.clear()
+        piece = bytes(self.unparsed[:PIECE_BYTES])
+        if not piece:
+            return 0
+        del self.unparsed[:PIECE_BYTES]
+        self._parse(piece)
+        is_open = not (self.refused or self.transport.is_closing())
+        if is_open and not self.unparsed and not self.flow.read_paused:
+            self.transport.resume_reading()
+        return len(piece)
 
     def _parse(self, data: bytes) -> None:
         self.framing += len(data)
@@ -234,6 +263,7 @@
             return
         framing = self.framing
         size = framing + self.body_received + self.headers_bytes + self.kept
+        size += len(self.unparsed)
         is_large = size > UNACCOUNTED_BYTES
         if framing and not self.in_body and len(self.headers or ()) > FEW_HEADERS:
             is_large = True
@@ -270,6 +300,7 @@
 
     def _account(self) -> None:
         size = self.kept + self.framing + self.body_received + self.headers_bytes
+        size += len(self.unparsed)
         if not self.in_body and self.framing:
             size += HEADER_BYTES * len(self.headers or ())
         for cycle, _ in self.pipeline:
@@ -440,6 +471,7 @@
         """Close the connection; keep nothing that it has sent."""
         self.refused = True
         self.guard.unwatch(self)
+        self.unparsed.clear()
         self._release()
         self._clear_headers()
         self._unset_keepalive_if_required()
--- a/marigoldkeel/servers.py
+++ b/marigoldkeel/servers.py
@@ -308,6 +308,8 @@
 
     def _has_unread_connections(self) -> bool:
         """Return whether anything has arrived on a connection without a request."""
+        if any(connection.unparsed for connection in self.server_state.connections):
+            return True
         poller = select.poll()
         for connection in self.server_state.connections:
             is_idle = connection.cycle is None or connection.cycle.response_complete
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -52,6 +52,7 @@
 HANG_GUARD_S = 90.0
 ATTEMPT_TIMEOUT_S = 5.0
 RETRY_DELAY_S = 0.2
+RETURN_DELAY_S = 0.05
 DESCRIPTOR_INTERVAL_S = 0.1
 REPORT_INTERVAL_S = 0.3
 SEND_BYTES = 65_536
@@ -133,6 +134,7 @@
     Crowd("endless trailer", CHUNKED + b"0\r\nx: ", b"a" * 1000, 4 * MB),
     Crowd("chunk extensions", CHUNKED + b"1;x=", b"a" * 1000, 4 * MB),
     Crowd("small chunks", CHUNKED, b"1;" + b"a" * 96 + b"\r\n \r\n", 4 * MB),
+    Crowd("chunks of one byte", CHUNKED, b"1\r\n \r\n", MB, connections=120),
     Crowd("whole bodies", whole_request(BODY), connections=300),
     Crowd("unfinished bodies", whole_request(BODY)[:-1], connections=300),
     Crowd(
@@ -158,6 +160,15 @@
     Crowd("idle links", connections=400, port="listen"),
     Crowd("idle links of an agent", connections=400, port="agent listen"),
 ]
+# The connections of these crowds come back as soon as they are closed.
+RETURNING_CROWDS = [
+    Crowd("chunks of one byte", CHUNKED, b"1\r\n \r\n", MB, connections=150),
+    Crowd("small headers", JOB_LINE, b"x: y\r\n", MB, connections=150),
+    Crowd("empty lines", b"", b"\r\n" * 500, MB, connections=150),
+    Crowd("endless trailers", CHUNKED + b"0\r\n", b"x: y\r\n", MB, connections=150),
+    Crowd("unfinished bodies", whole_request(BODY)[:-1], connections=150),
+    Crowd("pipelined requests", b"", SMALL_GET, MB, connections=150),
+]
 
 
 @dataclass
@@ -342,6 +353,45 @@
     assert max(counts) < DESCRIPTOR_BOUND
 
 
+async def send_again_and_again(crowd: Crowd, address: str, number: int) -> None:
+    """Send the content of one connection, and again as soon as it is closed."""
+    host, port = address.split(":")
+    local_host = CROWD_HOSTS[number % len(CROWD_HOSTS)]
+    while True:
+        with suppress(OSError, anyio.BrokenResourceError, anyio.EndOfStream):
+            async with await anyio.connect_tcp(
+                host, int(port), local_host=local_host
+            ) as stream:
+                await stream.send(crowd.content(number))
+                while True:
+                    await stream.receive()
+        await anyio.sleep(RETURN_DELAY_S)
+
+
+@pytest.mark.parametrize("crowd", RETURNING_CROWDS, ids=lambda crowd: crowd.name)
+async def test_process_stays_within_its_bounds_and_answers_after_a_crowd_that_returns(
+    crowd, tmp_path
+):
+    counts = []
+    with anyio.fail_after(HANG_GUARD_S):
+        async with Fleet.open(tmp_path) as fleet, anyio.create_task_group() as group:
+            group.start_soon(count_descriptors, fleet.entry, counts)
+            address = fleet.addresses[crowd.port]
+            with anyio.move_on_after(CROWD_DURATION_S):
+                async with anyio.create_task_group() as sending:
+                    for number in range(crowd.connections):
+                        sending.start_soon(send_again_and_again, crowd, address, number)
+            gone_at = anyio.current_time()
+            await fleet.answer_to_job()
+            answered_s = anyio.current_time() - gone_at
+            assert fleet.entry.alive
+            peak = peak_memory_mb(fleet.entry)
+            group.cancel_scope.cancel()
+    print(f"{crowd.name}: {peak:.0f} MB, {max(counts)} descriptors, {answered_s:.1f} s")
+    assert peak < MEMORY_BOUND_MB
+    assert max(counts) < DESCRIPTOR_BOUND
+
+
 async def test_largest_requests_within_the_limits_are_served(tmp_path):
     # Guards against a limit that refuses what a legal client sends.
     with anyio.fail_after(HANG_GUARD_S):
--- a/tests/test_parsing_turns.py
+++ b/tests/test_parsing_turns.py
@@ -70,6 +70,7 @@
     def __init__(self):
         self.parsed = 0
         self.parsed_before: dict[str, int] = {}
+        self.requests: list[tuple[str, bytes]] = []
         self.guard = ClientGuard.from_limits(memory_mb=552)
         self.config = uvicorn.Config(
             self.serve, lifespan="off", log_config=None, interface="asgi3"
@@ -79,8 +80,12 @@
 
     async def serve(self, scope, receive, send) -> None:
         self.parsed_before.setdefault(scope["client"][0], self.parsed)
-        while (await receive()).get("more_body"):
-            pass
+        body, event = b"", {"more_body": True}
+        while event.get("more_body"):
+            event = await receive()
+            body += event.get("body", b"")
+        if event["type"] == "http.request":
+            self.requests.append((scope["path"], body))
         await send({"type": "http.response.start", "status": 200, "headers": []})
         await send({"type": "http.response.body", "body": b""})
 
@@ -122,3 +127,28 @@
     assert server.parsed_before["127.0.0.9"] <= BOUND_BYTES
     for protocol in (*crowd, ordinary):
         protocol.connection_lost(None)
+
+
+async def test_requests_that_wait_for_their_turn_arrive_whole_and_in_order():
+    server = Server()
+    body = bytes(range(256)) * 800
+    connections = [server.connect(f"127.0.0.{2 + number % 2}") for number in range(6)]
+    for number, protocol in enumerate(connections):
+        content = b"".join(
+            b"POST /%d/%d HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
+            % (number, part, len(body))
+            + body
+            for part in range(2)
+        )
+        for start in range(0, len(content), READ_BYTES):
+            protocol.data_received(content[start : start + READ_BYTES])
+    with anyio.fail_after(30):
+        while len(server.requests) < 12:
+            await anyio.lowlevel.checkpoint()
+    assert all(received == body for _, received in server.requests)
+    for number, protocol in enumerate(connections):
+        paths = [path for path, _ in server.requests if path.startswith(f"/{number}/")]
+        assert paths == [f"/{number}/0", f"/{number}/1"]
+        assert protocol.transport.reading
+        protocol.connection_lost(None)
+    assert server.guard.budget.used == 0
