--- a/bench/fleet_costs.py
+++ b/bench/fleet_costs.py
@@ -42,15 +42,18 @@
     @classmethod
     def of(cls, process_id: int) -> "Usage":
         """Read the usage of a process."""
-        directory = Path("/proc") / str(process_id)
-        # More exact than the ticks in ``stat``, which miss short wake-ups.
-        cpu_ns = int((directory / "schedstat").read_text().split()[0])
-        status = dict(
-            line.split(":\t", 1)
-            for line in (directory / "status").read_text().splitlines()
-            if ":\t" in line
-        )
-        return cls(cpu_ns / NANOSECONDS_PER_S, int(status["voluntary_ctxt_switches"]))
+        cpu_ns, wake_ups = 0, 0
+        # Both files are those of one thread.
+        for directory in (Path("/proc") / str(process_id) / "task").iterdir():
+            # More exact than the ticks in ``stat``, which miss short wake-ups.
+            cpu_ns += int((directory / "schedstat").read_text().split()[0])
+            status = dict(
+                line.split(":\t", 1)
+                for line in (directory / "status").read_text().splitlines()
+                if ":\t" in line
+            )
+            wake_ups += int(status["voluntary_ctxt_switches"])
+        return cls(cpu_ns / NANOSECONDS_PER_S, wake_ups)
 
 
 class RoleMeter:
