--- a/marigoldkeel/fleet/following.py
+++ b/marigoldkeel/fleet/following.py
@@ -145,6 +145,7 @@
         if self.register.offer(plan.version, plan):
             self.data = data
             logger.bind(
+                rare=True,
                 bytes=len(data),
                 unconfirmed_ms=round(1000 * unconfirmed_s),
                 loop_late_ms=round(1000 * self.lateness.worst_s),
@@ -360,6 +361,7 @@
         if is_reachable != self.store_reachable:
             self.store_reachable = is_reachable
             logger.bind(
+                rare=True,
                 version=self.version,
                 unconfirmed_ms=round(1000 * self.unconfirmed_s),
                 loop_late_ms=round(1000 * self.lateness.worst_s),
--- a/marigoldkeel/logs.py
+++ b/marigoldkeel/logs.py
@@ -53,9 +53,10 @@
 class RateLimitedSink:
     """Writes log records as JSON lines with a rate limit and without blocking.
 
-    The first line after a gap reports how many lines were dropped. Warnings and errors
-    count towards the rate limit, and may exceed it by one more burst. They are limited
-    at all since a client can cause one with each connection.
+    The first line after a gap reports how many lines were dropped. Warnings, errors and
+    lines that are bound as ``rare`` count towards the rate limit, and may exceed it by
+    one more burst. They are limited at all since a client can cause a warning with each
+    connection.
 
     :param write: Writes some of the given bytes and returns how many; raises
         `BlockingIOError` if it cannot write any.
@@ -84,8 +85,10 @@
             self.tokens + (now - self.refilled_at) * self.lines_per_s,
         )
         self.refilled_at = now
+        extra = dict(record["extra"])
         is_warning = record["level"].no >= logger.level("WARNING").no
-        needed = 1 - self.lines_per_s * BURST_S if is_warning else 1
+        may_exceed = extra.pop("rare", False) or is_warning
+        needed = 1 - self.lines_per_s * BURST_S if may_exceed else 1
         if self.tokens < needed or len(self.backlog) > MAX_BACKLOG_BYTES:
             self.dropped_lines += 1
             self._flush()
@@ -96,7 +99,7 @@
             "level": record["level"].name.lower(),
             "module": record["name"].removeprefix("marigoldkeel."),
             "message": record["message"],
-            **record["extra"],
+            **extra,
         }
         if record["exception"] is not None:
             line["exception"] = str(message)
