Do not ask other entries for evacuations that are not followed

An entry without [evacuation] in its settings took the announcements of entries with it as news, and came back to them twice a second without end, since what they know is never applied here.

--- a/marigoldkeel/fleet/following.py
+++ b/marigoldkeel/fleet/following.py
@@ -12,6 +12,7 @@
 
 import anyio
 from loguru import logger
+from msgspec.structs import replace
 
 from marigoldkeel.exceptions import InvalidInput, MarigoldkeelError, StoreUnavailable
 from marigoldkeel.fleet.evacuations import (
@@ -261,6 +262,8 @@
 
         What cannot be fetched now is fetched by `ask_peers_forever`.
         """
+        if self.evacuations is None:
+            news = replace(news, evacuation_revision=0)
         self.pulls.record(address, news)
         for chosen in self.pulls.choose_newer(self.clock(), self.known_news, [address]):
             await self._pull_news(chosen)
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -11,6 +11,7 @@
 from marigoldkeel.fleet.messages import Attach, Renew, RunEvent
 from marigoldkeel.fleet.placement import find_candidates
 from marigoldkeel.fleet.plans import Plan
+from marigoldkeel.fleet.pulls import News
 from marigoldkeel.fleet.supervisors import EVACUATED
 from marigoldkeel.fleet.views import COLD_SHARE, WorkerView
 from marigoldkeel.fleet.work import JobState, Resources
@@ -285,3 +286,16 @@
     assert len(entry.fleet.ready("service")) == ready
     # Each of the other agents is shared by more entries.
     assert entry.links.entries_per_agent() == pytest.approx(12 * ready / 45)
+
+
+@pytest.mark.parametrize(("follows", "is_asked"), [(False, False), (True, True)])
+def test_entry_without_evacuations_does_not_ask_for_those_of_others(follows, is_asked):
+    # Guards against requests that nothing ends, as the answer is not used.
+    source = Source(plan=Pulled(0, 1, b"1"), evacuations=Pulled(0, 7, b"[]"))
+    follower = source.follower(EvacuatedDomains() if follows else None)
+    follower.apply_if_newer(b"1", "store")
+    anyio.run(follower.receive_news, "peer", News(1, 7))
+    assert (source.asked != []) == is_asked
+    later = follower.clock() + 99.0
+    chosen = follower.pulls.choose_newer(later, follower.known_news, ["peer"])
+    assert chosen == []
